Lend executors' slots between gateways through an owner per host

Cause: with static shares a gateway that has all the load used 16 of 32 slots. Ruled out: no shares at all (targets refuse what is over); one grant for each request (a hop for every request, also with nothing queued). Change: the first gateway by rendezvous owns a host's slots and moves allowances to where requests wait, a slot only after its holder has said that it is free. A gateway is still bounded by its connections per target.

--- a/libraries/control/messages.cc
+++ b/libraries/control/messages.cc
@@ -9,8 +9,18 @@
 
 }  // namespace shallotwick::fleet
 
+namespace shallotwick::routing {
+
+SHALLOTWICK_DEFINE_JSON(SlotReport, in_use, allowance, wanted)
+
+}  // namespace shallotwick::routing
+
 namespace shallotwick::control {
 
+SHALLOTWICK_DEFINE_JSON(SlotWants, gateway, wanted)
+SHALLOTWICK_DEFINE_JSON(SlotAllowances, owner, sequence, allowed)
+SHALLOTWICK_DEFINE_JSON(SlotReports, reports)
+
 SHALLOTWICK_DEFINE_JSON(ReportedMember, age_milliseconds, store_reachable)
 SHALLOTWICK_DEFINE_JSON(Digest, gateway, view_version,
                         confirmed_age_milliseconds, reports)
--- a/libraries/link/http2_session.cc
+++ b/libraries/link/http2_session.cc
@@ -1,12 +1,15 @@
 #include "link/http2_session.h"
 
 #include <algorithm>
+#include <atomic>
 #include <charconv>
 #include <utility>
 
 namespace shallotwick::link {
 namespace {
 
+std::atomic<uint64_t> g_link_bytes{0};
+
 constexpr uint32_t kMostStreams = 256;
 constexpr uint32_t kWindowBytes = size_t{1024} * 1024;
 // Bytes taken from nghttp2 before a write is started.
@@ -18,6 +21,8 @@
 
 }  // namespace
 
+uint64_t GetLinkBytes() { return g_link_bytes.load(); }
+
 Http2Session::Http2Session(asio::ip::tcp::socket socket, bool is_server)
     : m_socket(std::move(socket)) {
   nghttp2_session_callbacks* callbacks = MakeCallbacks();
@@ -161,6 +166,7 @@
   m_socket.async_read_some(
       asio::buffer(m_read_buffer),
       [self = shared_from_this()](const std::error_code& error, size_t bytes) {
+        g_link_bytes.fetch_add(bytes);
         if (self->m_closed) {
           return;
         }
@@ -203,7 +209,8 @@
   m_writing = true;
   asio::async_write(
       m_socket, asio::buffer(m_write_buffer),
-      [self = shared_from_this()](const std::error_code& error, size_t) {
+      [self = shared_from_this()](const std::error_code& error, size_t bytes) {
+        g_link_bytes.fetch_add(bytes);
         self->m_writing = false;
         if (self->m_closed) {
           return;
--- a/libraries/link/message.h
+++ b/libraries/link/message.h
@@ -36,6 +36,9 @@
   auto operator<=>(const Reply&) const = default;
 };
 
+// Bytes that this process has sent and received on all links.
+uint64_t GetLinkBytes();
+
 using OnReply = std::function<void(Reply)>;
 // Answers one call, once, on the thread that it was handed over on.
 using CallHandler = std::function<void(Call, OnReply)>;
--- a/libraries/platform/http_platform.cc
+++ b/libraries/platform/http_platform.cc
@@ -38,6 +38,7 @@
 
 http::Response HttpPlatform::Call(const std::string& method,
                                   const std::string& path, std::string body) {
+  m_bytes.fetch_add(body.size());
   http::Request request{
       method, path, {{"Content-Type", "application/json"}}, std::move(body)};
   http::TransferResult result = http::SendAndWait(
@@ -45,6 +46,7 @@
   if (result.outcome != http::TransferOutcome::kComplete) {
     throw Unavailable(m_address + path + ": " + result.error);
   }
+  m_bytes.fetch_add(result.response.body.size());
   const int status = result.response.status;
   if (status != kOk && status != kCreated && status != kNotFound &&
       status != kConflict) {
--- a/libraries/platform/http_platform.h
+++ b/libraries/platform/http_platform.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <atomic>
 #include <string>
 #include <vector>
 
@@ -28,10 +29,14 @@
   std::vector<ListedHost> List() override;
   void Reboot(const std::string& host, const std::string& boot_id) override;
 
+  // Bytes of bodies that this client has sent and received.
+  uint64_t GetBytes() const { return m_bytes.load(); }
+
  private:
   http::Response Call(const std::string& method, const std::string& path,
                       std::string body);
 
+  std::atomic<uint64_t> m_bytes{0};
   std::string m_address;
   http::TransferOptions m_options;
 };
--- a/libraries/routing/dispatcher.cc
+++ b/libraries/routing/dispatcher.cc
@@ -75,6 +75,51 @@
   });
 }
 
+std::map<std::string, int> Dispatcher::GetSlots() const {
+  return m_table.Read([](const RoutingTable& table) { return table.slots; });
+}
+
+std::map<std::string, MemberRoute> Dispatcher::GetMembers() const {
+  return m_table.Read(
+      [](const RoutingTable& table) { return table.view.members; });
+}
+
+std::map<std::string, SlotReport> Dispatcher::CollectSlotReports() const {
+  std::map<std::string, size_t> waiting;
+  {
+    std::lock_guard<std::mutex> lock(m_names_mutex);
+    for (const auto& [name, service] : m_services) {
+      waiting[name] = service->waiting.load();
+    }
+  }
+  return m_table.Read([&waiting](const RoutingTable& table) {
+    std::map<std::string, SlotReport> reports;
+    for (const auto& [name, service] : table.services) {
+      const size_t targets = std::max<size_t>(service.targets.size(), 1);
+      const auto more =
+          static_cast<int>((waiting[name] + targets - 1) / targets);
+      for (const Target& target : service.targets) {
+        SlotReport& report = reports[target.host];
+        report.in_use = target.state->GetInUse();
+        report.allowance = target.state->GetAllowance();
+        report.wanted = std::max(report.wanted, report.in_use) + more;
+      }
+    }
+    return reports;
+  });
+}
+
+void Dispatcher::SetAllowance(const std::string& host, int allowance,
+                              base::TimePoint now) {
+  m_table.Read([&](const RoutingTable& table) {
+    const auto state = table.states.find(host);
+    if (state != table.states.end()) {
+      state->second->SetAllowance(allowance);
+    }
+  });
+  Advance(now);
+}
+
 std::shared_ptr<Dispatcher::ServiceState> Dispatcher::GetService(
     const std::string& name) {
   std::lock_guard<std::mutex> lock(m_names_mutex);
--- a/libraries/routing/dispatcher.h
+++ b/libraries/routing/dispatcher.h
@@ -14,6 +14,7 @@
 #include "routing/reason.h"
 #include "routing/request_ticket.h"
 #include "routing/routing_table.h"
+#include "routing/slot_owner.h"
 #include "routing/waiting_queue.h"
 
 namespace shallotwick::routing {
@@ -52,6 +53,15 @@
   std::optional<ServiceRoute> FindService(const std::string& name) const;
   std::map<std::string, int> CountInFlightOnOthers() const;
 
+  // Slots of each host, for all gateways together.
+  std::map<std::string, int> GetSlots() const;
+  std::map<std::string, MemberRoute> GetMembers() const;
+  // Slots used, allowed and wanted on each serving host.
+  std::map<std::string, SlotReport> CollectSlotReports() const;
+  // Changes how many slots of a host this gateway may use at once.
+  void SetAllowance(const std::string& host, int allowance,
+                    base::TimePoint now);
+
   // Calls `on_decision` once: at once, or from a later call of another method.
   void Submit(const RequestTicket& ticket, base::TimePoint now,
               OnDecision on_decision);
--- a/libraries/routing/routing_table.cc
+++ b/libraries/routing/routing_table.cc
@@ -56,6 +56,8 @@
     RoutingView view, const RoutingTable* former, const std::string& gateway) {
   auto table = std::make_unique<RoutingTable>();
   const std::vector<std::string> members = GetMembers(view, gateway);
+  const bool same_members =
+      former != nullptr && GetMembers(former->view, gateway) == members;
   std::map<std::string, int> slots_of_pool;
   std::map<std::string, std::vector<Target>> targets_of_pool;
   for (const auto& [name, host] : view.hosts) {
@@ -64,7 +66,14 @@
     if (slots == slots_of_pool.end()) {
       slots = slots_of_pool.emplace(host.pool, GetSlots(view, host.pool)).first;
     }
-    state->SetAllowance(ShareOf(name, slots->second, members, gateway));
+    table->slots[name] = slots->second;
+    // What is lent among the same members stays lent.
+    const bool keeps_allowance = former != nullptr && same_members &&
+                                 former->slots.count(name) != 0 &&
+                                 former->slots.at(name) == slots->second;
+    if (!keeps_allowance) {
+      state->SetAllowance(ShareOf(name, slots->second, members, gateway));
+    }
     table->states[name] = state;
     if (host.state == records::HostState::kServing) {
       targets_of_pool[host.pool].push_back({name, host.address, state});
--- a/libraries/routing/routing_table.h
+++ b/libraries/routing/routing_table.h
@@ -28,6 +28,8 @@
   RoutingView view;
   std::map<std::string, ServiceTargets> services;
   std::map<std::string, std::shared_ptr<TargetState>> states;
+  // Slots of each host, for all gateways together.
+  std::map<std::string, int> slots;
   // Requests at once that this gateway may run for each team with a quota.
   std::map<std::string, int> team_shares;
 };
--- a/services/shallotwick-gateway/gateway.cc
+++ b/services/shallotwick-gateway/gateway.cc
@@ -26,6 +26,11 @@
   return base::FormatEndpoint(endpoint);
 }
 
+link::Reply RefuseMalformed(const link::Call& call) {
+  base::Log(base::events::kMalformedFrame, {{"path", call.path}});
+  return link::Reply{link::ReplyStatus::kRefused, {}};
+}
+
 http::ServerOptions MakeServerOptions(const base::Settings& settings) {
   http::ServerOptions options;
   options.listen = base::ParseEndpoint(settings.GetString("listen"));
@@ -98,6 +103,13 @@
       m_views(m_name, m_dispatcher,
               routing::ConfirmationLimits{std::chrono::milliseconds(
                   settings.GetInteger("stale-limit-ms"))}) {
+  m_metrics.GetRegistry().SetGauge("shallotwick_link_bytes", [] {
+    return static_cast<double>(link::GetLinkBytes());
+  });
+  m_metrics.GetRegistry().SetGauge("shallotwick_platform_bytes", [this] {
+    return static_cast<double>(m_platform.GetBytes() +
+                               m_claim_platform.GetBytes());
+  });
   m_claims = std::make_unique<ClaimStore>(m_claim_platform, m_claim_platform,
                                           ClaimStoreOptions{});
   for (int64_t count = 0; count < settings.GetInteger("target-threads");
@@ -129,6 +141,9 @@
   GossipOptions gossip;
   gossip.first_peers = settings.GetList("peers");
   m_gossip = std::make_unique<PeerGossip>(m_name, *m_links, m_views, gossip);
+  m_lending = std::make_unique<SlotLending>(m_name, *m_links, m_dispatcher,
+                                            SlotLendingOptions{});
+  m_answers_calls.store(true);
   m_advance = std::make_unique<base::PeriodicTask>([this] {
     m_dispatcher.Advance(base::RuntimeClock::now());
     const bool is_ready = IsReady();
@@ -158,6 +173,7 @@
   m_claims->Drain(m_stop_limit);
   m_advance->Stop();
   m_gossip->Stop();
+  m_lending->Stop();
   m_membership->Leave();
   m_links->Stop();
   m_server->Stop();
@@ -266,16 +282,37 @@
   } else if (call.path == control::kFetchViewPath) {
     on_reply(link::Reply{link::ReplyStatus::kOk,
                          control::Encode(m_views.GetView())});
+  } else if (call.path == control::kWantSlotsPath && m_answers_calls.load()) {
+    on_reply(AnswerWants(call));
+  } else if (call.path == control::kAllowSlotsPath && m_answers_calls.load()) {
+    on_reply(AnswerAllowances(call));
   } else {
     on_reply(link::Reply{link::ReplyStatus::kRefused, {}});
   }
 }
 
+link::Reply Gateway::AnswerWants(const link::Call& call) {
+  const auto wants = control::Decode<control::SlotWants>(call.body);
+  if (!wants) {
+    return RefuseMalformed(call);
+  }
+  m_lending->TakeWants(*wants);
+  return link::Reply{link::ReplyStatus::kOk, {}};
+}
+
+link::Reply Gateway::AnswerAllowances(const link::Call& call) {
+  const auto allowances = control::Decode<control::SlotAllowances>(call.body);
+  if (!allowances) {
+    return RefuseMalformed(call);
+  }
+  return link::Reply{link::ReplyStatus::kOk,
+                     control::Encode(m_lending->TakeAllowances(*allowances))};
+}
+
 link::Reply Gateway::AnswerPush(const link::Call& call) {
   const auto push = control::Decode<control::ViewPush>(call.body);
   if (!push) {
-    base::Log(base::events::kMalformedFrame, {{"path", call.path}});
-    return link::Reply{link::ReplyStatus::kRefused, {}};
+    return RefuseMalformed(call);
   }
   m_views.ApplyPush(*push);
   fleet::GatewayAcknowledgement acknowledgement;
--- a/services/shallotwick-gateway/gateway.h
+++ b/services/shallotwick-gateway/gateway.h
@@ -18,6 +18,7 @@
 #include "request_flow.h"
 #include "routing/dispatcher.h"
 #include "routing/retry_budget.h"
+#include "slot_lending.h"
 #include "view_keeper.h"
 
 namespace shallotwick::gateway {
@@ -40,6 +41,8 @@
   void AnswerOutcome(const http::Request& request, http::Respond respond);
   void HandleCall(const link::Call& call, const link::OnReply& on_reply);
   link::Reply AnswerPush(const link::Call& call);
+  link::Reply AnswerWants(const link::Call& call);
+  link::Reply AnswerAllowances(const link::Call& call);
   records::MemberRecord DescribeMember() const;
   bool IsReady() const;
   void WaitForRequestsInFlight();
@@ -58,6 +61,8 @@
   routing::Dispatcher m_dispatcher;
   routing::RetryBudget m_retry_budget;
   ViewKeeper m_views;
+  // Set when the parts that answer calls are all there.
+  std::atomic<bool> m_answers_calls{false};
   std::atomic<bool> m_stopping{false};
   std::atomic<bool> m_refuses_new{false};
   std::atomic<bool> m_was_ready{false};
@@ -67,6 +72,7 @@
   std::unique_ptr<http::Server> m_server;
   std::unique_ptr<Membership> m_membership;
   std::unique_ptr<PeerGossip> m_gossip;
+  std::unique_ptr<SlotLending> m_lending;
   std::unique_ptr<base::PeriodicTask> m_advance;
 };
 
--- /dev/null
+++ b/services/shallotwick-gateway/slot_lending.cc
@@ -0,0 +1,233 @@
+#include "slot_lending.h"
+
+#include <utility>
+
+#include "control/message_codec.h"
+#include "routing/slot_shares.h"
+
+namespace shallotwick::gateway {
+
+SlotLending::SlotLending(std::string gateway, control::LinkThread& links,
+                         routing::Dispatcher& dispatcher,
+                         SlotLendingOptions options)
+    : m_gateway(std::move(gateway)),
+      m_links(links),
+      m_dispatcher(dispatcher),
+      m_options(options),
+      m_task([this] { return RunRound(); }) {}
+
+base::Duration SlotLending::RunRound() {
+  const base::TimePoint now = base::RuntimeClock::now();
+  FollowView();
+  const Reports reports = m_dispatcher.CollectSlotReports();
+  SendWants(reports, now);
+  ServeOwnedHosts(reports, now);
+  ReturnLapsed(reports, now);
+  return m_options.period;
+}
+
+void SlotLending::FollowView() {
+  const std::map<std::string, int> slots = m_dispatcher.GetSlots();
+  const std::map<std::string, routing::MemberRoute> members =
+      m_dispatcher.GetMembers();
+  std::map<std::string, std::string> addresses;
+  for (const auto& [name, member] : members) {
+    addresses[name] = member.link_address;
+  }
+  std::lock_guard<std::mutex> lock(m_mutex);
+  if (slots == m_slots && addresses == m_addresses) {
+    return;
+  }
+  m_slots = slots;
+  m_addresses = std::move(addresses);
+  m_owned.clear();
+  m_owner_of.clear();
+  m_shares.clear();
+  m_owning_since = base::RuntimeClock::now();
+  std::vector<std::string> names;
+  for (const auto& [name, address] : m_addresses) {
+    names.push_back(name);
+  }
+  if (m_addresses.count(m_gateway) == 0) {
+    return;
+  }
+  for (const auto& [host, count] : m_slots) {
+    const std::string owner = routing::OrderByRendezvous(host, names).front();
+    m_owner_of[host] = owner;
+    m_shares[host] = routing::ShareOf(host, count, names, m_gateway);
+    if (owner == m_gateway) {
+      m_owned.emplace(host, routing::SlotOwner(host, count, names, {}));
+    }
+  }
+}
+
+void SlotLending::SendWants(const Reports& reports, base::TimePoint now) {
+  std::map<std::string, control::SlotWants> by_owner;
+  std::lock_guard<std::mutex> lock(m_mutex);
+  for (const auto& [host, report] : reports) {
+    const auto owner = m_owner_of.find(host);
+    if (owner == m_owner_of.end() || report.wanted <= report.allowance) {
+      continue;
+    }
+    if (owner->second == m_gateway) {
+      m_owned.at(host).TakeWant(m_gateway, report.wanted, now);
+      continue;
+    }
+    control::SlotWants& wants = by_owner[owner->second];
+    wants.gateway = m_gateway;
+    wants.wanted[host] = report.wanted;
+  }
+  for (const auto& [owner, wants] : by_owner) {
+    m_links.Send(m_addresses.at(owner),
+                 {control::kWantSlotsPath, control::Encode(wants)},
+                 m_options.timeout, [](const link::Reply&) {});
+  }
+}
+
+void SlotLending::ServeOwnedHosts(const Reports& reports, base::TimePoint now) {
+  std::map<std::string, std::map<std::string, int>> allowed_by_member;
+  std::map<std::string, int> own;
+  {
+    std::lock_guard<std::mutex> lock(m_mutex);
+    if (now - m_owning_since < m_options.owner_delay) {
+      return;
+    }
+    for (auto& [host, owner] : m_owned) {
+      if (!owner.IsHot(now)) {
+        continue;
+      }
+      for (const auto& [member, address] : m_addresses) {
+        const int allowed = owner.Allow(member, now);
+        if (member == m_gateway) {
+          own[host] = allowed;
+        } else {
+          allowed_by_member[member][host] = allowed;
+        }
+      }
+    }
+  }
+  for (const auto& [host, allowed] : own) {
+    m_dispatcher.SetAllowance(host, allowed, now);
+    const auto report = reports.find(host);
+    routing::SlotReport after;
+    if (report != reports.end()) {
+      after = report->second;
+    }
+    after.allowance = allowed;
+    std::lock_guard<std::mutex> lock(m_mutex);
+    const auto owned = m_owned.find(host);
+    if (owned != m_owned.end()) {
+      owned->second.TakeReport(m_gateway, after, now);
+      m_heard_at[host] = now;
+    }
+  }
+  for (auto& [member, allowed] : allowed_by_member) {
+    AllowMember(member, std::move(allowed));
+  }
+}
+
+void SlotLending::AllowMember(const std::string& member,
+                              std::map<std::string, int> allowed) {
+  control::SlotAllowances allowances;
+  allowances.owner = m_gateway;
+  allowances.allowed = std::move(allowed);
+  std::string address;
+  {
+    std::lock_guard<std::mutex> lock(m_mutex);
+    allowances.sequence = ++m_sequence;
+    const auto found = m_addresses.find(member);
+    if (found == m_addresses.end()) {
+      return;
+    }
+    address = found->second;
+  }
+  m_links.Send(address, {control::kAllowSlotsPath, control::Encode(allowances)},
+               m_options.timeout, [this, member](const link::Reply& reply) {
+                 const auto reports =
+                     control::Decode<control::SlotReports>(reply.body);
+                 if (reply.status == link::ReplyStatus::kOk && reports) {
+                   TakeReports(member, *reports);
+                 }
+               });
+}
+
+void SlotLending::TakeReports(const std::string& member,
+                              const control::SlotReports& reports) {
+  const base::TimePoint now = base::RuntimeClock::now();
+  std::lock_guard<std::mutex> lock(m_mutex);
+  for (const auto& [host, report] : reports.reports) {
+    const auto owned = m_owned.find(host);
+    if (owned != m_owned.end()) {
+      owned->second.TakeReport(member, report, now);
+    }
+  }
+}
+
+void SlotLending::TakeWants(const control::SlotWants& wants) {
+  const base::TimePoint now = base::RuntimeClock::now();
+  std::lock_guard<std::mutex> lock(m_mutex);
+  for (const auto& [host, wanted] : wants.wanted) {
+    const auto owned = m_owned.find(host);
+    if (owned != m_owned.end()) {
+      owned->second.TakeWant(wants.gateway, wanted, now);
+    }
+  }
+}
+
+control::SlotReports SlotLending::TakeAllowances(
+    const control::SlotAllowances& allowances) {
+  const base::TimePoint now = base::RuntimeClock::now();
+  std::map<std::string, int> obeyed;
+  {
+    std::lock_guard<std::mutex> lock(m_mutex);
+    uint64_t& newest = m_newest_sequence[allowances.owner];
+    // One that was overtaken is answered by the present allowances, which the
+    // owner sees are not those it named.
+    if (allowances.sequence > newest) {
+      newest = allowances.sequence;
+      for (const auto& [host, allowed] : allowances.allowed) {
+        const auto owner = m_owner_of.find(host);
+        if (owner != m_owner_of.end() && owner->second == allowances.owner) {
+          obeyed[host] = allowed;
+          m_heard_at[host] = now;
+        }
+      }
+    }
+  }
+  for (const auto& [host, allowed] : obeyed) {
+    m_dispatcher.SetAllowance(host, allowed, now);
+  }
+  const Reports all = m_dispatcher.CollectSlotReports();
+  control::SlotReports reports;
+  for (const auto& [host, allowed] : allowances.allowed) {
+    const auto found = all.find(host);
+    if (found != all.end()) {
+      reports.reports[host] = found->second;
+    }
+  }
+  return reports;
+}
+
+void SlotLending::ReturnLapsed(const Reports& reports, base::TimePoint now) {
+  std::map<std::string, int> returned;
+  {
+    std::lock_guard<std::mutex> lock(m_mutex);
+    for (const auto& [host, report] : reports) {
+      const auto share = m_shares.find(host);
+      if (share == m_shares.end() || report.allowance == share->second) {
+        continue;
+      }
+      const base::Duration limit = report.allowance > share->second
+                                       ? m_options.borrower_limit
+                                       : m_options.lender_limit;
+      if (now - m_heard_at[host] > limit) {
+        returned[host] = share->second;
+      }
+    }
+  }
+  for (const auto& [host, share] : returned) {
+    m_dispatcher.SetAllowance(host, share, now);
+  }
+}
+
+}  // namespace shallotwick::gateway
--- /dev/null
+++ b/tests/bench/main.cc
@@ -0,0 +1,32 @@
+// Measures what docs/CAPACITY.md is worked out from. Usage: bench JSON-FILE.
+#include <exception>
+#include <iostream>
+
+#include "bench_report.h"
+#include "decision_benches.h"
+#include "process_benches.h"
+#include "sharing_simulation.h"
+
+int main(int argc, char** argv) {
+  namespace bench = shallotwick::bench;
+  if (argc != 2) {
+    std::cerr << "usage: bench JSON-FILE\n";
+    return 2;
+  }
+  try {
+    bench::BenchReport report;
+    bench::RunPathBench(&report);
+    bench::RunControlBench(&report);
+    bench::RunPlannerBench(&report);
+    bench::RunViewBench(&report);
+    bench::RunDocumentBench(&report);
+    bench::RunDigestBench(&report);
+    bench::RunMeasuresBench(&report);
+    bench::RunSharingBench(&report);
+    report.WriteJson(argv[1]);
+  } catch (const std::exception& error) {
+    std::cerr << "bench failed: " << error.what() << "\n";
+    return 1;
+  }
+  return 0;
+}
--- a/tests/harness/system.cc
+++ b/tests/harness/system.cc
@@ -189,6 +189,11 @@
       .response.body;
 }
 
+std::string System::GetExecutorHosts() {
+  return http::SendAndWait("http://" + m_executor_control + "/hosts", {})
+      .response.body;
+}
+
 std::string System::GetRecord(bool with_requests) {
   const std::string path = with_requests ? "/record/requests" : "/record";
   return http::SendAndWait("http://" + m_executor_control + path, {})
--- a/tests/harness/system.h
+++ b/tests/harness/system.h
@@ -43,6 +43,8 @@
   http::TransferResult Send(size_t gateway, http::Request request,
                             const http::TransferOptions& options = {});
   std::string GetAdmin(const std::string& path);
+  // The hosts' addresses and running requests, as JSON.
+  std::string GetExecutorHosts();
   // What the executors did: the JSON of their record.
   std::string GetRecord(bool with_requests);
   void Control(const std::string& executor_path);
--- a/tests/process/request_path_test.cc
+++ b/tests/process/request_path_test.cc
@@ -285,6 +285,56 @@
                                    record.at("starts").value("probe", 0U));
 }
 
+TEST(RequestPath, AGatewayWithAllTheLoadIsLentTheOthersSlots) {
+  harness::SystemOptions options;
+  options.gateway_flags = {"--connections-per-target", "32"};
+  m_system = StartSystem(options);
+  // 4 hosts of 8 slots, of which half are this gateway's share.
+  constexpr int kSlots = 32;
+  constexpr int kCallers = 48;
+  const auto count_running = [this] {
+    int running = 0;
+    const auto hosts =
+        nlohmann::json::parse(m_system->GetExecutorHosts());
+    for (const auto& [name, host] : hosts.items()) {
+      running += host.at("running").get<int>();
+    }
+    return running;
+  };
+  std::atomic<bool> stopping{false};
+  std::vector<std::thread> callers;
+  for (int caller = 0; caller < kCallers; ++caller) {
+    callers.emplace_back([&] {
+      while (!stopping.load()) {
+        m_system->Send(0, MakeGet("lent", 100));
+      }
+    });
+  }
+  CHECK_TRUE(harness::WaitFor([&] { return count_running() >= kSlots - 1; }));
+  stopping.store(true);
+  for (std::thread& thread : callers) {
+    thread.join();
+  }
+  const auto record = nlohmann::json::parse(m_system->GetRecord(false));
+  LONGS_EQUAL(0, record.at("refusals").get<int>());
+  // Afterwards the other gateway has its share again.
+  CHECK_TRUE(harness::WaitFor([&] {
+    std::vector<std::thread> others;
+    std::atomic<int> complete{0};
+    for (int caller = 0; caller < kSlots / 2; ++caller) {
+      others.emplace_back([&] {
+        complete +=
+            OutcomeOf(m_system->Send(1, MakeGet("back", 20)).response) ==
+            "complete";
+      });
+    }
+    for (std::thread& thread : others) {
+      thread.join();
+    }
+    return complete.load() == kSlots / 2;
+  }));
+}
+
 // Kills, freezes, cuts and store faults together, with thousands of requests.
 TEST(RequestPath, UnderFaultsTogetherEachOutcomeIsTrue) {
   harness::SystemOptions system_options;
