--- a/libraries/control/messages.cc
+++ b/libraries/control/messages.cc
@@ -11,7 +11,17 @@
 
 namespace shallotwick::routing {
 
-SHALLOTWICK_DEFINE_JSON(SlotReport, in_use, allowance, wanted)
+// Without the members' names: reports go between all gateways ten times a
+// second while slots are lent.
+void to_json(nlohmann::json& json, const SlotReport& report) {
+  json = {report.in_use, report.allowance, report.wanted};
+}
+
+void from_json(const nlohmann::json& json, SlotReport& report) {
+  json.at(0).get_to(report.in_use);
+  json.at(1).get_to(report.allowance);
+  json.at(2).get_to(report.wanted);
+}
 
 }  // namespace shallotwick::routing
 
--- a/libraries/routing/dispatcher.cc
+++ b/libraries/routing/dispatcher.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "routing/slot_shares.h"
+
 namespace shallotwick::routing {
 namespace {
 
@@ -92,17 +94,21 @@
       waiting[name] = service->waiting.load();
     }
   }
-  return m_table.Read([&waiting](const RoutingTable& table) {
+  return m_table.Read([&](const RoutingTable& table) {
     std::map<std::string, SlotReport> reports;
     for (const auto& [name, service] : table.services) {
-      const size_t targets = std::max<size_t>(service.targets.size(), 1);
-      const auto more =
-          static_cast<int>((waiting[name] + targets - 1) / targets);
+      std::map<std::string, int> in_use;
+      int wanted = static_cast<int>(waiting[name]);
+      for (const Target& target : service.targets) {
+        in_use[target.host] = target.state->GetInUse();
+        wanted += in_use[target.host];
+      }
+      const auto wants = SpreadWants(wanted, in_use, m_gateway);
       for (const Target& target : service.targets) {
         SlotReport& report = reports[target.host];
-        report.in_use = target.state->GetInUse();
+        report.in_use = in_use[target.host];
         report.allowance = target.state->GetAllowance();
-        report.wanted = std::max(report.wanted, report.in_use) + more;
+        report.wanted = std::max(report.wanted, wants.at(target.host));
       }
     }
     return reports;
--- a/libraries/routing/slot_owner.cc
+++ b/libraries/routing/slot_owner.cc
@@ -10,7 +10,10 @@
 SlotOwner::SlotOwner(std::string resource, int capacity,
                      const std::vector<std::string>& members,
                      SlotOwnerLimits limits)
-    : m_resource(std::move(resource)), m_capacity(capacity), m_limits(limits) {
+    : m_resource(std::move(resource)),
+      m_capacity(capacity),
+      m_limits(limits),
+      m_order(OrderByRendezvous(m_resource, members)) {
   for (const std::string& member : members) {
     const int share = ShareOf(m_resource, capacity, members, member);
     m_holdings[member] = Holding{share, share, share, 0};
@@ -84,14 +87,32 @@
       }
     }
   }
-  for (const auto& [member, holding] : m_holdings) {
-    const int returned = std::clamp(holding.share - division[member], 0, left);
-    division[member] += returned;
-    left -= returned;
+  // What nobody wants is room for what comes next, at each host for others
+  // first, so that each member has some at a few hosts.
+  while (left > 0 && !m_order.empty()) {
+    for (const std::string& member : m_order) {
+      if (left > 0) {
+        ++division[member];
+        --left;
+      }
+    }
   }
   return division;
 }
 
+std::vector<std::string> SlotOwner::FindGrowing(base::TimePoint now) const {
+  std::vector<std::string> growing;
+  if (CountHeld() >= m_capacity) {
+    return growing;
+  }
+  for (const auto& [member, target] : DivideByWants(now)) {
+    if (target > m_holdings.at(member).held) {
+      growing.push_back(member);
+    }
+  }
+  return growing;
+}
+
 int SlotOwner::Allow(const std::string& member, base::TimePoint now) {
   const auto found = m_holdings.find(member);
   if (found == m_holdings.end()) {
--- a/libraries/routing/slot_owner.h
+++ b/libraries/routing/slot_owner.h
@@ -48,6 +48,9 @@
   // again: the members are to be asked and told.
   bool IsHot(base::TimePoint now) const;
 
+  // Members that free slots wait for.
+  std::vector<std::string> FindGrowing(base::TimePoint now) const;
+
   // The allowance that a member is to have now. What it adds to the member's
   // slots is counted as held from then on.
   int Allow(const std::string& member, base::TimePoint now);
@@ -72,6 +75,7 @@
   std::string m_resource;
   int m_capacity;
   SlotOwnerLimits m_limits;
+  std::vector<std::string> m_order;
   std::map<std::string, Holding> m_holdings;
   base::TimePoint m_wanted_at;
 };
--- a/libraries/routing/slot_shares.cc
+++ b/libraries/routing/slot_shares.cc
@@ -59,4 +59,29 @@
   return capacity / count + (rank < capacity % count ? 1 : 0);
 }
 
+std::map<std::string, int> SpreadWants(int wanted,
+                                       const std::map<std::string, int>& in_use,
+                                       const std::string& member) {
+  std::map<std::string, int> wants = in_use;
+  for (const auto& [host, count] : in_use) {
+    wanted -= count;
+  }
+  std::vector<std::pair<uint64_t, std::string>> order;
+  for (const auto& [host, count] : in_use) {
+    order.emplace_back(RendezvousWeight(member, host), host);
+  }
+  std::sort(order.rbegin(), order.rend());
+  // Fills the hosts level by level, the least used first.
+  for (int level = 1; wanted > 0 && !order.empty(); ++level) {
+    for (const auto& [weight, host] : order) {
+      int& want = wants[host];
+      if (wanted > 0 && want < level) {
+        ++want;
+        --wanted;
+      }
+    }
+  }
+  return wants;
+}
+
 }  // namespace shallotwick::routing
--- a/libraries/routing/slot_shares.h
+++ b/libraries/routing/slot_shares.h
@@ -21,4 +21,11 @@
 int ShareOf(const std::string& resource, int capacity,
             const std::vector<std::string>& members, const std::string& member);
 
+// Divides the slots that a member wants of a service among its hosts, at least
+// `in_use` on each: evenly, the remainder to the hosts that weigh most for the
+// member, so that members with few wants don't all want one slot everywhere.
+std::map<std::string, int> SpreadWants(int wanted,
+                                       const std::map<std::string, int>& in_use,
+                                       const std::string& member);
+
 }  // namespace shallotwick::routing
--- a/libraries/routing/tests/decisions_test.cc
+++ b/libraries/routing/tests/decisions_test.cc
@@ -161,6 +161,34 @@
   }));
 }
 
+TEST(Decisions, WantsAreSpreadToTheLastSlotAndCoverWhatIsInUse) {
+  CHECK_TRUE(rc::check("wants", [] {
+    std::map<std::string, int> in_use;
+    const int hosts = *rc::gen::inRange(1, 12);
+    int used = 0;
+    for (int host = 0; host < hosts; ++host) {
+      const int count = *rc::gen::inRange(0, 9);
+      in_use["h" + std::to_string(host)] = count;
+      used += count;
+    }
+    const int more = *rc::gen::inRange(0, 100);
+    const auto wants = routing::SpreadWants(used + more, in_use, "g");
+    int wanted = 0;
+    int least_raised = 1'000;
+    int most_raised = 0;
+    for (const auto& [host, want] : wants) {
+      RC_ASSERT(want >= in_use.at(host));
+      wanted += want;
+      if (want > in_use.at(host)) {
+        most_raised = std::max(most_raised, want);
+      }
+      least_raised = std::min(least_raised, want);
+    }
+    RC_ASSERT(wanted == used + more);
+    RC_ASSERT(most_raised <= least_raised + 1);
+  }));
+}
+
 TEST(Decisions, RendezvousSpreadsTheFirstPlaceEvenly) {
   std::map<std::string, int> first;
   const std::vector<std::string> members = {"g0", "g1", "g2", "g3",
--- a/libraries/routing/view_confirmation.h
+++ b/libraries/routing/view_confirmation.h
@@ -15,7 +15,7 @@
   // Longer than this it takes no new requests.
   base::Duration stale_limit = std::chrono::seconds(5);
   // Reports of peers that are older than this do not count.
-  base::Duration report_limit = std::chrono::seconds(3);
+  base::Duration report_limit = std::chrono::seconds(8);
 
   auto operator<=>(const ConfirmationLimits&) const = default;
 };
--- a/services/shallotwick-controller/controller.cc
+++ b/services/shallotwick-controller/controller.cc
@@ -16,6 +16,8 @@
 
 // Transitions in one transaction at the most.
 constexpr size_t kLargestBatch = 32;
+// While the platform does not answer.
+constexpr auto kLongestRetryDelay = std::chrono::seconds(3);
 constexpr int kLongestMilliseconds = 86'400'000;
 constexpr int64_t kMillisecondsPerMinute = 60'000;
 constexpr int64_t kMinutesPerDay = 1'440;
@@ -83,6 +85,7 @@
 Controller::Controller(const base::Settings& settings)
     : m_name(settings.GetString("name")),
       m_period(GetMilliseconds(settings, "period-ms")),
+      m_backoff(m_period, kLongestRetryDelay),
       m_planner_settings(MakePlannerSettings(settings)),
       m_lapse_limit(GetMilliseconds(settings, "member-lapse-ms")),
       m_platform(settings.GetString("platform"),
@@ -151,7 +154,9 @@
     m_store_watch.ReportFailure(error.what());
     // A lost answer may hide a commit: nothing of the copy is sure any more.
     Forget();
+    return m_backoff.NextDelay(base::MakeRandomFraction());
   }
+  m_backoff.Reset();
   constexpr double kSpread = 0.2;
   const double factor = 1 - kSpread / 2 + kSpread * base::MakeRandomFraction();
   return std::chrono::duration_cast<base::Duration>(m_period * factor);
--- a/services/shallotwick-controller/controller.h
+++ b/services/shallotwick-controller/controller.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 
+#include "base/backoff.h"
 #include "base/metrics.h"
 #include "base/periodic_task.h"
 #include "base/settings.h"
@@ -52,6 +53,7 @@
 
   std::string m_name;
   base::Duration m_period;
+  base::Backoff m_backoff;
   fleet::PlannerSettings m_planner_settings;
   base::Duration m_lapse_limit;
   platform::HttpPlatform m_platform;
--- a/services/shallotwick-gateway/membership.cc
+++ b/services/shallotwick-gateway/membership.cc
@@ -20,6 +20,7 @@
       m_views(views),
       m_describe(std::move(describe)),
       m_options(options),
+      m_backoff(options.period, options.longest_retry_delay),
       m_task([this] { return RunRound(); }) {}
 
 base::Duration Membership::RunRound() {
@@ -40,7 +41,9 @@
   } catch (const platform::Unavailable& error) {
     m_watch.ReportFailure(error.what());
     m_views.ReportStoreUnreachable();
+    return m_backoff.NextDelay(base::MakeRandomFraction());
   }
+  m_backoff.Reset();
   // Jitter keeps the gateways from asking in step after an outage.
   constexpr double kSpread = 0.2;
   const double factor = 1 - kSpread / 2 + kSpread * base::MakeRandomFraction();
--- a/services/shallotwick-gateway/membership.h
+++ b/services/shallotwick-gateway/membership.h
@@ -5,6 +5,7 @@
 #include <mutex>
 #include <string>
 
+#include "base/backoff.h"
 #include "base/periodic_task.h"
 #include "control/store_watch.h"
 #include "platform/table_service.h"
@@ -15,6 +16,8 @@
 
 struct MembershipOptions {
   base::Duration period = std::chrono::seconds(1);
+  // While the table service does not answer.
+  base::Duration longest_retry_delay = std::chrono::seconds(3);
   // The lease is renewed every so many periods.
   int periods_per_renewal = 2;
 };
@@ -44,6 +47,7 @@
   ViewKeeper& m_views;
   std::function<records::MemberRecord()> m_describe;
   MembershipOptions m_options;
+  base::Backoff m_backoff;
   uint64_t m_renewal = 0;
   int m_rounds = 0;
   bool m_joined = false;
--- a/services/shallotwick-gateway/slot_lending.cc
+++ b/services/shallotwick-gateway/slot_lending.cc
@@ -21,7 +21,7 @@
   FollowView();
   const Reports reports = m_dispatcher.CollectSlotReports();
   SendWants(reports, now);
-  ServeOwnedHosts(reports, now);
+  ServeOwnedHosts(now);
   ReturnLapsed(reports, now);
   return m_options.period;
 }
@@ -84,9 +84,8 @@
   }
 }
 
-void SlotLending::ServeOwnedHosts(const Reports& reports, base::TimePoint now) {
-  std::map<std::string, std::map<std::string, int>> allowed_by_member;
-  std::map<std::string, int> own;
+void SlotLending::ServeOwnedHosts(base::TimePoint now) {
+  std::map<std::string, std::map<std::string, int>> allowed;
   {
     std::lock_guard<std::mutex> lock(m_mutex);
     if (now - m_owning_since < m_options.owner_delay) {
@@ -97,37 +96,78 @@
         continue;
       }
       for (const auto& [member, address] : m_addresses) {
-        const int allowed = owner.Allow(member, now);
-        if (member == m_gateway) {
-          own[host] = allowed;
-        } else {
-          allowed_by_member[member][host] = allowed;
-        }
+        allowed[member][host] = owner.Allow(member, now);
       }
     }
+    m_unanswered = allowed.size();
   }
-  for (const auto& [host, allowed] : own) {
-    m_dispatcher.SetAllowance(host, allowed, now);
-    const auto report = reports.find(host);
-    routing::SlotReport after;
-    if (report != reports.end()) {
-      after = report->second;
+  for (auto& [member, by_host] : allowed) {
+    if (member == m_gateway) {
+      AllowSelf(by_host);
+      EndAnswer();
+    } else {
+      AllowMember(member, std::move(by_host), [this] { EndAnswer(); });
     }
-    after.allowance = allowed;
+  }
+}
+
+void SlotLending::EndAnswer() {
+  {
     std::lock_guard<std::mutex> lock(m_mutex);
-    const auto owned = m_owned.find(host);
-    if (owned != m_owned.end()) {
-      owned->second.TakeReport(m_gateway, after, now);
-      m_heard_at[host] = now;
+    // Answers of a former round may come late.
+    if (m_unanswered == 0 || --m_unanswered > 0) {
+      return;
+    }
+  }
+  GiveFreedSlots();
+}
+
+void SlotLending::GiveFreedSlots() {
+  const base::TimePoint now = base::RuntimeClock::now();
+  std::map<std::string, std::map<std::string, int>> allowed;
+  {
+    std::lock_guard<std::mutex> lock(m_mutex);
+    for (auto& [host, owner] : m_owned) {
+      if (!owner.IsHot(now)) {
+        continue;
+      }
+      for (const std::string& member : owner.FindGrowing(now)) {
+        allowed[member][host] = owner.Allow(member, now);
+      }
     }
   }
-  for (auto& [member, allowed] : allowed_by_member) {
-    AllowMember(member, std::move(allowed));
+  for (auto& [member, by_host] : allowed) {
+    if (member == m_gateway) {
+      AllowSelf(by_host);
+    } else {
+      AllowMember(member, std::move(by_host), [] {});
+    }
+  }
+}
+
+void SlotLending::AllowSelf(const std::map<std::string, int>& allowed) {
+  const base::TimePoint now = base::RuntimeClock::now();
+  for (const auto& [host, count] : allowed) {
+    m_dispatcher.SetAllowance(host, count, now);
+  }
+  const Reports reports = m_dispatcher.CollectSlotReports();
+  control::SlotReports own;
+  {
+    std::lock_guard<std::mutex> lock(m_mutex);
+    for (const auto& [host, count] : allowed) {
+      m_heard_at[host] = now;
+      const auto report = reports.find(host);
+      if (report != reports.end()) {
+        own.reports[host] = report->second;
+      }
+    }
   }
+  TakeReports(m_gateway, own);
 }
 
 void SlotLending::AllowMember(const std::string& member,
-                              std::map<std::string, int> allowed) {
+                              std::map<std::string, int> allowed,
+                              std::function<void()> on_answered) {
   control::SlotAllowances allowances;
   allowances.owner = m_gateway;
   allowances.allowed = std::move(allowed);
@@ -142,12 +182,15 @@
     address = found->second;
   }
   m_links.Send(address, {control::kAllowSlotsPath, control::Encode(allowances)},
-               m_options.timeout, [this, member](const link::Reply& reply) {
+               m_options.timeout,
+               [this, member, on_answered = std::move(on_answered)](
+                   const link::Reply& reply) {
                  const auto reports =
                      control::Decode<control::SlotReports>(reply.body);
                  if (reply.status == link::ReplyStatus::kOk && reports) {
                    TakeReports(member, *reports);
                  }
+                 on_answered();
                });
 }
 
--- a/services/shallotwick-gateway/slot_lending.h
+++ b/services/shallotwick-gateway/slot_lending.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -17,7 +18,7 @@
 namespace shallotwick::gateway {
 
 struct SlotLendingOptions {
-  base::Duration period = std::chrono::milliseconds(200);
+  base::Duration period = std::chrono::milliseconds(100);
   std::chrono::milliseconds timeout{400};
   // Slots beyond the share go back when the owner has not been heard for so
   // long; a share that was lent is taken back only later, so that the borrower
@@ -51,9 +52,16 @@
   // Starts anew when the members, the hosts or their slots have changed.
   void FollowView();
   void SendWants(const Reports& reports, base::TimePoint now);
-  void ServeOwnedHosts(const Reports& reports, base::TimePoint now);
+  void ServeOwnedHosts(base::TimePoint now);
+  // Ends one member's part of the round.
+  void EndAnswer();
+  // Gives the slots that the round's answers have freed.
+  void GiveFreedSlots();
+  void AllowSelf(const std::map<std::string, int>& allowed);
+  // `on_answered` is called whether an answer came or not.
   void AllowMember(const std::string& member,
-                   std::map<std::string, int> allowed);
+                   std::map<std::string, int> allowed,
+                   std::function<void()> on_answered);
   void TakeReports(const std::string& member,
                    const control::SlotReports& reports);
   void ReturnLapsed(const Reports& reports, base::TimePoint now);
@@ -70,6 +78,8 @@
   std::map<std::string, routing::SlotOwner> m_owned;
   base::TimePoint m_owning_since;
   uint64_t m_sequence = 0;
+  // Members that have not answered in the present round yet.
+  size_t m_unanswered = 0;
   std::map<std::string, uint64_t> m_newest_sequence;
   // When an owner last spoke of each host.
   std::map<std::string, base::TimePoint> m_heard_at;
--- a/tests/bench/decision_benches.cc
+++ b/tests/bench/decision_benches.cc
@@ -257,8 +257,9 @@
   simulation.Settle();
   const FleetSimulation before = simulation;
   const int moves = simulation.GetMoves();
-  simulation.ShiftPromise("pool-1", "pool-2", 1, "dc-0");
-  simulation.ShiftPromise("pool-3", "pool-4", 1, "dc-1");
+  const std::string last = "pool-" + std::to_string(shape.pools - 1);
+  simulation.ShiftPromise("pool-1", last, 1, "dc-0");
+  simulation.ShiftPromise("pool-2", last, 1, "dc-1");
   simulation.Settle();
   report->Add("measures", size_name, shape.hosts, "moves, fewest possible", 2,
               "hosts");
@@ -271,7 +272,8 @@
 }  // namespace
 
 void RunMeasuresBench(BenchReport* report) {
-  const FleetShape firm;
+  FleetShape firm;
+  firm.budget_part = 0.25;
   for (const char* name : {"shamshyrak", "ave"}) {
     MeasureBuffer(report, name, firm);
     MeasureWave(report, name, firm, 1);
--- a/tests/bench/main.cc
+++ b/tests/bench/main.cc
@@ -17,6 +17,7 @@
     bench::BenchReport report;
     bench::RunPathBench(&report);
     bench::RunControlBench(&report);
+    bench::RunLendingBench(&report);
     bench::RunPlannerBench(&report);
     bench::RunViewBench(&report);
     bench::RunDocumentBench(&report);
--- a/tests/bench/process_benches.cc
+++ b/tests/bench/process_benches.cc
@@ -290,4 +290,58 @@
   }
 }
 
+void RunLendingBench(BenchReport* report) {
+  constexpr int kCallers = 160;
+  constexpr double kSeconds = 5;
+  for (int gateways : {3, 6, 9}) {
+    harness::SystemOptions options;
+    options.hosts = kHosts;
+    options.gateways = gateways;
+    harness::System system(options);
+    FillPool(system);
+    std::atomic<bool> stopping{false};
+    std::vector<std::thread> callers;
+    for (int caller = 0; caller < kCallers; ++caller) {
+      // Three quarters of the load at one gateway.
+      const size_t gateway =
+          caller % 4 != 0 ? 0 : static_cast<size_t>(caller / 4 % gateways);
+      callers.emplace_back([&, gateway] {
+        while (!stopping.load()) {
+          system.Send(gateway,
+                      {"GET",
+                       "/s/quotes/item",
+                       {{"Standin-Request", "b"}, {"Standin-Work-Ms", "50"}},
+                       ""});
+        }
+      });
+    }
+    // Past the delay of new owners.
+    std::this_thread::sleep_for(std::chrono::seconds(4));
+    const Totals before = ReadTotals(system);
+    std::this_thread::sleep_for(std::chrono::duration<double>(kSeconds));
+    const Totals after = ReadTotals(system);
+    const std::string hosts = system.GetExecutorHosts();
+    stopping.store(true);
+    for (std::thread& caller : callers) {
+      caller.join();
+    }
+    double running = 0;
+    const auto listed = nlohmann::json::parse(hosts);
+    for (const auto& [name, host] : listed.items()) {
+      running += host.at("running").get<double>();
+    }
+    const auto record = nlohmann::json::parse(system.GetRecord(false));
+    report->Add("lending", "gateways", gateways, "gateway, link",
+                (after.link_bytes - before.link_bytes) / kSeconds / gateways,
+                "bytes/s");
+    report->Add("lending", "gateways", gateways, "slots in use",
+                100 * running / ((kHosts - 2) * 8), "%");
+    report->Add("lending", "gateways", gateways, "sends refused by a target",
+                100 * record.at("refusals").get<double>() /
+                    (record.at("refusals").get<double>() +
+                     record.at("started").get<double>()),
+                "%");
+  }
+}
+
 }  // namespace shallotwick::bench
--- a/tests/bench/process_benches.h
+++ b/tests/bench/process_benches.h
@@ -8,5 +8,7 @@
 void RunPathBench(BenchReport* report);
 // What the control costs each process, by the number of gateways.
 void RunControlBench(BenchReport* report);
+// What the lending of slots costs while requests wait.
+void RunLendingBench(BenchReport* report);
 
 }  // namespace shallotwick::bench
--- a/tests/bench/sharing_simulation.cc
+++ b/tests/bench/sharing_simulation.cc
@@ -25,7 +25,7 @@
 constexpr double kQuietFactor = 0.05;
 constexpr int kTurnMilliseconds = 4'000;
 constexpr int kRunMilliseconds = kTurnMilliseconds * kServices;
-constexpr int kLendingPeriodMilliseconds = 200;
+constexpr int kLendingPeriodMilliseconds = 100;
 constexpr int kDeadlineMilliseconds = 2'000;
 // The balancer's split of the callers' connections is not even.
 constexpr double kGatewayParts[kGateways] = {0.25, 0.20, 0.15, 0.10,
@@ -39,6 +39,7 @@
 };
 
 struct Executor {
+  std::string name;
   std::vector<Running> running;
   int in_use[kGateways] = {};
   int allowance[kGateways] = {};
@@ -66,6 +67,7 @@
       const std::string name =
           "h" + std::to_string(number) + "-" + std::to_string(executor);
       Executor state;
+      state.name = name;
       for (int gateway = 0; gateway < kGateways; ++gateway) {
         state.allowance[gateway] =
             policy == Policy::kNoShares
@@ -141,9 +143,10 @@
         const bool may_use =
             !refused[static_cast<size_t>(number)] &&
             executor.in_use[gateway] < executor.allowance[gateway];
-        if (may_use && (best < 0 || executor.in_use[gateway] <
-                                        m_executors[static_cast<size_t>(best)]
-                                            .in_use[gateway])) {
+        if (may_use &&
+            (best < 0 ||
+             executor.in_use[gateway] <
+                 m_executors[static_cast<size_t>(best)].in_use[gateway])) {
           best = number;
         }
       }
@@ -166,37 +169,59 @@
     }
   }
 
-  // One round of the protocol between the owner and the gateways.
+  // What a gateway wants of each executor now.
+  std::map<std::string, int> SpreadWantsOf(int gateway) const {
+    std::map<std::string, int> in_use;
+    int wanted = static_cast<int>(m_queues[gateway].size());
+    for (const Executor& executor : m_executors) {
+      in_use[executor.name] = executor.in_use[gateway];
+      wanted += executor.in_use[gateway];
+    }
+    return routing::SpreadWants(wanted, in_use,
+                                m_members[static_cast<size_t>(gateway)]);
+  }
+
+  // One round of the protocol between the owners and the gateways.
   void Lend(int now) {
-    for (Executor& executor : m_executors) {
-      for (int gateway = 0; gateway < kGateways; ++gateway) {
-        const auto more =
-            static_cast<int>((m_queues[gateway].size() + kExecutors - 1) /
-                             static_cast<size_t>(kExecutors));
-        const int wanted = executor.in_use[gateway] + more;
+    for (int gateway = 0; gateway < kGateways; ++gateway) {
+      const std::string& member = m_members[static_cast<size_t>(gateway)];
+      const auto wants = SpreadWantsOf(gateway);
+      for (Executor& executor : m_executors) {
+        const int wanted = wants.at(executor.name);
         if (wanted > executor.allowance[gateway]) {
-          executor.owner->TakeWant(m_members[static_cast<size_t>(gateway)],
-                                   wanted, At(now));
+          executor.owner->TakeWant(member, wanted, At(now));
         }
       }
+    }
+    for (Executor& executor : m_executors) {
       if (!executor.owner->IsHot(At(now))) {
         continue;
       }
       for (int gateway = 0; gateway < kGateways; ++gateway) {
+        AllowAndReport(&executor, gateway, now);
+      }
+      // What the answers have freed is given at once.
+      for (int gateway = 0; gateway < kGateways; ++gateway) {
+        const auto growing = executor.owner->FindGrowing(At(now));
         const std::string& member = m_members[static_cast<size_t>(gateway)];
-        executor.allowance[gateway] = executor.owner->Allow(member, At(now));
-        const auto more =
-            static_cast<int>((m_queues[gateway].size() + kExecutors - 1) /
-                             static_cast<size_t>(kExecutors));
-        executor.owner->TakeReport(
-            member,
-            {executor.in_use[gateway], executor.allowance[gateway],
-             executor.in_use[gateway] + more},
-            At(now));
+        if (std::find(growing.begin(), growing.end(), member) !=
+            growing.end()) {
+          AllowAndReport(&executor, gateway, now);
+        }
       }
     }
   }
 
+  void AllowAndReport(Executor* executor, int gateway, int now) {
+    const std::string& member = m_members[static_cast<size_t>(gateway)];
+    executor->allowance[gateway] = executor->owner->Allow(member, At(now));
+    executor->owner->TakeReport(
+        member,
+        {executor->in_use[gateway], executor->allowance[gateway],
+         SpreadWantsOf(gateway).at(executor->name)},
+        At(now));
+  }
+
   // Slots in use over the time in which anything is queued anywhere.
   void Count(Counts* counts) {
     size_t queued = 0;
@@ -225,14 +250,13 @@
   for (int number = 0; number < kServices; ++number) {
     services.push_back(std::make_unique<Service>(number + 1, policy));
   }
-  const double mean =
-      kMeanUse * kExecutors * kSlots / kMeanServiceMilliseconds;
+  const double mean = kMeanUse * kExecutors * kSlots / kMeanServiceMilliseconds;
   Counts counts;
   for (int now = 0; now < kRunMilliseconds; ++now) {
     const int turn = now / kTurnMilliseconds;
     for (int number = 0; number < kServices; ++number) {
-      const double demand = number == turn ? mean * factor
-                                           : mean * kQuietFactor;
+      const double demand =
+          number == turn ? mean * factor : mean * kQuietFactor;
       services[static_cast<size_t>(number)]->Step(now, demand, &counts);
     }
   }
--- a/tests/harness/system.cc
+++ b/tests/harness/system.cc
@@ -51,7 +51,9 @@
         StartController("controller-" + std::to_string(number)));
   }
   for (int number = 0; number < options.gateways; ++number) {
-    m_gateways.push_back(StartGateway("gateway-" + std::to_string(number)));
+    const bool is_relayed = number == 0 && options.relay_gateway_0;
+    m_gateways.push_back(StartGateway("gateway-" + std::to_string(number),
+                                      is_relayed ? m_relay->GetAddress() : ""));
     m_gateway_addresses.push_back(m_gateways.back()->WaitForStarted("http"));
   }
 }
@@ -84,6 +86,7 @@
                                std::to_string(m_options.reboot_milliseconds)},
       LogPath("platform"));
   m_platform_address = m_platform->WaitForStarted("http");
+  m_relay = std::make_unique<Relay>(m_platform_address);
 }
 
 void System::ListHosts() {
@@ -123,10 +126,13 @@
   return process;
 }
 
-std::shared_ptr<Process> System::StartGateway(const std::string& name) {
+std::shared_ptr<Process> System::StartGateway(const std::string& name,
+                                              const std::string& platform) {
   std::vector<std::string> flags = {
-      "--name",        name,   "--platform",      m_platform_address,
-      "--data-centre", "dc-0", "--stop-delay-ms", "200"};
+      "--name",          name,
+      "--platform",      platform.empty() ? m_platform_address : platform,
+      "--data-centre",   "dc-0",
+      "--stop-delay-ms", "200"};
   flags.insert(flags.end(), m_options.gateway_flags.begin(),
                m_options.gateway_flags.end());
   auto process = std::make_shared<Process>(
--- a/tests/harness/system.h
+++ b/tests/harness/system.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "harness/process.h"
+#include "harness/relay.h"
 #include "http/transfer.h"
 
 namespace shallotwick::harness {
@@ -19,6 +20,8 @@
   int slots = 8;
   int reboot_milliseconds = 300;
   std::vector<std::string> gateway_flags;
+  // Gateway 0 reaches the platform through a relay that can be cut.
+  bool relay_gateway_0 = false;
   std::vector<std::string> controller_flags;
 };
 
@@ -42,6 +45,8 @@
 
   http::TransferResult Send(size_t gateway, http::Request request,
                             const http::TransferOptions& options = {});
+  // Where gateway 0 goes through a relay.
+  Relay& GetRelay() { return *m_relay; }
   std::string GetAdmin(const std::string& path);
   // The hosts' addresses and running requests, as JSON.
   std::string GetExecutorHosts();
@@ -51,7 +56,13 @@
   void SetPlatformFaults(const std::string& json);
   void SetHostStatus(const std::string& host, const std::string& status);
 
-  std::shared_ptr<Process> StartGateway(const std::string& name);
+  // `platform` is the address to reach the platform by, if not its own.
+  std::shared_ptr<Process> StartGateway(const std::string& name,
+                                        const std::string& platform = "");
+  // Adds to the flags of gateways that are started from now on.
+  void SetExtraGatewayFlags(const std::vector<std::string>& flags) {
+    m_options.gateway_flags = flags;
+  }
   std::shared_ptr<Process> StartController(const std::string& name);
 
   std::vector<std::shared_ptr<Process>>& GetGateways() { return m_gateways; }
@@ -77,6 +88,7 @@
   std::string m_directory;
   // Counts process starts: each has a log file of its own.
   int m_starts = 0;
+  std::unique_ptr<Relay> m_relay;
   std::shared_ptr<Process> m_executor;
   std::shared_ptr<Process> m_platform;
   std::shared_ptr<Process> m_admin;
--- a/tests/process/fleet_test.cc
+++ b/tests/process/fleet_test.cc
@@ -271,6 +271,34 @@
   LONGS_EQUAL(0, result.not_run);
 }
 
+TEST(Fleet, ARackThatFailsWithinAWaveStopsItUntilTheBudgetIsFreeAgain) {
+  m_system = StartSystem({});
+  LONGS_EQUAL(200, m_system->Submit("quotes", MakeWaveSection("w1")).status);
+  CHECK_TRUE(
+      harness::WaitFor([&] { return CountInMaintenance(*m_system) > 0; }));
+  const std::vector<std::string> rack = {"h0", "h1", "h2", "h3"};
+  for (const std::string& host : rack) {
+    m_system->SetHostStatus(host, "dead");
+  }
+  // What was begun comes to its end, and then nothing new is begun: hosts of
+  // the rack are in the pool, and its budget is 1.
+  CHECK_TRUE(harness::WaitFor([&] {
+    const std::string hosts = m_system->GetAdmin("/v1/hosts");
+    return hosts.find("failed") != std::string::npos &&
+           CountInMaintenance(*m_system) == 0;
+  }));
+  const auto reboots =
+      nlohmann::json::parse(m_system->GetRecord(false)).at("reboots");
+  CHECK_FALSE(IsWaveDone(*m_system, "w1"));
+  std::this_thread::sleep_for(seconds(3));
+  CHECK_TRUE(reboots ==
+             nlohmann::json::parse(m_system->GetRecord(false)).at("reboots"));
+  for (const std::string& host : rack) {
+    m_system->SetHostStatus(host, "live");
+  }
+  CHECK_TRUE(harness::WaitFor([&] { return IsWaveDone(*m_system, "w1"); }));
+}
+
 TEST(Fleet, EditsRacingOnOneSectionExactlyOneWins) {
   m_system = StartSystem({});
   const std::string revision =
--- a/tests/process/request_path_test.cc
+++ b/tests/process/request_path_test.cc
@@ -294,8 +294,7 @@
   constexpr int kCallers = 48;
   const auto count_running = [this] {
     int running = 0;
-    const auto hosts =
-        nlohmann::json::parse(m_system->GetExecutorHosts());
+    const auto hosts = nlohmann::json::parse(m_system->GetExecutorHosts());
     for (const auto& [name, host] : hosts.items()) {
       running += host.at("running").get<int>();
     }
