Share and lend teams' quotas like executors' slots

Cause: a team's quota was divided into fixed parts, so that a team whose requests come to one gateway got a part of it only. Ruled out: a counter of its own for quotas (the slots' owner does the same). Change: quotas are resources of the lending; a request holds its quota's counter with its slot; teams without a quota take no lock any more.

--- a/libraries/routing/dispatcher.cc
+++ b/libraries/routing/dispatcher.cc
@@ -25,6 +25,25 @@
              : std::max(1.0, static_cast<double>(quota->second));
 }
 
+// Adds what a gateway uses and wants of a service's targets.
+void ReportTargets(const ServiceTargets& service, size_t waiting,
+                   const std::string& gateway,
+                   std::map<std::string, SlotReport>* reports) {
+  std::map<std::string, int> in_use;
+  int wanted = static_cast<int>(waiting);
+  for (const Target& target : service.targets) {
+    in_use[target.host] = target.state->GetInUse();
+    wanted += in_use[target.host];
+  }
+  const auto wants = SpreadWants(wanted, in_use, gateway);
+  for (const Target& target : service.targets) {
+    SlotReport& report = (*reports)[target.host];
+    report.in_use = in_use[target.host];
+    report.allowance = target.state->GetAllowance();
+    report.wanted = std::max(report.wanted, wants.at(target.host));
+  }
+}
+
 }  // namespace
 
 struct Dispatcher::ServiceState::Waiting {
@@ -94,34 +113,47 @@
       waiting[name] = service->waiting.load();
     }
   }
-  return m_table.Read([&](const RoutingTable& table) {
-    std::map<std::string, SlotReport> reports;
+  std::map<std::string, SlotReport> reports;
+  std::map<std::string, std::shared_ptr<SlotCounter>> teams;
+  m_table.Read([&](const RoutingTable& table) {
     for (const auto& [name, service] : table.services) {
-      std::map<std::string, int> in_use;
-      int wanted = static_cast<int>(waiting[name]);
-      for (const Target& target : service.targets) {
-        in_use[target.host] = target.state->GetInUse();
-        wanted += in_use[target.host];
-      }
-      const auto wants = SpreadWants(wanted, in_use, m_gateway);
-      for (const Target& target : service.targets) {
-        SlotReport& report = reports[target.host];
-        report.in_use = in_use[target.host];
-        report.allowance = target.state->GetAllowance();
-        report.wanted = std::max(report.wanted, wants.at(target.host));
-      }
+      ReportTargets(service, waiting[name], m_gateway, &reports);
     }
-    return reports;
+    teams = table.teams;
   });
+  for (const auto& [team, quota] : teams) {
+    const int in_use = quota->GetInUse();
+    reports[TeamResource(team)] =
+        SlotReport{in_use, quota->GetAllowance(),
+                   in_use + static_cast<int>(CountWaitingOf(team))};
+  }
+  return reports;
+}
+
+size_t Dispatcher::CountWaitingOf(const std::string& team) const {
+  size_t waiting = 0;
+  for (const auto& service : CopyServices()) {
+    if (service->waiting.load() == 0) {
+      continue;
+    }
+    std::lock_guard<std::mutex> lock(service->mutex);
+    waiting += service->queue.GetTeamSize(team);
+  }
+  return waiting;
 }
 
-void Dispatcher::SetAllowance(const std::string& host, int allowance,
+void Dispatcher::SetAllowance(const std::string& resource, int allowance,
                               base::TimePoint now) {
   m_table.Read([&](const RoutingTable& table) {
-    const auto state = table.states.find(host);
+    const auto state = table.states.find(resource);
     if (state != table.states.end()) {
       state->second->SetAllowance(allowance);
     }
+    for (const auto& [team, quota] : table.teams) {
+      if (TeamResource(team) == resource) {
+        quota->SetAllowance(allowance);
+      }
+    }
   });
   Advance(now);
 }
@@ -136,33 +168,6 @@
   return service;
 }
 
-std::shared_ptr<Dispatcher::TeamState> Dispatcher::GetTeam(
-    const std::string& name) {
-  std::lock_guard<std::mutex> lock(m_names_mutex);
-  auto& team = m_teams[name];
-  if (!team) {
-    team = std::make_shared<TeamState>();
-  }
-  return team;
-}
-
-bool Dispatcher::TryAcquireTeam(const RoutingTable& table,
-                                const std::string& team) {
-  const auto share = table.team_shares.find(team);
-  TeamState& state = *GetTeam(team);
-  if (share == table.team_shares.end()) {
-    state.in_flight.fetch_add(1);
-    return true;
-  }
-  int in_flight = state.in_flight.load();
-  while (in_flight < share->second) {
-    if (state.in_flight.compare_exchange_weak(in_flight, in_flight + 1)) {
-      return true;
-    }
-  }
-  return false;
-}
-
 const Target* Dispatcher::TryAcquireTarget(const ServiceTargets& service,
                                            const RequestTicket& ticket,
                                            base::TimePoint now) {
@@ -209,16 +214,21 @@
     if (!has_target) {
       return Reason::kNoTarget;
     }
-    if (!TryAcquireTeam(table, ticket.team)) {
+    const auto team = table.teams.find(ticket.team);
+    const std::shared_ptr<SlotCounter> quota =
+        team == table.teams.end() ? nullptr : team->second;
+    if (quota && !quota->TryAcquire()) {
       return Hold::kNoQuota;
     }
     const Target* target = TryAcquireTarget(service->second, ticket, now);
     if (target == nullptr) {
-      GetTeam(ticket.team)->in_flight.fetch_sub(1);
+      if (quota) {
+        quota->Release();
+      }
       return Hold::kNoSlot;
     }
     return SlotGrant{ticket.service, ticket.team, target->address,
-                     target->state};
+                     target->state, quota};
   });
 }
 
@@ -307,7 +317,9 @@
 void Dispatcher::Release(const SlotGrant& grant, base::Duration duration,
                          base::TimePoint now) {
   grant.target->Release();
-  GetTeam(grant.team)->in_flight.fetch_sub(1);
+  if (grant.quota) {
+    grant.quota->Release();
+  }
   const auto service = GetService(grant.service);
   const int64_t mean = service->mean_duration.load();
   const int64_t next = mean == 0
--- a/libraries/routing/dispatcher.h
+++ b/libraries/routing/dispatcher.h
@@ -25,6 +25,8 @@
   std::string team;
   std::string address;
   std::shared_ptr<TargetState> target;
+  // Counts the request against its team's quota, if it has one.
+  std::shared_ptr<SlotCounter> quota;
 };
 
 using Decision = std::variant<SlotGrant, Reason>;
@@ -53,13 +55,14 @@
   std::optional<ServiceRoute> FindService(const std::string& name) const;
   std::map<std::string, int> CountInFlightOnOthers() const;
 
-  // Slots of each host, for all gateways together.
+  // What the gateways share: slots of each host and quotas of each team.
   std::map<std::string, int> GetSlots() const;
   std::map<std::string, MemberRoute> GetMembers() const;
-  // Slots used, allowed and wanted on each serving host.
+  // Slots used, allowed and wanted of what is shared; of the hosts only those
+  // that serve.
   std::map<std::string, SlotReport> CollectSlotReports() const;
-  // Changes how many slots of a host this gateway may use at once.
-  void SetAllowance(const std::string& host, int allowance,
+  // Changes how many slots of a resource this gateway may use at once.
+  void SetAllowance(const std::string& resource, int allowance,
                     base::TimePoint now);
 
   // Calls `on_decision` once: at once, or from a later call of another method.
@@ -85,12 +88,8 @@
     struct Waiting;
     WaitingQueue<std::shared_ptr<Waiting>> queue;
   };
-  struct TeamState {
-    std::atomic<int> in_flight{0};
-  };
 
   std::shared_ptr<ServiceState> GetService(const std::string& name);
-  std::shared_ptr<TeamState> GetTeam(const std::string& name);
   std::vector<std::shared_ptr<ServiceState>> CopyServices() const;
 
   // Why a request that may go can't go yet.
@@ -98,7 +97,7 @@
   using Attempt = std::variant<SlotGrant, Reason, Hold>;
 
   Attempt TryGrant(const RequestTicket& ticket, base::TimePoint now);
-  bool TryAcquireTeam(const RoutingTable& table, const std::string& team);
+  size_t CountWaitingOf(const std::string& team) const;
   static const Target* TryAcquireTarget(const ServiceTargets& service,
                                         const RequestTicket& ticket,
                                         base::TimePoint now);
@@ -119,7 +118,6 @@
   std::atomic<bool> m_stopped{false};
   mutable std::mutex m_names_mutex;
   std::map<std::string, std::shared_ptr<ServiceState>> m_services;
-  std::map<std::string, std::shared_ptr<TeamState>> m_teams;
 };
 
 }  // namespace shallotwick::routing
--- a/libraries/routing/routing_table.cc
+++ b/libraries/routing/routing_table.cc
@@ -52,12 +52,24 @@
 
 }  // namespace
 
+std::string TeamResource(const std::string& team) { return "team/" + team; }
+
 std::unique_ptr<const RoutingTable> BuildRoutingTable(
     RoutingView view, const RoutingTable* former, const std::string& gateway) {
   auto table = std::make_unique<RoutingTable>();
   const std::vector<std::string> members = GetMembers(view, gateway);
   const bool same_members =
       former != nullptr && GetMembers(former->view, gateway) == members;
+  const auto share_resource = [&](const std::string& resource, int capacity,
+                                  SlotCounter* counter) {
+    table->slots[resource] = capacity;
+    // What is lent among the same members stays lent.
+    const bool is_same = same_members && former->slots.count(resource) != 0 &&
+                         former->slots.at(resource) == capacity;
+    if (!is_same) {
+      counter->SetAllowance(ShareOf(resource, capacity, members, gateway));
+    }
+  };
   std::map<std::string, int> slots_of_pool;
   std::map<std::string, std::vector<Target>> targets_of_pool;
   for (const auto& [name, host] : view.hosts) {
@@ -66,14 +78,7 @@
     if (slots == slots_of_pool.end()) {
       slots = slots_of_pool.emplace(host.pool, GetSlots(view, host.pool)).first;
     }
-    table->slots[name] = slots->second;
-    // What is lent among the same members stays lent.
-    const bool keeps_allowance = former != nullptr && same_members &&
-                                 former->slots.count(name) != 0 &&
-                                 former->slots.at(name) == slots->second;
-    if (!keeps_allowance) {
-      state->SetAllowance(ShareOf(name, slots->second, members, gateway));
-    }
+    share_resource(name, slots->second, state.get());
     table->states[name] = state;
     if (host.state == records::HostState::kServing) {
       targets_of_pool[host.pool].push_back({name, host.address, state});
@@ -84,7 +89,10 @@
         ServiceTargets{service, targets_of_pool[service.pool]};
   }
   for (const auto& [team, quota] : view.quotas) {
-    table->team_shares[team] = ShareOf("team " + team, quota, members, gateway);
+    const bool is_known = former != nullptr && former->teams.count(team) != 0;
+    table->teams[team] =
+        is_known ? former->teams.at(team) : std::make_shared<SlotCounter>();
+    share_resource(TeamResource(team), quota, table->teams[team].get());
   }
   table->view = std::move(view);
   return table;
--- a/libraries/routing/routing_table.h
+++ b/libraries/routing/routing_table.h
@@ -28,12 +28,16 @@
   RoutingView view;
   std::map<std::string, ServiceTargets> services;
   std::map<std::string, std::shared_ptr<TargetState>> states;
-  // Slots of each host, for all gateways together.
+  // Requests in flight of each team that has a quota.
+  std::map<std::string, std::shared_ptr<SlotCounter>> teams;
+  // What gateways share: slots of each host, and quotas under their teams'
+  // resource names.
   std::map<std::string, int> slots;
-  // Requests at once that this gateway may run for each team with a quota.
-  std::map<std::string, int> team_shares;
 };
 
+// The name under which a team's quota is shared; no host has such a name.
+std::string TeamResource(const std::string& team);
+
 // Builds the table of a gateway, taking over the states of the former one.
 std::unique_ptr<const RoutingTable> BuildRoutingTable(
     RoutingView view, const RoutingTable* former, const std::string& gateway);
--- a/libraries/routing/target_state.cc
+++ b/libraries/routing/target_state.cc
@@ -2,16 +2,6 @@
 
 namespace shallotwick::routing {
 
-bool TargetState::TryAcquire() {
-  int in_use = m_in_use.load();
-  while (in_use < m_allowance.load()) {
-    if (m_in_use.compare_exchange_weak(in_use, in_use + 1)) {
-      return true;
-    }
-  }
-  return false;
-}
-
 void TargetState::AvoidUntil(base::TimePoint until) {
   m_avoid_until.store(until.time_since_epoch().count());
 }
--- a/libraries/routing/target_state.h
+++ b/libraries/routing/target_state.h
@@ -5,27 +5,18 @@
 #include <string>
 
 #include "base/runtime_clock.h"
+#include "routing/slot_counter.h"
 
 namespace shallotwick::routing {
 
 // What one gateway keeps of one target host, over all views that name it.
 // Safe to use from several threads.
-class TargetState {
+class TargetState : public SlotCounter {
  public:
   explicit TargetState(std::string host) : m_host(std::move(host)) {}
 
   const std::string& GetHost() const { return m_host; }
 
-  // Takes a slot if fewer than the allowance are in use.
-  bool TryAcquire();
-  // Gives a slot back.
-  void Release() { m_in_use.fetch_sub(1); }
-  int GetInUse() const { return m_in_use.load(); }
-
-  // The slots of the target that this gateway may use at once.
-  void SetAllowance(int allowance) { m_allowance.store(allowance); }
-  int GetAllowance() const { return m_allowance.load(); }
-
   // Keeps new work away until the given time, after a failure.
   void AvoidUntil(base::TimePoint until);
   bool IsAvoided(base::TimePoint now) const;
@@ -45,8 +36,6 @@
   static constexpr int64_t kNever = -1;
 
   std::string m_host;
-  std::atomic<int> m_in_use{0};
-  std::atomic<int> m_allowance{0};
   std::atomic<int64_t> m_avoid_until{0};
   std::atomic<int64_t> m_silent_at{kNever};
   std::atomic<bool> m_leaving{false};
--- a/tests/process/request_path_test.cc
+++ b/tests/process/request_path_test.cc
@@ -334,6 +334,53 @@
   }));
 }
 
+TEST(RequestPath, ATeamsQuotaHoldsOverAllGatewaysAndGoesWhereItsRequestsAre) {
+  m_system = StartSystem({});
+  constexpr int kQuota = 6;
+  LONGS_EQUAL(
+      200, m_system
+               ->Submit("quotes", harness::MakeTeamSection("quotes", 4, 1) +
+                                      "quota: " + std::to_string(kQuota) + "\n")
+               .status);
+  CHECK_TRUE(m_system->WaitUntilInForce());
+  const auto count_running = [this] {
+    int running = 0;
+    const auto hosts = nlohmann::json::parse(m_system->GetExecutorHosts());
+    for (const auto& [name, host] : hosts.items()) {
+      running += host.at("running").get<int>();
+    }
+    return running;
+  };
+  std::atomic<bool> stopping{false};
+  // All at one gateway first, then at both.
+  std::atomic<bool> at_both{false};
+  std::vector<std::thread> callers;
+  for (size_t caller = 0; caller < 16; ++caller) {
+    callers.emplace_back([&, caller] {
+      while (!stopping.load()) {
+        http::Request request = MakeGet("quota", 80);
+        request.headers.emplace_back("Shallotwick-Team", "quotes");
+        m_system->Send(at_both.load() ? caller % 2 : 0, request);
+      }
+    });
+  }
+  bool kept = true;
+  CHECK_TRUE(harness::WaitFor([&] {
+    const int running = count_running();
+    kept = kept && running <= kQuota;
+    return running == kQuota;
+  }));
+  at_both.store(true);
+  for (int look = 0; look < 100; ++look) {
+    kept = kept && count_running() <= kQuota;
+  }
+  stopping.store(true);
+  for (std::thread& thread : callers) {
+    thread.join();
+  }
+  CHECK_TRUE(kept);
+}
+
 // Kills, freezes, cuts and store faults together, with thousands of requests.
 TEST(RequestPath, UnderFaultsTogetherEachOutcomeIsTrue) {
   harness::SystemOptions system_options;
