Count no gateway out for the time in which the table service was down

Cause: read as a newcomer: a controller took a membership row as lapsed when it had stood still for its limit, also while nobody could renew it. After an hour's outage every member had lapsed at once, and draining hosts could be rebooted under requests in flight. A lapsed row was also removed by a generation read afresh, which could be a renewed one. Ruled out: forgetting the members after each failed call (a controller that waits for its lease sees no failure). Change: standing still counts only while reads come; the row is removed as it was seen. The test of a silent member observed with gaps of tens of seconds, which now count as unwatched; it observes each second instead and expects the same limit to the second.

--- a/libraries/fleet/drain_tracker.cc
+++ b/libraries/fleet/drain_tracker.cc
@@ -1,8 +1,15 @@
 #include "fleet/drain_tracker.h"
 
 #include <algorithm>
+#include <chrono>
 
 namespace shallotwick::fleet {
+namespace {
+
+// Longer between two reads and the rows were not watched.
+constexpr auto kLongestWatchGap = std::chrono::seconds(2);
+
+}  // namespace
 
 DrainTracker::DrainTracker(base::Duration lapse_limit)
     : m_lapse_limit(lapse_limit) {}
@@ -11,14 +18,15 @@
     const std::vector<records::MemberRecord>& members, base::TimePoint now) {
   std::map<std::string, Member> observed;
   for (const records::MemberRecord& record : members) {
-    Member member{record, now, {}};
+    Member member;
+    member.record = record;
     const auto known = m_members.find(record.gateway);
     if (known != m_members.end()) {
       const Member& former = known->second;
       if (former.record.incarnation == record.incarnation) {
         member.acknowledgement = former.acknowledgement;
         if (former.record.renewal == record.renewal) {
-          member.renewed_at = former.renewed_at;
+          member.still_for = former.still_for + GetWatchedTime(now);
         }
       }
     }
@@ -27,6 +35,11 @@
   // A row that is gone was removed by its gateway at the end of a graceful
   // stop, or by a controller after the lapse limit.
   m_members = std::move(observed);
+  m_observed_at = now;
+}
+
+base::Duration DrainTracker::GetWatchedTime(base::TimePoint now) const {
+  return std::min<base::Duration>(now - m_observed_at, kLongestWatchGap);
 }
 
 void DrainTracker::ObserveAcknowledgement(
@@ -72,7 +85,7 @@
 }
 
 bool DrainTracker::IsLapsed(const Member& member, base::TimePoint now) const {
-  return now - member.renewed_at > m_lapse_limit;
+  return member.still_for + GetWatchedTime(now) > m_lapse_limit;
 }
 
 bool DrainTracker::IsReleased(const Member& member,
--- a/libraries/fleet/drain_tracker.h
+++ b/libraries/fleet/drain_tracker.h
@@ -33,7 +33,8 @@
   // gateway that is cut off stops sending, plus the longest deadline.
   explicit DrainTracker(base::Duration lapse_limit);
 
-  // Takes the membership rows of one read.
+  // Takes the membership rows of one read. A row's standing still counts only
+  // while reads come: with the table service down nobody can renew.
   void ObserveMembers(const std::vector<records::MemberRecord>& members,
                       base::TimePoint now);
   void ObserveAcknowledgement(const GatewayAcknowledgement& acknowledgement);
@@ -48,16 +49,19 @@
  private:
   struct Member {
     records::MemberRecord record;
-    base::TimePoint renewed_at;
+    // How long the row was seen to stand still.
+    base::Duration still_for{};
     // Without an acknowledgement of this incarnation its version is 0.
     GatewayAcknowledgement acknowledgement;
   };
 
+  base::Duration GetWatchedTime(base::TimePoint now) const;
   bool IsLapsed(const Member& member, base::TimePoint now) const;
   bool IsReleased(const Member& member, const records::HostRecord& host,
                   base::TimePoint now) const;
 
   base::Duration m_lapse_limit;
+  base::TimePoint m_observed_at;
   std::map<std::string, Member> m_members;
 };
 
--- a/libraries/fleet/tests/lease_and_drain_test.cc
+++ b/libraries/fleet/tests/lease_and_drain_test.cc
@@ -114,13 +114,22 @@
 
 TEST(DrainTracker, ASilentMemberHoldsADrainUpUntilItsLapseLimit) {
   m_tracker.ObserveMembers({MakeMember("g1", 1)}, At(seconds(0)));
-  m_tracker.ObserveMembers({MakeMember("g1", 2)}, At(seconds(10)));
-  m_tracker.ObserveMembers({MakeMember("g1", 2)}, At(seconds(39)));
-  CHECK_FALSE(IsDrained(seconds(40)));
+  for (int second = 10; second <= 40; ++second) {
+    m_tracker.ObserveMembers({MakeMember("g1", 2)}, At(seconds(second)));
+    CHECK_FALSE(IsDrained(seconds(second)));
+  }
   CHECK_TRUE(IsDrained(seconds(41)));
   LONGS_EQUAL(1, m_tracker.FindLapsed(At(seconds(41))).size());
 }
 
+TEST(DrainTracker, TimeInWhichNoRowCouldBeReadCountsNoMemberOut) {
+  m_tracker.ObserveMembers({MakeMember("g1", 1)}, At(seconds(0)));
+  // The table service is down for an hour: the row could not be renewed.
+  m_tracker.ObserveMembers({MakeMember("g1", 1)}, At(seconds(3'600)));
+  CHECK_FALSE(IsDrained(seconds(3'600)));
+  LONGS_EQUAL(0, m_tracker.FindLapsed(At(seconds(3'600))).size());
+}
+
 TEST(DrainTracker, AMemberThatLeftGracefullyHoldsNothingUp) {
   m_tracker.ObserveMembers({MakeMember("g1", 1)}, At(seconds(0)));
   m_tracker.ObserveMembers({}, At(seconds(1)));
--- a/services/shallotwick-controller/controller.cc
+++ b/services/shallotwick-controller/controller.cc
@@ -173,12 +173,7 @@
   }
   const control::RowSet rows(
       m_platform.Read(platform::ReadRequest{{}, {records::kMemberPrefix}}));
-  std::vector<records::MemberRecord> members;
-  for (auto& [name, member] :
-       rows.FindAll<records::MemberRecord>(records::kMemberPrefix)) {
-    members.push_back(member);
-  }
-  FollowMembers(members, now);
+  FollowMembers(rows, now);
   FollowHostList(now);
   if (!m_mirror) {
     return;
@@ -219,13 +214,18 @@
              {"view_version", std::to_string(m_mirror->GetHead().version)}});
 }
 
-void Controller::FollowMembers(
-    const std::vector<records::MemberRecord>& members, base::TimePoint now) {
+void Controller::FollowMembers(const control::RowSet& rows,
+                               base::TimePoint now) {
+  std::vector<records::MemberRecord> members;
+  for (auto& [name, member] :
+       rows.FindAll<records::MemberRecord>(records::kMemberPrefix)) {
+    members.push_back(member);
+  }
   m_drains.ObserveMembers(members, now);
   for (const auto& acknowledgement : m_distributor.TakeAcknowledgements()) {
     m_drains.ObserveAcknowledgement(acknowledgement);
   }
-  RemoveLapsedMembers(now);
+  RemoveLapsedMembers(rows, now);
   const std::vector<std::string> lapsed = m_drains.FindLapsed(now);
   const std::set<std::string> gone(lapsed.begin(), lapsed.end());
   control::ViewMembersRecord record;
@@ -243,11 +243,12 @@
   }
 }
 
-void Controller::RemoveLapsedMembers(base::TimePoint now) {
+// Removes rows as they were seen to stand still: one that is renewed meanwhile
+// stays.
+void Controller::RemoveLapsedMembers(const control::RowSet& rows,
+                                     base::TimePoint now) {
   for (const std::string& gateway : m_drains.FindLapsed(now)) {
     const std::string key = records::MemberKey(gateway);
-    const control::RowSet rows(
-        m_platform.Read(platform::ReadRequest{{key}, {}}));
     platform::Transaction transaction;
     transaction.write_id = base::MakeRandomIdentifier();
     transaction.conditions = {
--- a/services/shallotwick-controller/controller.h
+++ b/services/shallotwick-controller/controller.h
@@ -10,6 +10,7 @@
 #include "base/metrics.h"
 #include "base/periodic_task.h"
 #include "base/settings.h"
+#include "control/row_set.h"
 #include "control/store_watch.h"
 #include "document/planning_document.h"
 #include "fleet/drain_tracker.h"
@@ -40,13 +41,12 @@
   void Act(base::TimePoint now);
   void LoadIfNeeded();
   void FollowDocument();
-  void FollowMembers(const std::vector<records::MemberRecord>& members,
-                     base::TimePoint now);
+  void FollowMembers(const control::RowSet& rows, base::TimePoint now);
   void FollowHostList(base::TimePoint now);
   void NoteStates(base::TimePoint now);
   void Carry(const fleet::FleetPlan& plan);
   void RequestReboots(const std::vector<std::string>& hosts);
-  void RemoveLapsedMembers(base::TimePoint now);
+  void RemoveLapsedMembers(const control::RowSet& rows, base::TimePoint now);
   void Forget();
   void HandleRequest(const http::Request& request,
                      const http::Respond& respond);
--- a/tests/process/fleet_test.cc
+++ b/tests/process/fleet_test.cc
@@ -271,6 +271,48 @@
   LONGS_EQUAL(0, result.not_run);
 }
 
+TEST(Fleet, AnOutageOfTheStoreCountsNoGatewayOut) {
+  harness::SystemOptions options;
+  options.controller_flags = {"--member-lapse-ms", "4000"};
+  m_system = StartSystem(options);
+  std::string section = MakeWaveSection("w1");
+  const std::string deadline = "deadline_ms: 5000";
+  section.replace(section.find(deadline), deadline.size(),
+                  "deadline_ms: 30000");
+  std::string without_wave = section.substr(0, section.find("waves:"));
+  LONGS_EQUAL(200, m_system->Submit("quotes", without_wave).status);
+  CHECK_TRUE(m_system->WaitUntilInForce());
+  // One request on each host, longer than the outage.
+  std::vector<std::thread> callers;
+  for (int caller = 0; caller < kPromise; ++caller) {
+    callers.emplace_back([&] {
+      m_system->Send(
+          0,
+          {"GET",
+           "/s/quotes/slow",
+           {{"Standin-Request", "slow"}, {"Standin-Work-Ms", "12000"}},
+           ""},
+          {milliseconds(1'000), seconds(30), seconds(30)});
+    });
+  }
+  CHECK_TRUE(harness::WaitFor([&] {
+    const auto record = nlohmann::json::parse(m_system->GetRecord(true));
+    return record.at("starts").value("slow", 0) == kPromise;
+  }));
+  LONGS_EQUAL(200, m_system->Submit("quotes", section).status);
+  CHECK_TRUE(
+      harness::WaitFor([&] { return CountInMaintenance(*m_system) > 0; }));
+  m_system->SetPlatformFaults(R"({"mode":"down"})");
+  std::this_thread::sleep_for(seconds(6));
+  m_system->SetPlatformFaults("{}");
+  for (std::thread& thread : callers) {
+    thread.join();
+  }
+  CHECK_TRUE(harness::WaitFor([&] { return IsWaveDone(*m_system, "w1"); }));
+  const auto record = nlohmann::json::parse(m_system->GetRecord(false));
+  LONGS_EQUAL(0, record.at("cut_by_reboot").get<int>());
+}
+
 TEST(Fleet, ARackThatFailsWithinAWaveStopsItUntilTheBudgetIsFreeAgain) {
   m_system = StartSystem({});
   LONGS_EQUAL(200, m_system->Submit("quotes", MakeWaveSection("w1")).status);
