--- a/services/shallotwick-gateway/membership.h
+++ b/services/shallotwick-gateway/membership.h
@@ -52,9 +52,11 @@
   void Renew(base::TimePoint sent_at);
   void RenewPeers();
   void RenewThroughPeer();
-  // Writes a member's next renewal, unless another incarnation of it has joined
-  // since. Returns nothing if that failed, else whether no row of this
-  // incarnation stood before. Throws platform::Unavailable.
+  // Writes a member's next renewal. Returns nothing if somebody else wrote the
+  // row meanwhile, else whether no row of this incarnation stood before. Throws
+  // platform::Unavailable.
+  // FIXME: two live processes of one name take the row from each other; the one
+  // without it should stop, and controllers should wait for its lapse.
   std::optional<bool> WriteRenewal(records::MemberRecord member);
 
   struct PeerRenewal {
