Share the jitter of periods; drop dead accessors and a copy of the view

Cause: the whole change read once more: gateway and controller spread their periods by the same lines, the gateway copied its whole view for each peer's answer to learn the members' names, and two accessors had no caller. Change: base::SpreadPeriod serves both; the names are read alone; the accessors are gone. Behaviour stays as it is.

--- a/libraries/base/backoff.h
+++ b/libraries/base/backoff.h
@@ -19,4 +19,8 @@
   Duration m_next;
 };
 
+// Returns a period changed by up to a tenth either way, `jitter` in [0, 1), so
+// that processes don't act in step.
+Duration SpreadPeriod(Duration period, double jitter);
+
 }  // namespace shallotwick::base
--- a/services/shallotwick-controller/controller.cc
+++ b/services/shallotwick-controller/controller.cc
@@ -157,9 +157,7 @@
     return m_backoff.NextDelay(base::MakeRandomFraction());
   }
   m_backoff.Reset();
-  constexpr double kSpread = 0.2;
-  const double factor = 1 - kSpread / 2 + kSpread * base::MakeRandomFraction();
-  return std::chrono::duration_cast<base::Duration>(m_period * factor);
+  return base::SpreadPeriod(m_period, base::MakeRandomFraction());
 }
 
 void Controller::Forget() { m_mirror.reset(); }
--- a/services/shallotwick-controller/view_distributor.cc
+++ b/services/shallotwick-controller/view_distributor.cc
@@ -87,9 +87,4 @@
   return std::exchange(m_acknowledgements, {});
 }
 
-std::map<std::string, uint64_t> ViewDistributor::GetVersions() const {
-  std::lock_guard<std::mutex> lock(m_mutex);
-  return m_versions;
-}
-
 }  // namespace shallotwick::controller
--- a/services/shallotwick-controller/view_distributor.h
+++ b/services/shallotwick-controller/view_distributor.h
@@ -22,9 +22,6 @@
   // Takes the acknowledgements that have come since the last call.
   std::vector<fleet::GatewayAcknowledgement> TakeAcknowledgements();
 
-  // The version that each gateway acknowledged last.
-  std::map<std::string, uint64_t> GetVersions() const;
-
   void Stop() { m_links.Stop(); }
 
  private:
--- a/services/shallotwick-gateway/membership.cc
+++ b/services/shallotwick-gateway/membership.cc
@@ -52,10 +52,7 @@
     return m_backoff.NextDelay(base::MakeRandomFraction());
   }
   m_backoff.Reset();
-  // Jitter keeps the gateways from asking in step after an outage.
-  constexpr double kSpread = 0.2;
-  const double factor = 1 - kSpread / 2 + kSpread * base::MakeRandomFraction();
-  return std::chrono::duration_cast<base::Duration>(m_options.period * factor);
+  return base::SpreadPeriod(m_options.period, base::MakeRandomFraction());
 }
 
 void Membership::LookForView(uint64_t head_version, base::TimePoint sent_at) {
--- a/services/shallotwick-gateway/membership.h
+++ b/services/shallotwick-gateway/membership.h
@@ -37,8 +37,6 @@
              std::function<records::MemberRecord()> describe,
              MembershipOptions options);
 
-  // Makes the next round come at once.
-  void WakeUp() { m_task.WakeUp(); }
   // Renews a peer's row that asks for it. Called on the links' thread; replies
   // there when the table service has answered or failed.
   void RenewForPeer(const records::MemberRecord& member,
--- a/services/shallotwick-gateway/view_keeper.cc
+++ b/services/shallotwick-gateway/view_keeper.cc
@@ -122,12 +122,11 @@
 }
 
 void ViewKeeper::UpdateReadyUntil() {
-  const routing::RoutingView view = m_dispatcher.GetView();
-  if (view.version == 0) {
+  if (GetVersion() == 0) {
     return;
   }
   std::set<std::string> members;
-  for (const auto& [name, member] : view.members) {
+  for (const auto& [name, member] : m_dispatcher.GetMembers()) {
     members.insert(name);
   }
   m_ready_until.store(
