--- a/libraries/base/log_catalogue.h
+++ b/libraries/base/log_catalogue.h
@@ -87,6 +87,44 @@
     403, "submission-disputed", Severity::kInfo,
     "An edit collides with other sections and waits for a ruling."};
 
+// 5xx: scheduler.
+inline constexpr LogEvent kPoolClaimed{501, "pool-claimed", Severity::kInfo,
+                                       "This host owns a pool from now on."};
+inline constexpr LogEvent kPoolLoaded{
+    502, "pool-loaded", Severity::kInfo,
+    "A pool's jobs and roster are read; its targets are asked for their runs."};
+inline constexpr LogEvent kPoolLost{
+    503, "pool-lost", Severity::kWarning,
+    "Another host owns the pool; no more orders are given."};
+inline constexpr LogEvent kPoolReleased{
+    504, "pool-released", Severity::kInfo,
+    "The pool was given up, so that another host takes it at once."};
+inline constexpr LogEvent kSessionReplaced{
+    505, "session-replaced", Severity::kError,
+    "Another process holds this host's session; this one ends."};
+inline constexpr LogEvent kConfigInForce{
+    506, "config-in-force", Severity::kInfo,
+    "A newer configuration governs this host."};
+inline constexpr LogEvent kJobAccepted{510, "job-accepted", Severity::kInfo,
+                                       "A job is stored and will run."};
+inline constexpr LogEvent kJobRefused{
+    511, "job-refused", Severity::kInfo,
+    "A job was not stored and never runs; the reason is named."};
+inline constexpr LogEvent kJobOutcomeUnknown{
+    512, "job-outcome-unknown", Severity::kWarning,
+    "A call for a job ended without an answer of the store."};
+inline constexpr LogEvent kJobCancelled{513, "job-cancelled", Severity::kInfo,
+                                        "A job was cancelled by a caller."};
+inline constexpr LogEvent kTaskDecision{
+    520, "task-decision", Severity::kInfo,
+    "A decision on one run of a task; what, where and why are named."};
+inline constexpr LogEvent kHostOperation{
+    530, "host-operation", Severity::kInfo,
+    "A move or an upkeep of a host was asked of the platform."};
+inline constexpr LogEvent kWaveProgress{
+    531, "wave-progress", Severity::kInfo,
+    "A maintenance wave has begun, gone on or ended."};
+
 inline constexpr std::array kAll = {kStarted,
                                     kStopping,
                                     kStopped,
@@ -111,6 +149,19 @@
                                     kPromiseShort,
                                     kSubmissionAccepted,
                                     kSubmissionRejected,
-                                    kSubmissionDisputed};
+                                    kSubmissionDisputed,
+                                    kPoolClaimed,
+                                    kPoolLoaded,
+                                    kPoolLost,
+                                    kPoolReleased,
+                                    kSessionReplaced,
+                                    kConfigInForce,
+                                    kJobAccepted,
+                                    kJobRefused,
+                                    kJobOutcomeUnknown,
+                                    kJobCancelled,
+                                    kTaskDecision,
+                                    kHostOperation,
+                                    kWaveProgress};
 
 }  // namespace shallotwick::base::events
--- a/libraries/base/runtime_clock.cc
+++ b/libraries/base/runtime_clock.cc
@@ -1,5 +1,7 @@
 #include "base/runtime_clock.h"
 
+#include <time.h>
+
 #include <atomic>
 #include <cstdint>
 
@@ -10,13 +12,16 @@
 
 // Reading of a paused clock in nanoseconds, or kRunning.
 std::atomic<int64_t> g_paused_at{kRunning};
-// Added to the steady clock, so that resuming never jumps.
+// Added to the boot clock, so that resuming never jumps.
 std::atomic<int64_t> g_offset{0};
 
-int64_t SteadyNanoseconds() {
-  return std::chrono::duration_cast<std::chrono::nanoseconds>(
-             std::chrono::steady_clock::now().time_since_epoch())
-      .count();
+// The boot clock also counts the time in which the host was suspended. Leases
+// go on meanwhile, so a holder has to see that time pass.
+int64_t BootNanoseconds() {
+  constexpr int64_t kNanosecondsPerSecond = 1'000'000'000;
+  timespec reading{};
+  clock_gettime(CLOCK_BOOTTIME, &reading);
+  return reading.tv_sec * kNanosecondsPerSecond + reading.tv_nsec;
 }
 
 }  // namespace
@@ -26,7 +31,7 @@
   if (paused_at != kRunning) {
     return time_point(duration(paused_at));
   }
-  return time_point(duration(SteadyNanoseconds() + g_offset.load()));
+  return time_point(duration(BootNanoseconds() + g_offset.load()));
 }
 
 void RuntimeClock::Pause() {
@@ -45,7 +50,7 @@
   if (paused_at == kRunning) {
     return;
   }
-  g_offset.store(paused_at - SteadyNanoseconds());
+  g_offset.store(paused_at - BootNanoseconds());
   g_paused_at.store(kRunning);
 }
 
--- a/libraries/base/runtime_clock.h
+++ b/libraries/base/runtime_clock.h
@@ -4,8 +4,9 @@
 
 namespace shallotwick::base {
 
-// Monotonic clock of every process. Tests pause it and advance it by hand.
-// Satisfies the standard Clock requirements, so that Asio timers run on it.
+// Monotonic clock of every process; it also counts suspensions. Tests pause it
+// and advance it by hand. Satisfies the standard Clock requirements, so that
+// Asio timers run on it.
 class RuntimeClock {
  public:
   using duration = std::chrono::nanoseconds;
--- a/libraries/control/document_records.cc
+++ b/libraries/control/document_records.cc
@@ -24,8 +24,8 @@
 SHALLOTWICK_DEFINE_JSON(HistoryRecord, version, team, author, cause, text,
                         accepted_at_milliseconds)
 
-platform::ReadRequest MakeDocumentRead() {
-  return platform::ReadRequest{
+storage::ReadRequest MakeDocumentRead() {
+  return storage::ReadRequest{
       {records::kDocumentHeadKey},
       {records::kSectionPrefix, records::kDisputePrefix}};
 }
--- a/libraries/control/document_records.h
+++ b/libraries/control/document_records.h
@@ -7,7 +7,7 @@
 
 #include "control/row_set.h"
 #include "document/planning_document.h"
-#include "platform/table_service.h"
+#include "storage/table_service.h"
 
 namespace shallotwick::control {
 
@@ -44,7 +44,7 @@
 void from_json(const nlohmann::json& json, HistoryRecord& record);
 
 // The read that gives the whole document as of one moment.
-platform::ReadRequest MakeDocumentRead();
+storage::ReadRequest MakeDocumentRead();
 
 // Builds the document from the rows of MakeDocumentRead().
 document::PlanningDocument BuildDocument(const RowSet& rows);
--- a/libraries/control/row_set.cc
+++ b/libraries/control/row_set.cc
@@ -4,8 +4,8 @@
 
 namespace shallotwick::control {
 
-RowSet::RowSet(std::vector<platform::Row> rows) {
-  for (platform::Row& row : rows) {
+RowSet::RowSet(std::vector<storage::Row> rows) {
+  for (storage::Row& row : rows) {
     std::string key = row.key;
     m_rows.emplace(std::move(key), std::move(row));
   }
@@ -13,7 +13,7 @@
 
 uint64_t RowSet::GetGeneration(const std::string& key) const {
   const auto found = m_rows.find(key);
-  return found == m_rows.end() ? platform::kAbsent : found->second.generation;
+  return found == m_rows.end() ? storage::kAbsent : found->second.generation;
 }
 
 std::map<std::string, uint64_t> RowSet::GetGenerations() const {
--- a/libraries/control/row_set.h
+++ b/libraries/control/row_set.h
@@ -7,14 +7,14 @@
 #include <vector>
 
 #include "base/log_catalogue.h"
-#include "platform/table_service.h"
+#include "storage/table_service.h"
 
 namespace shallotwick::control {
 
 // Rows as of one read, by key.
 class RowSet {
  public:
-  explicit RowSet(std::vector<platform::Row> rows);
+  explicit RowSet(std::vector<storage::Row> rows);
 
   // Returns the generation of a row, kAbsent if there is none.
   uint64_t GetGeneration(const std::string& key) const;
@@ -49,7 +49,7 @@
 
  private:
   template <typename Record>
-  static std::optional<Record> Parse(const platform::Row& row) {
+  static std::optional<Record> Parse(const storage::Row& row) {
     try {
       return nlohmann::json::parse(row.value).get<Record>();
     } catch (const nlohmann::json::exception& error) {
@@ -59,7 +59,7 @@
     }
   }
 
-  std::map<std::string, platform::Row> m_rows;
+  std::map<std::string, storage::Row> m_rows;
 };
 
 }  // namespace shallotwick::control
--- a/libraries/control/view_records.cc
+++ b/libraries/control/view_records.cc
@@ -25,9 +25,8 @@
   return record;
 }
 
-platform::ReadRequest MakeViewRead() {
-  return platform::ReadRequest{{},
-                               {records::kHostPrefix, records::kViewPrefix}};
+storage::ReadRequest MakeViewRead() {
+  return storage::ReadRequest{{}, {records::kHostPrefix, records::kViewPrefix}};
 }
 
 std::optional<routing::RoutingView> BuildView(const RowSet& rows) {
--- a/libraries/control/view_records.h
+++ b/libraries/control/view_records.h
@@ -9,8 +9,8 @@
 
 #include "control/row_set.h"
 #include "document/planning_document.h"
-#include "platform/table_service.h"
 #include "routing/routing_view.h"
+#include "storage/table_service.h"
 
 namespace shallotwick::control {
 
@@ -38,7 +38,7 @@
 ViewServicesRecord MakeViewServices(const document::EffectivePlan& plan);
 
 // The read that gives a whole view as of one moment.
-platform::ReadRequest MakeViewRead();
+storage::ReadRequest MakeViewRead();
 
 // Builds the view from the rows of MakeViewRead(). Returns nothing if no
 // controller has made a view yet.
--- a/libraries/fleet/fleet_input.h
+++ b/libraries/fleet/fleet_input.h
@@ -8,8 +8,8 @@
 
 #include "base/runtime_clock.h"
 #include "document/planning_document.h"
-#include "platform/host_list.h"
 #include "records/host_record.h"
+#include "storage/host_list.h"
 
 namespace shallotwick::fleet {
 
@@ -32,7 +32,7 @@
 struct FleetInput {
   document::EffectivePlan plan;
   std::map<std::string, records::HostRecord> hosts;
-  std::map<std::string, platform::ListedHost> listed;
+  std::map<std::string, storage::ListedHost> listed;
   // Draining hosts that every gateway has acknowledged with nothing in flight.
   std::set<std::string> drained;
   // When each host was first seen failed, rebooting or unlisted.
--- a/libraries/fleet/fleet_planner.cc
+++ b/libraries/fleet/fleet_planner.cc
@@ -55,7 +55,7 @@
     return copy;
   }
 
-  const platform::ListedHost* FindListed(const std::string& host) const {
+  const storage::ListedHost* FindListed(const std::string& host) const {
     const auto found = m_input.listed.find(host);
     return found == m_input.listed.end() ? nullptr : &found->second;
   }
@@ -70,7 +70,7 @@
   void TakeInNewHosts() {
     for (const auto& [name, listed] : m_input.listed) {
       if (m_hosts.count(name) != 0 ||
-          listed.status != platform::ListedStatus::kLive) {
+          listed.status != storage::ListedStatus::kLive) {
         continue;
       }
       HostRecord host;
@@ -89,12 +89,11 @@
 
   void FollowHostList() {
     for (const HostRecord& host : CopyHosts()) {
-      const platform::ListedHost* listed = FindListed(host.name);
+      const storage::ListedHost* listed = FindListed(host.name);
       const bool is_live =
-          listed != nullptr && listed->status == platform::ListedStatus::kLive;
-      const bool is_leaving =
-          listed != nullptr &&
-          listed->status == platform::ListedStatus::kLeaving;
+          listed != nullptr && listed->status == storage::ListedStatus::kLive;
+      const bool is_leaving = listed != nullptr &&
+                              listed->status == storage::ListedStatus::kLeaving;
       if (host.state == HostState::kRebooting) {
         FollowReboot(host, listed, is_live);
       } else if (is_leaving) {
@@ -107,7 +106,7 @@
     }
   }
 
-  void FollowReboot(const HostRecord& host, const platform::ListedHost* listed,
+  void FollowReboot(const HostRecord& host, const storage::ListedHost* listed,
                     bool is_live) {
     if (is_live && listed->boot_id != host.boot_id) {
       HostRecord after = MakeServing(host, *listed);
@@ -132,7 +131,7 @@
     Change(host, after, "leaves, says the host list");
   }
 
-  void FollowLive(const HostRecord& host, const platform::ListedHost& listed) {
+  void FollowLive(const HostRecord& host, const storage::ListedHost& listed) {
     const bool was_leaving = host.purpose == DrainPurpose::kLeave;
     if (host.state == HostState::kFailed || was_leaving) {
       Change(host, MakeServing(host, listed), "is live again");
@@ -166,7 +165,7 @@
   }
 
   static HostRecord MakeServing(const HostRecord& host,
-                                const platform::ListedHost& listed) {
+                                const storage::ListedHost& listed) {
     HostRecord after = host;
     after.state = HostState::kServing;
     after.purpose = DrainPurpose::kNone;
@@ -369,7 +368,7 @@
 
   void CollectReboots() {
     for (const auto& [name, host] : m_hosts) {
-      const platform::ListedHost* listed = FindListed(name);
+      const storage::ListedHost* listed = FindListed(name);
       if (host.state == HostState::kRebooting && listed != nullptr &&
           listed->boot_id == host.boot_id) {
         m_plan.reboots.push_back(name);
--- a/libraries/fleet/tests/fleet_planner_test.cc
+++ b/libraries/fleet/tests/fleet_planner_test.cc
@@ -8,14 +8,14 @@
 namespace base = shallotwick::base;
 namespace document = shallotwick::document;
 namespace fleet = shallotwick::fleet;
-namespace platform = shallotwick::platform;
+namespace storage = shallotwick::storage;
 namespace records = shallotwick::records;
 
-using platform::ListedStatus;
 using records::DrainPurpose;
 using records::HostState;
 using std::chrono::minutes;
 using std::chrono::seconds;
+using storage::ListedStatus;
 
 namespace {
 
@@ -29,7 +29,7 @@
 
   void AddHosts(int count, const std::string& data_centre = "dc-0") {
     for (int number = 0; number < count; ++number) {
-      platform::ListedHost host;
+      storage::ListedHost host;
       host.name = data_centre + "-h" + std::to_string(number);
       host.address = "127.0.0.1:1";
       host.data_centre = data_centre;
--- a/libraries/fleet/tests/lease_and_drain_test.cc
+++ b/libraries/fleet/tests/lease_and_drain_test.cc
@@ -8,7 +8,7 @@
 
 namespace base = shallotwick::base;
 namespace fleet = shallotwick::fleet;
-namespace platform = shallotwick::platform;
+namespace storage = shallotwick::storage;
 namespace records = shallotwick::records;
 
 using fleet::LeaseStep;
@@ -152,12 +152,11 @@
   const auto transaction = fleet::MakeTransitionTransaction(
       effect, {{"host/h1", 4}, {"pool/dye", 5}, {"view/head", 6}},
       {"token", "w1"});
-  CHECK_TRUE(
-      transaction.conditions.at(0) ==
-      platform::Condition::FieldIs("lease/controller", "token", "token"));
-  for (const platform::Write& write : transaction.writes) {
+  CHECK_TRUE(transaction.conditions.at(0) ==
+             storage::Condition::FieldIs("lease/controller", "token", "token"));
+  for (const storage::Write& write : transaction.writes) {
     bool is_guarded = false;
-    for (const platform::Condition& condition : transaction.conditions) {
+    for (const storage::Condition& condition : transaction.conditions) {
       is_guarded = is_guarded || condition.key == write.key;
     }
     CHECK_TRUE(is_guarded);
--- a/libraries/fleet/transition_transaction.cc
+++ b/libraries/fleet/transition_transaction.cc
@@ -8,13 +8,13 @@
 namespace shallotwick::fleet {
 namespace {
 
-using platform::Condition;
-using platform::Write;
+using storage::Condition;
+using storage::Write;
 
 uint64_t GetGeneration(const std::map<std::string, uint64_t>& generations,
                        const std::string& key) {
   const auto found = generations.find(key);
-  return found == generations.end() ? platform::kAbsent : found->second;
+  return found == generations.end() ? storage::kAbsent : found->second;
 }
 
 records::PoolRecord& FindPool(
@@ -63,11 +63,11 @@
   return effect;
 }
 
-platform::Transaction MakeTransitionTransaction(
+storage::Transaction MakeTransitionTransaction(
     const TransitionEffect& effect,
     const std::map<std::string, uint64_t>& generations,
     const ControllerFence& fence) {
-  platform::Transaction transaction;
+  storage::Transaction transaction;
   transaction.write_id = fence.write_id;
   transaction.conditions.push_back(
       Condition::FieldIs(records::kControllerLeaseKey, "token", fence.token));
--- a/libraries/fleet/transition_transaction.h
+++ b/libraries/fleet/transition_transaction.h
@@ -6,8 +6,8 @@
 #include <vector>
 
 #include "fleet/fleet_plan.h"
-#include "platform/table_service.h"
 #include "records/control_records.h"
+#include "storage/table_service.h"
 
 namespace shallotwick::fleet {
 
@@ -41,7 +41,7 @@
 // Makes the one transaction of an effect. It commits only while the lease is
 // the controller's and none of the rows has changed, so that two controllers
 // can't both spend the same budget.
-platform::Transaction MakeTransitionTransaction(
+storage::Transaction MakeTransitionTransaction(
     const TransitionEffect& effect,
     const std::map<std::string, uint64_t>& generations,
     const ControllerFence& fence);
--- a/libraries/http/client.cc
+++ b/libraries/http/client.cc
@@ -4,6 +4,7 @@
 
 #include <asio.hpp>
 #include <map>
+#include <optional>
 #include <thread>
 #include <utility>
 
@@ -22,8 +23,9 @@
 
 class Client::Implementation {
  public:
-  explicit Implementation(int connections_per_host)
-      : m_work(asio::make_work_guard(m_context)),
+  // Without an outer context the client runs one on a thread of its own.
+  Implementation(asio::io_context* outer_context, int connections_per_host)
+      : m_context(outer_context != nullptr ? *outer_context : m_own_context),
         m_timer(m_context),
         m_check_timer(m_context),
         m_multi(curl_multi_init()) {
@@ -34,17 +36,28 @@
     curl_multi_setopt(m_multi, CURLMOPT_MAX_HOST_CONNECTIONS,
                       static_cast<long>(connections_per_host));
     curl_multi_setopt(m_multi, CURLMOPT_MAXCONNECTS, kIdleConnections);
-    m_thread = std::thread([this] { m_context.run(); });
+    if (outer_context == nullptr) {
+      m_work.emplace(asio::make_work_guard(m_context));
+      m_thread = std::thread([this] { m_context.run(); });
+    }
   }
 
   ~Implementation() {
-    asio::post(m_context, [this] { Close(); });
-    m_thread.join();
+    if (m_thread.joinable()) {
+      asio::post(m_context, [this] { Close(); });
+      m_thread.join();
+    } else {
+      Close();
+    }
     curl_multi_cleanup(m_multi);
   }
 
   void Send(const std::string& url, Request request,
             const TransferOptions& options, OnTransferEnd on_end) {
+    if (!m_thread.joinable()) {
+      Start(url, std::move(request), options, std::move(on_end));
+      return;
+    }
     asio::post(m_context, [this, url, request = std::move(request), options,
                            on_end = std::move(on_end)]() mutable {
       Start(url, std::move(request), options, std::move(on_end));
@@ -95,8 +108,10 @@
       watched->descriptor.release();
     }
     m_watched.clear();
-    m_work.reset();
-    m_context.stop();
+    if (m_thread.joinable()) {
+      m_work.reset();
+      m_context.stop();
+    }
   }
 
   static int OnSocketChange(CURL* /*handle*/, curl_socket_t socket, int wanted,
@@ -243,8 +258,11 @@
     running.on_end(std::move(result));
   }
 
-  asio::io_context m_context{1};
-  asio::executor_work_guard<asio::io_context::executor_type> m_work;
+  using WorkGuard = asio::executor_work_guard<asio::io_context::executor_type>;
+
+  asio::io_context m_own_context{1};
+  asio::io_context& m_context;
+  std::optional<WorkGuard> m_work;
   asio::steady_timer m_timer;
   asio::steady_timer m_check_timer;
   CURLM* m_multi;
@@ -256,8 +274,12 @@
 };
 
 Client::Client(int connections_per_host)
-    : m_implementation(std::make_unique<Implementation>(connections_per_host)) {
-}
+    : m_implementation(
+          std::make_unique<Implementation>(nullptr, connections_per_host)) {}
+
+Client::Client(asio::io_context& context, int connections_per_host)
+    : m_implementation(
+          std::make_unique<Implementation>(&context, connections_per_host)) {}
 
 Client::~Client() = default;
 
--- /dev/null
+++ b/libraries/ownership/pool_assignment.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <compare>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "ownership/session_watch.h"
+
+namespace shallotwick::ownership {
+
+// Who owns a pool, as stored. An empty holder has given it up.
+struct OwnerRecord {
+  Incarnation holder;
+  // Counts the ownerships of the pool.
+  int64_t term = 0;
+
+  auto operator<=>(const OwnerRecord&) const = default;
+};
+
+// Ranks the live hosts for each pool that has no live owner: the first should
+// take it, the others after it if it does not. Gives a pool to the host with
+// the fewest; hosts that see the same rows agree. Pools with a live owner stay
+// where they are, since each change costs a recovery.
+std::map<std::string, std::vector<Incarnation>> RankCandidates(
+    const std::set<std::string>& pools,
+    const std::map<std::string, OwnerRecord>& owners,
+    const std::set<Incarnation>& live);
+
+}  // namespace shallotwick::ownership
--- /dev/null
+++ b/libraries/ownership/session_watch.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <compare>
+#include <map>
+#include <set>
+#include <string>
+
+#include "base/runtime_clock.h"
+
+namespace shallotwick::ownership {
+
+// One life of one host of the system.
+struct Incarnation {
+  std::string host;
+  std::string boot;
+
+  auto operator<=>(const Incarnation&) const = default;
+};
+
+// A session row as it was read: `version` changes with each renewal.
+struct SessionRow {
+  Incarnation holder;
+  uint64_t version = 0;
+
+  auto operator<=>(const SessionRow&) const = default;
+};
+
+// Tells which hosts renew their sessions, by this host's own clock: a session
+// has lapsed when its row stood still for the time to live while rows could be
+// read.
+class SessionWatch {
+ public:
+  explicit SessionWatch(base::Duration time_to_live);
+
+  // Takes one reading of all rows.
+  void Observe(const std::map<std::string, SessionRow>& rows,
+               base::TimePoint now);
+
+  std::set<Incarnation> GetLive() const;
+  bool IsLive(const Incarnation& incarnation) const;
+  // Whether the rows were watched for long enough to tell a lapsed session.
+  bool HasWatchedLongEnough() const;
+
+ private:
+  struct Seen {
+    SessionRow row;
+    // How long it stood still in readings that were not far apart.
+    base::Duration still{0};
+  };
+
+  base::Duration m_time_to_live;
+  std::map<std::string, Seen> m_seen;
+  base::TimePoint m_last_reading;
+  base::Duration m_watched{0};
+};
+
+}  // namespace shallotwick::ownership
--- /dev/null
+++ b/libraries/scheduling/active_job.cc
@@ -0,0 +1,132 @@
+#include "scheduling/active_job.h"
+
+#include <utility>
+
+namespace shallotwick::scheduling {
+
+ActiveJob::ActiveJob(JobSpec spec, const JobProgress& progress,
+                     bool predates_ownership)
+    : m_state(progress.state),
+      m_predates_ownership(predates_ownership),
+      m_spec(std::move(spec)) {
+  for (const auto& stored_steps : progress.tasks) {
+    auto& steps = m_tasks.emplace_back();
+    auto& open = m_open.emplace_back();
+    for (const auto& stored_tasks : stored_steps) {
+      auto& tasks = steps.emplace_back();
+      int open_count = 0;
+      for (const TaskProgress& stored : stored_tasks) {
+        ActiveTask task;
+        task.progress = stored;
+        task.last_run = stored.last_failed_run;
+        open_count += stored.done ? 0 : 1;
+        tasks.push_back(std::move(task));
+      }
+      open.push_back(open_count);
+    }
+  }
+  for (const StepSpec& step : m_spec.steps) {
+    m_has_long_running_step = m_has_long_running_step || step.long_running;
+  }
+  m_whole_chain_ms = EstimateChainMs(m_spec, {});
+  RecomputeChain();
+}
+
+ActiveTask* ActiveJob::FindTask(const TaskName& name) {
+  const auto occurrence = static_cast<size_t>(name.occurrence);
+  const auto step = static_cast<size_t>(name.step);
+  const auto index = static_cast<size_t>(name.index);
+  const bool exists = occurrence < m_tasks.size() &&
+                      step < m_tasks[occurrence].size() &&
+                      index < m_tasks[occurrence][step].size();
+  return exists ? &m_tasks[occurrence][step][index] : nullptr;
+}
+
+int ActiveJob::CountOpen(int occurrence, int step) const {
+  return m_open[static_cast<size_t>(occurrence)][static_cast<size_t>(step)];
+}
+
+bool ActiveJob::IsStepReady(int occurrence, int step) const {
+  for (int earlier : m_spec.steps[static_cast<size_t>(step)].after) {
+    if (CountOpen(occurrence, earlier) > 0) {
+      return false;
+    }
+  }
+  return true;
+}
+
+bool ActiveJob::IsDone() const {
+  for (const auto& steps : m_open) {
+    for (int open : steps) {
+      if (open > 0) {
+        return false;
+      }
+    }
+  }
+  return true;
+}
+
+int64_t ActiveJob::GetDueMs(int occurrence) const {
+  if (m_spec.occurrences == 0) {
+    return m_spec.accepted_ms;
+  }
+  return m_spec.first_due_ms + occurrence * m_spec.interval_ms;
+}
+
+int ActiveJob::GetFirstOpenOccurrence() const {
+  for (size_t k = 0; k < m_open.size(); ++k) {
+    for (int open : m_open[k]) {
+      if (open > 0) {
+        return static_cast<int>(k);
+      }
+    }
+  }
+  return 0;
+}
+
+void ActiveJob::MarkDone(const TaskName& name) {
+  auto& tasks = GetStep(name.occurrence, name.step);
+  int& open = m_open[static_cast<size_t>(name.occurrence)]
+                    [static_cast<size_t>(name.step)];
+  if (m_spec.steps[static_cast<size_t>(name.step)].gang) {
+    for (ActiveTask& task : tasks) {
+      task.progress.done = true;
+    }
+    open = 0;
+  } else if (!tasks[static_cast<size_t>(name.index)].progress.done) {
+    tasks[static_cast<size_t>(name.index)].progress.done = true;
+    --open;
+  }
+  if (open == 0) {
+    RecomputeChain();
+  }
+}
+
+void ActiveJob::RecomputeChain() {
+  std::vector<bool> done;
+  for (int open : m_open[static_cast<size_t>(GetFirstOpenOccurrence())]) {
+    done.push_back(open == 0);
+  }
+  m_remaining_chain_ms = EstimateChainMs(m_spec, done);
+}
+
+JobProgress ActiveJob::MakeProgress() const {
+  JobProgress progress;
+  progress.state = m_state;
+  progress.route = m_spec.route;
+  if (IsTerminal(m_state)) {
+    return progress;
+  }
+  for (const auto& steps : m_tasks) {
+    auto& stored_steps = progress.tasks.emplace_back();
+    for (const auto& tasks : steps) {
+      auto& stored = stored_steps.emplace_back();
+      for (const ActiveTask& task : tasks) {
+        stored.push_back(task.progress);
+      }
+    }
+  }
+  return progress;
+}
+
+}  // namespace shallotwick::scheduling
--- /dev/null
+++ b/libraries/scheduling/job.cc
@@ -0,0 +1,92 @@
+#include "scheduling/job.h"
+
+#include <algorithm>
+
+namespace shallotwick::scheduling {
+namespace {
+
+class JobChecker {
+ public:
+  explicit JobChecker(const JobSpec& job) : m_job(job) {}
+
+  std::vector<base::Finding> Check() {
+    if (m_job.payload.size() > kLongestPayloadBytes) {
+      Report("payload", "has more than 4000 bytes");
+    }
+    if (m_job.steps.empty()) {
+      Report("steps", "there is none");
+    }
+    if (m_job.steps.size() > kMostSteps) {
+      Report("steps", "there are more than 100");
+      return std::move(m_findings);
+    }
+    if (m_job.occurrences < 0 || m_job.occurrences > kMostTasks) {
+      Report("occurrences", "the number is not between 0 and 20000");
+      return std::move(m_findings);
+    }
+    if (m_job.occurrences > 1 && m_job.interval_ms < 0) {
+      Report("interval", "is negative");
+    }
+    int64_t tasks = 0;
+    for (size_t step = 0; step < m_job.steps.size(); ++step) {
+      CheckStep(static_cast<int>(step));
+      tasks += std::clamp<int64_t>(m_job.steps[step].count, 0, kMostTasks);
+    }
+    if (tasks * m_job.GetOccurrenceCount() > kMostTasks) {
+      Report("steps", "there are more than 20000 tasks in all");
+    }
+    return std::move(m_findings);
+  }
+
+ private:
+  void CheckStep(int index) {
+    const StepSpec& step = m_job.steps[static_cast<size_t>(index)];
+    const std::string place = "steps[" + std::to_string(index) + "]";
+    if (step.count < 1 || step.count > kMostTasks) {
+      Report(place + ".count", "is not between 1 and 20000");
+    }
+    const bool is_negative =
+        step.demand.cpu_milli < 0 || step.demand.memory_mb < 0 ||
+        step.demand.accelerators < 0 || step.estimate_ms < 0 ||
+        step.most_per_target < 0 || step.disruption_budget < 0;
+    if (is_negative) {
+      Report(place, "a number is negative");
+    }
+    for (int earlier : step.after) {
+      if (earlier < 0 || earlier >= index) {
+        Report(place + ".after",
+               std::to_string(earlier) + " is not an earlier step");
+      }
+    }
+  }
+
+  void Report(const std::string& place, const std::string& fault) {
+    m_findings.push_back(base::Finding{place, fault, ""});
+  }
+
+  const JobSpec& m_job;
+  std::vector<base::Finding> m_findings;
+};
+
+}  // namespace
+
+std::vector<base::Finding> CheckJob(const JobSpec& job) {
+  return JobChecker(job).Check();
+}
+
+int64_t EstimateChainMs(const JobSpec& job, const std::vector<bool>& done) {
+  std::vector<int64_t> ends(job.steps.size(), 0);
+  int64_t longest = 0;
+  for (size_t step = 0; step < job.steps.size(); ++step) {
+    int64_t begin = 0;
+    for (int earlier : job.steps[step].after) {
+      begin = std::max(begin, ends[static_cast<size_t>(earlier)]);
+    }
+    const bool is_done = step < done.size() && done[step];
+    ends[step] = begin + (is_done ? 0 : job.steps[step].estimate_ms);
+    longest = std::max(longest, ends[step]);
+  }
+  return longest;
+}
+
+}  // namespace shallotwick::scheduling
--- /dev/null
+++ b/libraries/scheduling/job_record.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <string>
+
+#include "scheduling/job.h"
+
+namespace shallotwick::scheduling {
+
+// The stored form of a job's specification.
+std::string EncodeJobRecord(const JobSpec& job);
+
+// Throws std::runtime_error if the text is not such a record.
+JobSpec DecodeJobRecord(const std::string& text);
+
+}  // namespace shallotwick::scheduling
--- /dev/null
+++ b/libraries/scheduling/pool_decisions.cc
@@ -0,0 +1,444 @@
+// Which tasks start where, and which runs are stopped or slowed down.
+
+#include <algorithm>
+#include <utility>
+
+#include "scheduling/fill_pacing.h"
+#include "scheduling/pool_scheduler.h"
+
+namespace shallotwick::scheduling {
+namespace {
+
+// A stop that was taken and has no effect yet is sent again after this time.
+constexpr auto kRepeatStopAfter = std::chrono::milliseconds(1'500);
+constexpr auto kUnhealthyPause = std::chrono::milliseconds(1'000);
+constexpr auto kUnreachablePause = std::chrono::milliseconds(500);
+constexpr auto kNoRoomPause = std::chrono::milliseconds(300);
+constexpr auto kInvalidOrderPause = std::chrono::milliseconds(2'000);
+constexpr auto kNoTicketPause = std::chrono::milliseconds(1'000);
+// Steps in a row that found no place, after which the pool counts as full.
+constexpr int kMostFutileSteps = 40;
+// Reports of the load are half a second old.
+constexpr auto kPacePeriod = std::chrono::milliseconds(500);
+// Schedules start no earlier than this before the host's clock says so.
+constexpr int64_t kClockMarginMs = 20;
+
+}  // namespace
+
+PoolOrders PoolScheduler::Decide(base::TimePoint now, int64_t wall_ms) {
+  PoolOrders orders;
+  LoseExpiredTargets(now);
+  StartWaitingTasks(now, wall_ms, orders);
+  SendStops(now, orders);
+  PaceBestEffortRuns(now, orders);
+  return orders;
+}
+
+bool PoolScheduler::IsUsable(const TargetLedger& target,
+                             base::TimePoint now) const {
+  const bool is_known_incarnation =
+      target.m_entry.born_ms == 0 || target.m_reported_born_ms == 0 ||
+      target.m_entry.born_ms == target.m_reported_born_ms;
+  return target.m_is_registered && !target.m_entry.draining &&
+         target.m_is_fenced && target.m_is_in_roster &&
+         target.m_is_responsive && !target.m_is_cordoned && target.HasClock() &&
+         is_known_incarnation && now >= target.m_suspended_until &&
+         !target.HasUnknownDemand();
+}
+
+bool PoolScheduler::IsAnyUnfenced(base::TimePoint now) const {
+  return std::any_of(
+      m_targets.begin(), m_targets.end(), [now](const auto& entry) {
+        return !entry.second.m_is_fenced && entry.second.m_lease_bound > now;
+      });
+}
+
+std::vector<Candidate> PoolScheduler::MakeCandidates(
+    base::TimePoint now) const {
+  std::vector<Candidate> candidates;
+  for (const auto& [id, target] : m_targets) {
+    if (!IsUsable(target, now)) {
+      continue;
+    }
+    Candidate candidate;
+    candidate.id = id;
+    candidate.rack = FindRack(target.m_entry.labels);
+    candidate.labels = target.m_entry.labels;
+    candidate.room = target.GetRoom();
+    candidate.failure_streak = target.m_failure_streak;
+    for (const auto& [name, run] : target.GetRuns()) {
+      candidate.latency_bound_runs += run.latency_target_ms > 0 ? 1 : 0;
+    }
+    candidates.push_back(std::move(candidate));
+  }
+  return candidates;
+}
+
+std::vector<ActiveJob*> PoolScheduler::RankWaitingJobs(base::TimePoint now,
+                                                       int64_t wall_ms) {
+  const bool may_run_elsewhere = IsAnyUnfenced(now);
+  std::vector<std::pair<QueueRank, ActiveJob*>> ranked;
+  for (auto& [id, job] : m_jobs) {
+    const bool is_held_back = IsTerminal(job.m_state) ||
+                              now < job.m_not_before ||
+                              (job.m_predates_ownership && may_run_elsewhere);
+    if (is_held_back) {
+      continue;
+    }
+    QueueInput input;
+    const auto route = m_routes.find(job.GetSpec().route);
+    if (route != m_routes.end()) {
+      input.policy = route->second;
+    }
+    input.long_running = job.HasLongRunningStep();
+    input.due_since_ms = job.GetDueMs(job.GetFirstOpenOccurrence());
+    input.whole_chain_ms = job.GetWholeChainMs();
+    input.remaining_chain_ms = job.GetRemainingChainMs();
+    ranked.emplace_back(RankJob(input, wall_ms), &job);
+  }
+  std::sort(
+      ranked.begin(), ranked.end(), [](const auto& left, const auto& right) {
+        return left.first != right.first
+                   ? left.first < right.first
+                   : left.second->GetSpec().id < right.second->GetSpec().id;
+      });
+  std::vector<ActiveJob*> jobs;
+  jobs.reserve(ranked.size());
+  for (const auto& [rank, job] : ranked) {
+    jobs.push_back(job);
+  }
+  return jobs;
+}
+
+void PoolScheduler::StartWaitingTasks(base::TimePoint now, int64_t wall_ms,
+                                      PoolOrders& orders) {
+  std::vector<Candidate> candidates = MakeCandidates(now);
+  if (candidates.empty() || m_jobs.empty()) {
+    return;
+  }
+  int futile_steps = 0;
+  for (ActiveJob* job : RankWaitingJobs(now, wall_ms)) {
+    const JobSpec& spec = job->GetSpec();
+    for (int k = 0; k < spec.GetOccurrenceCount(); ++k) {
+      if (spec.occurrences > 0 && job->GetDueMs(k) + kClockMarginMs > wall_ms) {
+        break;
+      }
+      for (int step = 0; step < static_cast<int>(spec.steps.size()); ++step) {
+        if (job->CountOpen(k, step) == 0 || !job->IsStepReady(k, step)) {
+          continue;
+        }
+        if (!StartStep(*job, {k, step}, candidates, now, orders) &&
+            ++futile_steps >= kMostFutileSteps) {
+          return;
+        }
+      }
+    }
+  }
+}
+
+// Starts what it can of one step. Returns false if a task found no place.
+bool PoolScheduler::StartStep(ActiveJob& job, Position position,
+                              std::vector<Candidate>& candidates,
+                              base::TimePoint now, PoolOrders& orders) {
+  const auto [occurrence, step_index] = position;
+  const StepSpec& step = job.GetSpec().steps[static_cast<size_t>(step_index)];
+  auto& tasks = job.GetStep(occurrence, step_index);
+  PlacementRequest request;
+  request.step = &step;
+  request.preferred_rack = step.data_rack;
+  std::vector<int> waiting;
+  int64_t last_run = 0;
+  for (int i = 0; i < static_cast<int>(tasks.size()); ++i) {
+    const ActiveTask& task = tasks[static_cast<size_t>(i)];
+    last_run = std::max(last_run, task.last_run);
+    if (task.progress.done) {
+      continue;
+    }
+    if (!task.target.empty()) {
+      ++request.siblings[task.target];
+      continue;
+    }
+    waiting.push_back(i);
+  }
+  // A gang starts again only as a whole, under one run number.
+  if (step.gang && waiting.size() < tasks.size()) {
+    return true;
+  }
+  Resources demand = step.demand;
+  if (step.best_effort) {
+    demand.cpu_milli = 0;
+  }
+  std::vector<std::pair<int, size_t>> placed;
+  for (int i : waiting) {
+    const ActiveTask& task = tasks[static_cast<size_t>(i)];
+    const TaskName name{job.GetSpec().id, occurrence, step_index, i};
+    request.avoided = {task.avoided_target};
+    request.excluded = FindTargetsOf(name);
+    const std::optional<size_t> place = PlaceTask(request, candidates);
+    if (!place) {
+      break;
+    }
+    Candidate& chosen = candidates[*place];
+    chosen.room = chosen.room - demand;
+    chosen.latency_bound_runs += step.latency_target_ms > 0 ? 1 : 0;
+    ++request.siblings[chosen.id];
+    if (step.same_rack && request.preferred_rack.empty()) {
+      request.preferred_rack = chosen.rack;
+    }
+    placed.emplace_back(i, *place);
+  }
+  const bool is_whole = placed.size() == waiting.size();
+  if (step.gang && !is_whole) {
+    for (const auto& [i, place] : placed) {
+      candidates[place].room = candidates[place].room + demand;
+    }
+    return false;
+  }
+  for (const auto& [i, place] : placed) {
+    const int64_t before =
+        step.gang ? last_run : tasks[static_cast<size_t>(i)].last_run;
+    orders.starts.push_back(
+        StartTask(job, TaskName{job.GetSpec().id, occurrence, step_index, i},
+                  m_targets.at(candidates[place].id),
+                  std::max(before + 1, m_options.first_run), now));
+  }
+  return is_whole;
+}
+
+// The targets on which an earlier run of a task is still being stopped.
+std::set<std::string> PoolScheduler::FindTargetsOf(const TaskName& name) const {
+  std::set<std::string> ids;
+  for (const auto& [id, stopping] : m_stopping) {
+    if (stopping == name) {
+      ids.insert(id);
+    }
+  }
+  return ids;
+}
+
+StartOrder PoolScheduler::StartTask(ActiveJob& job, const TaskName& name,
+                                    TargetLedger& target, int64_t run,
+                                    base::TimePoint now) {
+  const StepSpec& step = job.GetSpec().steps[static_cast<size_t>(name.step)];
+  ActiveTask& task = *job.FindTask(name);
+  task.target = target.m_entry.id;
+  task.run = run;
+  task.last_run = run;
+  Run entry;
+  entry.number = run;
+  entry.demand = step.demand;
+  entry.best_effort = step.best_effort;
+  entry.image = step.image;
+  entry.latency_target_ms = step.latency_target_ms;
+  entry.checkpoint = task.progress.checkpoint;
+  entry.started = now;
+  entry.changed = now;
+  entry.progressed = now;
+  target.GetRuns()[name] = entry;
+  ExtendLeaseBound(target, now);
+  StartOrder order;
+  order.target = target.m_entry.id;
+  order.address = target.m_entry.address;
+  order.task = name;
+  order.run = run;
+  order.payload = job.GetSpec().payload;
+  order.checkpoint = task.progress.checkpoint;
+  order.fence = m_options.fence;
+  order.lease_until_ms =
+      target.EstimateClockMs(now) +
+      std::chrono::duration_cast<std::chrono::milliseconds>(m_options.lease)
+          .count();
+  return order;
+}
+
+void PoolScheduler::OnStartResult(const StartOrder& order,
+                                  const OrderResult& result,
+                                  base::TimePoint now) {
+  if (result.outcome == OrderOutcome::kFenced) {
+    m_is_superseded = true;
+    return;
+  }
+  TargetLedger* target = FindTarget(order.target);
+  if (target == nullptr) {
+    return;
+  }
+  if (result.clock_ms) {
+    target->ObserveClock(*result.clock_ms, now);
+  }
+  if (result.outcome == OrderOutcome::kOtherIncarnation) {
+    OnTargetDead(order.target);
+    return;
+  }
+  const auto found = target->GetRuns().find(order.task);
+  if (found == target->GetRuns().end() || found->second.number != order.run) {
+    return;
+  }
+  Run& run = found->second;
+  if (result.outcome == OrderOutcome::kAccepted) {
+    if (run.state == RunState::kStarting) {
+      run.state = RunState::kPresent;
+      run.changed = now;
+    }
+    ActiveJob* job = FindJob(order.task.job);
+    if (job != nullptr && job->m_state == JobState::kQueued) {
+      job->m_state = JobState::kRunning;
+      MarkDirty(*job, false);
+    }
+    return;
+  }
+  if (result.outcome == OrderOutcome::kUnknown) {
+    if (run.state == RunState::kStarting) {
+      run.state = RunState::kUncertain;
+      run.changed = now;
+    }
+    return;
+  }
+  Note("start-refused", order.task, order.run, order.target,
+       result.outcome == OrderOutcome::kNoRoom         ? "no room"
+       : result.outcome == OrderOutcome::kOutdated     ? "outdated run"
+       : result.outcome == OrderOutcome::kUnhealthy    ? "unhealthy"
+       : result.outcome == OrderOutcome::kNotSent      ? "unreachable"
+       : result.outcome == OrderOutcome::kNoTicket     ? "no ticket"
+       : result.outcome == OrderOutcome::kLeaseExpired ? "lease expired"
+                                                       : "invalid");
+  DropRun(*target, order.task);
+  ActiveJob* job = FindJob(order.task.job);
+  switch (result.outcome) {
+    case OrderOutcome::kNoRoom:
+      target->m_suspended_until = now + kNoRoomPause;
+      break;
+    case OrderOutcome::kUnhealthy:
+      target->m_suspended_until = now + kUnhealthyPause;
+      break;
+    case OrderOutcome::kNotSent:
+      target->m_suspended_until = now + kUnreachablePause;
+      break;
+    case OrderOutcome::kLeaseExpired:
+      target->m_is_fenced = false;
+      break;
+    case OrderOutcome::kInvalid:
+    case OrderOutcome::kNoTicket:
+      if (job != nullptr) {
+        job->m_not_before =
+            now + (result.outcome == OrderOutcome::kInvalid ? kInvalidOrderPause
+                                                            : kNoTicketPause);
+      }
+      break;
+    default:
+      break;
+  }
+}
+
+void PoolScheduler::SendStops(base::TimePoint now, PoolOrders& orders) {
+  for (const auto& [id, name] : m_stopping) {
+    TargetLedger* target = FindTarget(id);
+    if (target == nullptr || !target->m_is_responsive) {
+      continue;
+    }
+    const auto found = target->GetRuns().find(name);
+    if (found == target->GetRuns().end()) {
+      continue;
+    }
+    Run& run = found->second;
+    const bool is_waiting =
+        run.is_stop_in_flight ||
+        (run.stop_accepted && now < *run.stop_accepted + kRepeatStopAfter);
+    if (is_waiting) {
+      continue;
+    }
+    run.is_stop_in_flight = true;
+    orders.stops.push_back(StopOrder{id, target->m_entry.address, name,
+                                     run.number, m_options.fence});
+  }
+}
+
+void PoolScheduler::OnStopResult(const StopOrder& order,
+                                 const OrderResult& result,
+                                 base::TimePoint now) {
+  if (result.outcome == OrderOutcome::kFenced) {
+    m_is_superseded = true;
+    return;
+  }
+  if (result.outcome == OrderOutcome::kOtherIncarnation) {
+    OnTargetDead(order.target);
+    return;
+  }
+  TargetLedger* target = FindTarget(order.target);
+  if (target == nullptr) {
+    return;
+  }
+  const auto found = target->GetRuns().find(order.task);
+  if (found == target->GetRuns().end() || found->second.number != order.run) {
+    return;
+  }
+  found->second.is_stop_in_flight = false;
+  const bool is_taken = result.outcome == OrderOutcome::kAccepted ||
+                        result.outcome == OrderOutcome::kOutdated;
+  if (is_taken) {
+    found->second.stop_accepted = now;
+  }
+}
+
+void PoolScheduler::PaceBestEffortRuns(base::TimePoint now,
+                                       PoolOrders& orders) {
+  for (auto& [id, target] : m_targets) {
+    double worst = 0;
+    std::vector<const TaskName*> fills;
+    for (const auto& [name, run] : target.GetRuns()) {
+      if (run.state != RunState::kPresent) {
+        continue;
+      }
+      if (run.best_effort) {
+        fills.push_back(&name);
+      } else if (run.latency_target_ms > 0) {
+        worst = std::max(worst, static_cast<double>(run.load) /
+                                    static_cast<double>(run.latency_target_ms));
+      }
+    }
+    const bool is_due =
+        !fills.empty() && target.m_is_responsive &&
+        target.m_last_report >= target.m_last_paced + kPacePeriod &&
+        now >= target.m_last_paced + kPacePeriod;
+    if (!is_due) {
+      continue;
+    }
+    target.m_last_paced = now;
+    for (const TaskName* name : fills) {
+      Run& run = target.GetRuns()[*name];
+      const int percent =
+          DecideFillPercent(worst, std::max(0, run.paced_percent));
+      if (percent != run.paced_percent) {
+        run.paced_percent = percent;
+        orders.paces.push_back(PaceOrder{id, target.m_entry.address, *name,
+                                         run.number, percent, m_options.fence});
+      }
+    }
+  }
+}
+
+void PoolScheduler::OnPaceResult(const PaceOrder& order,
+                                 const OrderResult& result) {
+  if (result.outcome == OrderOutcome::kFenced) {
+    m_is_superseded = true;
+    return;
+  }
+  TargetLedger* target = FindTarget(order.target);
+  if (target == nullptr || result.outcome == OrderOutcome::kAccepted) {
+    return;
+  }
+  const auto found = target->GetRuns().find(order.task);
+  if (found != target->GetRuns().end() && found->second.number == order.run) {
+    // Unknown from here on; the next decision sets it again.
+    found->second.paced_percent = -1;
+  }
+}
+
+int64_t PoolScheduler::CountQueuedJobs() const {
+  int64_t count = 0;
+  for (const auto& [id, job] : m_jobs) {
+    count += job.m_state == JobState::kQueued ? 1 : 0;
+  }
+  return count;
+}
+
+}  // namespace shallotwick::scheduling
--- /dev/null
+++ b/libraries/scheduling/pool_scheduler.cc
@@ -0,0 +1,380 @@
+#include "scheduling/pool_scheduler.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace shallotwick::scheduling {
+namespace {
+
+// Clocks of targets may run 2% slow; one more covers rounding.
+constexpr double kSlowestClockFactor = 1.03;
+
+base::Duration Scale(base::Duration duration, double factor) {
+  return base::Duration(
+      static_cast<int64_t>(static_cast<double>(duration.count()) * factor));
+}
+
+}  // namespace
+
+PoolScheduler::PoolScheduler(const PoolSchedulerOptions& options)
+    : m_options(options) {}
+
+void PoolScheduler::SetRoutes(std::map<std::string, RoutePolicy> routes) {
+  m_routes = std::move(routes);
+}
+
+void PoolScheduler::AddJob(JobSpec spec, JobProgress progress,
+                           bool predates_ownership) {
+  const std::string id = spec.id;
+  if (IsTerminal(progress.state) || HasJob(id)) {
+    return;
+  }
+  m_jobs.emplace(id, ActiveJob(std::move(spec), progress, predates_ownership));
+}
+
+void PoolScheduler::CancelJob(const std::string& id) {
+  ActiveJob* job = FindJob(id);
+  if (job == nullptr) {
+    return;
+  }
+  EndJob(*job, JobState::kCancelled);
+  // Whoever cancelled the job has stored that already.
+  m_dirty.erase(id);
+  m_committing.erase(id);
+  m_jobs.erase(id);
+}
+
+bool PoolScheduler::IsActive(const std::string& id) const {
+  const auto found = m_jobs.find(id);
+  return found != m_jobs.end() && !IsTerminal(found->second.m_state);
+}
+
+void PoolScheduler::ExpectTarget(const TargetEntry& entry,
+                                 base::TimePoint now) {
+  TargetLedger ledger(entry);
+  ledger.m_is_registered = false;
+  ledger.m_is_in_roster = true;
+  ledger.m_lease_bound = now + Scale(m_options.lease, kSlowestClockFactor) +
+                         m_options.longest_stop;
+  m_targets.emplace(entry.id, std::move(ledger));
+}
+
+void PoolScheduler::UpdateTarget(const TargetEntry& entry,
+                                 base::TimePoint now) {
+  auto [found, is_new] = m_targets.try_emplace(entry.id, entry);
+  TargetLedger& target = found->second;
+  if (is_new) {
+    target.m_lease_bound = now;
+    return;
+  }
+  const bool is_reborn = target.m_entry.born_ms > 0 &&
+                         entry.born_ms > target.m_entry.born_ms &&
+                         entry.born_ms > target.m_reported_born_ms;
+  target.m_entry = entry;
+  target.m_is_registered = true;
+  if (is_reborn) {
+    LoseRuns(target);
+    ForgetIncarnation(target);
+  }
+}
+
+void PoolScheduler::RemoveTarget(const std::string& id, base::TimePoint now) {
+  TargetLedger* target = FindTarget(id);
+  if (target == nullptr) {
+    return;
+  }
+  target->m_is_registered = false;
+  const bool holds_nothing =
+      target->GetRuns().empty() && target->m_lease_bound <= now &&
+      target->m_processed_end == target->m_acknowledged_end;
+  if (holds_nothing) {
+    m_targets.erase(id);
+  }
+}
+
+void PoolScheduler::OnTargetDead(const std::string& id) {
+  TargetLedger* target = FindTarget(id);
+  if (target == nullptr) {
+    return;
+  }
+  LoseRuns(*target);
+  ForgetIncarnation(*target);
+  target->m_lease_bound = base::TimePoint{};
+  if (!target->m_is_registered) {
+    m_targets.erase(id);
+  }
+}
+
+std::map<std::string, std::string> PoolScheduler::GetRoster() const {
+  std::map<std::string, std::string> roster;
+  for (const auto& [id, target] : m_targets) {
+    roster[id] = target.m_entry.address;
+  }
+  return roster;
+}
+
+void PoolScheduler::ConfirmRoster(
+    const std::map<std::string, std::string>& roster) {
+  for (auto& [id, target] : m_targets) {
+    target.m_is_in_roster = roster.count(id) > 0;
+  }
+}
+
+void PoolScheduler::ForgetIncarnation(TargetLedger& target) {
+  TargetLedger fresh(target.m_entry);
+  fresh.m_is_registered = target.m_is_registered;
+  fresh.m_is_in_roster = target.m_is_in_roster;
+  fresh.m_is_cordoned = target.m_is_cordoned;
+  fresh.m_failure_streak = target.m_failure_streak;
+  target = std::move(fresh);
+}
+
+void PoolScheduler::LoseRuns(TargetLedger& target) {
+  std::vector<TaskName> names;
+  for (const auto& [name, run] : target.GetRuns()) {
+    names.push_back(name);
+  }
+  for (const TaskName& name : names) {
+    Note("run-lost", name, target.GetRuns()[name].number, target.m_entry.id,
+         "target ended");
+    DropRun(target, name);
+  }
+}
+
+void PoolScheduler::LoseExpiredTargets(base::TimePoint now) {
+  std::vector<std::string> gone;
+  for (auto& [id, target] : m_targets) {
+    if (target.m_lease_bound > now) {
+      continue;
+    }
+    if (!target.GetRuns().empty()) {
+      LoseRuns(target);
+    }
+    if (!target.m_is_registered && m_reporting.count(id) == 0) {
+      gone.push_back(id);
+    }
+  }
+  for (const std::string& id : gone) {
+    m_targets.erase(id);
+  }
+}
+
+void PoolScheduler::DropRun(TargetLedger& target, const TaskName& name) {
+  const auto found = target.GetRuns().find(name);
+  if (found == target.GetRuns().end()) {
+    return;
+  }
+  const Run run = found->second;
+  target.GetRuns().erase(found);
+  m_stopping.erase({target.m_entry.id, name});
+  ActiveTask* task = FindTask(name);
+  if (task != nullptr && !run.checkpoint.empty() && !task->progress.done) {
+    task->progress.checkpoint = run.checkpoint;
+  }
+  ReleaseTask(name, target.m_entry.id, run.number);
+}
+
+void PoolScheduler::ReleaseTask(const TaskName& name, const std::string& target,
+                                int64_t run) {
+  ActiveTask* task = FindTask(name);
+  if (task != nullptr && task->target == target && task->run == run) {
+    task->target.clear();
+    task->run = 0;
+  }
+}
+
+void PoolScheduler::RequestStop(TargetLedger& target, const TaskName& name) {
+  const auto found = target.GetRuns().find(name);
+  if (found == target.GetRuns().end()) {
+    return;
+  }
+  if (found->second.state != RunState::kStopping) {
+    found->second.state = RunState::kStopping;
+    m_stopping.insert({target.m_entry.id, name});
+  }
+}
+
+void PoolScheduler::MarkDirty(ActiveJob& job, bool urgent) {
+  m_dirty.insert(job.GetSpec().id);
+  m_has_urgent_change = m_has_urgent_change || urgent;
+}
+
+void PoolScheduler::MarkDone(ActiveJob& job, const TaskName& name) {
+  ActiveTask* task = job.FindTask(name);
+  if (!task->target.empty()) {
+    TargetLedger* other = FindTarget(task->target);
+    if (other != nullptr) {
+      RequestStop(*other, name);
+    }
+  }
+  job.MarkDone(name);
+  MarkDirty(job, true);
+  if (job.IsDone()) {
+    EndJob(job, JobState::kCompleted);
+  }
+}
+
+void PoolScheduler::EndJob(ActiveJob& job, JobState state) {
+  job.m_state = state;
+  MarkDirty(job, true);
+  const JobSpec& spec = job.GetSpec();
+  Note("job-ended", TaskName{spec.id, 0, 0, 0}, 0, "",
+       state == JobState::kCompleted   ? "completed"
+       : state == JobState::kCancelled ? "cancelled"
+                                       : "attempts used up");
+  for (int k = 0; k < spec.GetOccurrenceCount(); ++k) {
+    for (int step = 0; step < static_cast<int>(spec.steps.size()); ++step) {
+      const auto& tasks = job.GetStep(k, step);
+      for (int i = 0; i < static_cast<int>(tasks.size()); ++i) {
+        const std::string& where = tasks[static_cast<size_t>(i)].target;
+        TargetLedger* target = where.empty() ? nullptr : FindTarget(where);
+        if (target != nullptr) {
+          RequestStop(*target, TaskName{spec.id, k, step, i});
+        }
+      }
+    }
+  }
+}
+
+std::vector<ProgressChange> PoolScheduler::TakeChanges(size_t most) {
+  std::vector<ProgressChange> batch;
+  for (const std::string& id : m_dirty) {
+    if (batch.size() >= most) {
+      break;
+    }
+    batch.push_back(ProgressChange{id, m_jobs.at(id).MakeProgress()});
+  }
+  for (const ProgressChange& change : batch) {
+    m_dirty.erase(change.job);
+    m_committing.insert(change.job);
+  }
+  // With changes left over, an end among them could be forgotten too early.
+  m_ends_in_batch.clear();
+  if (m_dirty.empty()) {
+    m_has_urgent_change = false;
+    for (const auto& [id, target] : m_targets) {
+      m_ends_in_batch[id] = target.m_processed_end;
+    }
+  }
+  return batch;
+}
+
+void PoolScheduler::OnCommitted(const std::vector<ProgressChange>& batch) {
+  for (const ProgressChange& change : batch) {
+    m_committing.erase(change.job);
+    if (IsTerminal(change.progress.state)) {
+      m_dirty.erase(change.job);
+      m_jobs.erase(change.job);
+    }
+  }
+  for (const auto& [id, end] : m_ends_in_batch) {
+    TargetLedger* target = FindTarget(id);
+    // A new incarnation counts its ends anew.
+    const bool is_new = target != nullptr && end <= target->m_processed_end &&
+                        end > target->m_acknowledged_end;
+    if (is_new) {
+      target->m_acknowledged_end = end;
+      target->m_has_unsent_acknowledgement = true;
+    }
+  }
+  m_ends_in_batch.clear();
+}
+
+void PoolScheduler::OnCommitFailed(const std::vector<ProgressChange>& batch) {
+  for (const ProgressChange& change : batch) {
+    if (m_committing.erase(change.job) > 0 && HasJob(change.job)) {
+      m_dirty.insert(change.job);
+    }
+  }
+  m_has_urgent_change = m_has_urgent_change || !m_dirty.empty();
+  m_ends_in_batch.clear();
+}
+
+void PoolScheduler::SetCordoned(const std::string& id, bool cordoned) {
+  TargetLedger* target = FindTarget(id);
+  if (target != nullptr) {
+    target->m_is_cordoned = cordoned;
+  }
+}
+
+bool PoolScheduler::CanInterrupt(const std::string& id) const {
+  const auto found = m_targets.find(id);
+  if (found == m_targets.end()) {
+    return true;
+  }
+  std::map<std::tuple<std::string, int, int>, int> here;
+  for (const auto& [name, run] : found->second.GetRuns()) {
+    ++here[{name.job, name.occurrence, name.step}];
+  }
+  for (const auto& [key, count] : here) {
+    const auto& [job_id, occurrence, step] = key;
+    const auto job = m_jobs.find(job_id);
+    if (job == m_jobs.end()) {
+      continue;
+    }
+    const StepSpec& spec =
+        job->second.GetSpec().steps[static_cast<size_t>(step)];
+    if (!spec.long_running) {
+      continue;
+    }
+    int away = 0;
+    for (int i = 0; i < spec.count; ++i) {
+      const TaskName name{job_id, occurrence, step, i};
+      bool is_at_work = false;
+      for (const auto& [target_id, target] : m_targets) {
+        const auto run = target.GetRuns().find(name);
+        is_at_work = is_at_work ||
+                     (run != target.GetRuns().end() &&
+                      run->second.state == RunState::kPresent &&
+                      run->second.percent >= 100 && target.m_is_responsive);
+      }
+      const bool is_here = found->second.GetRuns().count(name) > 0;
+      away += !is_at_work && !is_here ? 1 : 0;
+    }
+    if (away + count > std::max(1, spec.disruption_budget)) {
+      return false;
+    }
+  }
+  return true;
+}
+
+size_t PoolScheduler::CountShortRuns(const std::string& id) const {
+  const auto found = m_targets.find(id);
+  if (found == m_targets.end()) {
+    return 0;
+  }
+  size_t count = 0;
+  for (const auto& [name, run] : found->second.GetRuns()) {
+    const auto job = m_jobs.find(name.job);
+    const bool is_long =
+        job != m_jobs.end() && job->second.GetSpec()
+                                   .steps[static_cast<size_t>(name.step)]
+                                   .long_running;
+    count += is_long ? 0 : 1;
+  }
+  return count;
+}
+
+TargetLedger* PoolScheduler::FindTarget(const std::string& id) {
+  const auto found = m_targets.find(id);
+  return found == m_targets.end() ? nullptr : &found->second;
+}
+
+ActiveJob* PoolScheduler::FindJob(const std::string& id) {
+  const auto found = m_jobs.find(id);
+  return found == m_jobs.end() ? nullptr : &found->second;
+}
+
+ActiveTask* PoolScheduler::FindTask(const TaskName& name) {
+  ActiveJob* job = FindJob(name.job);
+  return job == nullptr ? nullptr : job->FindTask(name);
+}
+
+void PoolScheduler::Note(const char* what, const TaskName& task, int64_t run,
+                         const std::string& target, const char* reason) const {
+  if (m_on_note) {
+    m_on_note(SchedulingNote{what, task, run, target, reason});
+  }
+}
+
+}  // namespace shallotwick::scheduling
--- /dev/null
+++ b/libraries/scheduling/target_ledger.cc
@@ -0,0 +1,45 @@
+#include "scheduling/target_ledger.h"
+
+#include <utility>
+
+namespace shallotwick::scheduling {
+
+TargetLedger::TargetLedger(TargetEntry entry) : m_entry(std::move(entry)) {}
+
+Resources TargetLedger::GetRoom() const {
+  Resources used;
+  for (const auto& [task, run] : m_runs) {
+    Resources demand = run.demand;
+    if (run.best_effort) {
+      demand.cpu_milli = 0;
+    }
+    used = used + demand;
+  }
+  return m_entry.capacity - used;
+}
+
+bool TargetLedger::HasUnknownDemand() const {
+  for (const auto& [task, run] : m_runs) {
+    if (!run.is_demand_known) {
+      return true;
+    }
+  }
+  return false;
+}
+
+int64_t TargetLedger::EstimateClockMs(base::TimePoint now) const {
+  const auto since = std::chrono::duration_cast<std::chrono::milliseconds>(
+      now - m_clock_observed);
+  return m_clock_ms.value_or(0) + since.count();
+}
+
+void TargetLedger::ObserveClock(int64_t clock_ms, base::TimePoint now) {
+  // Answers on several connections may overtake each other.
+  if (m_clock_ms && clock_ms < *m_clock_ms) {
+    return;
+  }
+  m_clock_ms = clock_ms;
+  m_clock_observed = now;
+}
+
+}  // namespace shallotwick::scheduling
--- a/libraries/platform/commit_settler.cc
+++ b/libraries/storage/commit_settler.cc
@@ -1,4 +1,4 @@
-#include "platform/commit_settler.h"
+#include "storage/commit_settler.h"
 
 #include <optional>
 #include <thread>
@@ -6,7 +6,7 @@
 #include "base/backoff.h"
 #include "base/random_identifier.h"
 
-namespace shallotwick::platform {
+namespace shallotwick::storage {
 namespace {
 
 std::vector<std::string> KeysWritten(const Transaction& transaction) {
@@ -74,4 +74,4 @@
   }
 }
 
-}  // namespace shallotwick::platform
+}  // namespace shallotwick::storage
--- a/libraries/platform/commit_settler.h
+++ b/libraries/storage/commit_settler.h
@@ -3,9 +3,9 @@
 #include <functional>
 
 #include "base/runtime_clock.h"
-#include "platform/table_service.h"
+#include "storage/table_service.h"
 
-namespace shallotwick::platform {
+namespace shallotwick::storage {
 
 struct SettleOptions {
   // Commits tried in all before Unavailable is thrown.
@@ -27,4 +27,4 @@
                              const Transaction& transaction,
                              const SettleOptions& options = {});
 
-}  // namespace shallotwick::platform
+}  // namespace shallotwick::storage
--- a/libraries/platform/host_list.h
+++ b/libraries/storage/host_list.h
@@ -4,9 +4,9 @@
 #include <string>
 #include <vector>
 
-#include "platform/table_service.h"
+#include "storage/table_service.h"
 
-namespace shallotwick::platform {
+namespace shallotwick::storage {
 
 enum class ListedStatus { kLive, kLeaving, kDead };
 
@@ -45,4 +45,4 @@
   virtual void Reboot(const std::string& host, const std::string& boot_id) = 0;
 };
 
-}  // namespace shallotwick::platform
+}  // namespace shallotwick::storage
--- a/libraries/platform/http_platform.cc
+++ b/libraries/storage/http_platform.cc
@@ -1,11 +1,11 @@
-#include "platform/http_platform.h"
+#include "storage/http_platform.h"
 
 #include <utility>
 
 #include "http/blocking_client.h"
-#include "platform/platform_codec.h"
+#include "storage/platform_codec.h"
 
-namespace shallotwick::platform {
+namespace shallotwick::storage {
 namespace {
 
 constexpr int kOk = 200;
@@ -98,4 +98,4 @@
   Call("POST", "/hosts/" + http::PercentEncode(host) + "/reboot", body.dump());
 }
 
-}  // namespace shallotwick::platform
+}  // namespace shallotwick::storage
--- a/libraries/platform/http_platform.h
+++ b/libraries/storage/http_platform.h
@@ -5,11 +5,11 @@
 #include <vector>
 
 #include "http/transfer.h"
-#include "platform/host_list.h"
-#include "platform/object_store.h"
-#include "platform/table_service.h"
+#include "storage/host_list.h"
+#include "storage/object_store.h"
+#include "storage/table_service.h"
 
-namespace shallotwick::platform {
+namespace shallotwick::storage {
 
 // The platform's services over HTTP; docs/PLATFORM.md describes the interface.
 // Calls block; safe to use from several threads.
@@ -41,4 +41,4 @@
   http::TransferOptions m_options;
 };
 
-}  // namespace shallotwick::platform
+}  // namespace shallotwick::storage
--- a/libraries/platform/object_store.h
+++ b/libraries/storage/object_store.h
@@ -3,9 +3,9 @@
 #include <optional>
 #include <string>
 
-#include "platform/table_service.h"
+#include "storage/table_service.h"
 
-namespace shallotwick::platform {
+namespace shallotwick::storage {
 
 // The platform's object store, for values too large for a row. Objects are
 // never changed once written.
@@ -19,4 +19,4 @@
   virtual std::optional<std::string> Get(const std::string& key) = 0;
 };
 
-}  // namespace shallotwick::platform
+}  // namespace shallotwick::storage
--- a/libraries/platform/platform_codec.cc
+++ b/libraries/storage/platform_codec.cc
@@ -1,6 +1,6 @@
-#include "platform/platform_codec.h"
+#include "storage/platform_codec.h"
 
-namespace shallotwick::platform {
+namespace shallotwick::storage {
 
 NLOHMANN_JSON_SERIALIZE_ENUM(Condition::Kind,
                              {{Condition::Kind::kGenerationIs, "generation"},
@@ -105,4 +105,4 @@
   json.at("boot_id").get_to(host.boot_id);
 }
 
-}  // namespace shallotwick::platform
+}  // namespace shallotwick::storage
--- a/libraries/platform/platform_codec.h
+++ b/libraries/storage/platform_codec.h
@@ -2,12 +2,12 @@
 
 #include <nlohmann/json.hpp>
 
-#include "platform/host_list.h"
-#include "platform/table_service.h"
+#include "storage/host_list.h"
+#include "storage/table_service.h"
 
 // JSON forms of what the platform's HTTP interface carries; docs/PLATFORM.md
 // describes them. Reading throws nlohmann::json::exception on a wrong form.
-namespace shallotwick::platform {
+namespace shallotwick::storage {
 
 void to_json(nlohmann::json& json, const Row& row);
 void from_json(const nlohmann::json& json, Row& row);
@@ -22,4 +22,4 @@
 void to_json(nlohmann::json& json, const ListedHost& host);
 void from_json(const nlohmann::json& json, ListedHost& host);
 
-}  // namespace shallotwick::platform
+}  // namespace shallotwick::storage
--- a/libraries/platform/table_service.cc
+++ b/libraries/storage/table_service.cc
@@ -1,8 +1,8 @@
-#include "platform/table_service.h"
+#include "storage/table_service.h"
 
 #include <utility>
 
-namespace shallotwick::platform {
+namespace shallotwick::storage {
 
 Condition Condition::GenerationIs(std::string key, uint64_t generation) {
   Condition condition;
@@ -22,4 +22,4 @@
   return condition;
 }
 
-}  // namespace shallotwick::platform
+}  // namespace shallotwick::storage
--- a/libraries/platform/table_service.h
+++ b/libraries/storage/table_service.h
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-namespace shallotwick::platform {
+namespace shallotwick::storage {
 
 // The service did not answer. What was asked may have taken effect.
 class Unavailable : public std::runtime_error {
@@ -102,4 +102,4 @@
   virtual CommitResult Commit(const Transaction& transaction) = 0;
 };
 
-}  // namespace shallotwick::platform
+}  // namespace shallotwick::storage
--- a/libraries/platform/tests/commit_settler_test.cc
+++ b/libraries/storage/tests/commit_settler_test.cc
@@ -1,4 +1,4 @@
-#include "platform/commit_settler.h"
+#include "storage/commit_settler.h"
 
 #include <CppUTest/TestHarness.h>
 #include <rapidcheck.h>
@@ -9,17 +9,17 @@
 
 namespace base = shallotwick::base;
 namespace fakes = shallotwick::fakes;
-namespace platform = shallotwick::platform;
+namespace storage = shallotwick::storage;
 
 using fakes::TableFault;
-using platform::CommitStatus;
+using storage::CommitStatus;
 
 namespace {
 
 constexpr int kAttempts = 4;
 
-platform::SettleOptions MakeOptions() {
-  platform::SettleOptions options;
+storage::SettleOptions MakeOptions() {
+  storage::SettleOptions options;
   options.attempts = kAttempts;
   options.sleep = [](base::Duration) {};
   return options;
@@ -38,10 +38,10 @@
   });
 }
 
-platform::Transaction MakeIncrement(const std::string& write_id,
-                                    uint64_t generation, int value) {
+storage::Transaction MakeIncrement(const std::string& write_id,
+                                   uint64_t generation, int value) {
   return {write_id,
-          {platform::Condition::GenerationIs("n", generation)},
+          {storage::Condition::GenerationIs("n", generation)},
           {{"n", "{\"value\":" + std::to_string(value) + "}"}}};
 }
 
@@ -69,8 +69,8 @@
   for (const Case& test : cases) {
     fakes::FakeTableService table;
     SetFaults(table, test.faults);
-    const auto result = platform::CommitAndSettle(
-        table, MakeIncrement("w1", platform::kAbsent, 1), MakeOptions());
+    const auto result = storage::CommitAndSettle(
+        table, MakeIncrement("w1", storage::kAbsent, 1), MakeOptions());
     CHECK_TEXT(result.status == test.expected, test.what);
     LONGS_EQUAL(table.Find("n")->generation, result.generation);
     LONGS_EQUAL(1, result.generation);
@@ -79,9 +79,9 @@
 
 TEST(CommitSettler, AConflictWithoutALostAnswerIsAConflict) {
   fakes::FakeTableService table;
-  table.Commit(MakeIncrement("other", platform::kAbsent, 5));
-  const auto result = platform::CommitAndSettle(
-      table, MakeIncrement("w1", platform::kAbsent, 1), MakeOptions());
+  table.Commit(MakeIncrement("other", storage::kAbsent, 5));
+  const auto result = storage::CommitAndSettle(
+      table, MakeIncrement("w1", storage::kAbsent, 1), MakeOptions());
   CHECK_TRUE(result.status == CommitStatus::kConflict);
 }
 
@@ -111,8 +111,8 @@
     return calls == 2 && !is_commit ? TableFault::kDown : TableFault::kNone;
   });
   calls = 0;
-  const auto result = platform::CommitAndSettle(
-      table, MakeIncrement("w1", platform::kAbsent, 1), MakeOptions());
+  const auto result = storage::CommitAndSettle(
+      table, MakeIncrement("w1", storage::kAbsent, 1), MakeOptions());
   CHECK_TRUE(result.status == CommitStatus::kCommitted ||
              result.status == CommitStatus::kUnknown);
 }
@@ -121,9 +121,9 @@
   fakes::FakeTableService table;
   table.SetChooseFault([](bool) { return TableFault::kDown; });
   CHECK_THROWS(
-      platform::Unavailable,
-      platform::CommitAndSettle(
-          table, MakeIncrement("w1", platform::kAbsent, 1), MakeOptions()));
+      storage::Unavailable,
+      storage::CommitAndSettle(table, MakeIncrement("w1", storage::kAbsent, 1),
+                               MakeOptions()));
 }
 
 // Increments under random faults: the counter ends at the number of increments
@@ -141,15 +141,15 @@
     int open = 0;
     for (int step = 0; step < 15; ++step) {
       const auto row = table.Find("n");
-      const uint64_t generation = row ? row->generation : platform::kAbsent;
+      const uint64_t generation = row ? row->generation : storage::kAbsent;
       const int value = committed + open + 1;
       try {
-        const auto result = platform::CommitAndSettle(
+        const auto result = storage::CommitAndSettle(
             table, MakeIncrement("w" + std::to_string(step), generation, value),
             MakeOptions());
         RC_ASSERT(result.status == CommitStatus::kCommitted);
         ++committed;
-      } catch (const platform::Unavailable&) {
+      } catch (const storage::Unavailable&) {
         const auto after = table.Find("n");
         const bool took_effect = after && after->generation != generation;
         open += took_effect ? 1 : 0;
--- a/libraries/platform/tests/table_contract_test.cc
+++ b/libraries/storage/tests/table_contract_test.cc
@@ -4,30 +4,30 @@
 
 #include "fakes/fake_table_service.h"
 #include "http/server.h"
-#include "platform/http_platform.h"
 #include "standin-platform/platform_standin.h"
+#include "storage/http_platform.h"
 
 namespace base = shallotwick::base;
 namespace fakes = shallotwick::fakes;
 namespace http = shallotwick::http;
-namespace platform = shallotwick::platform;
+namespace storage = shallotwick::storage;
 namespace standin = shallotwick::standin;
 
-using platform::CommitStatus;
-using platform::Condition;
+using storage::CommitStatus;
+using storage::Condition;
 
 namespace {
 
-platform::Transaction MakeTransaction(const std::string& write_id,
-                                      std::vector<Condition> conditions,
-                                      std::vector<platform::Write> writes) {
+storage::Transaction MakeTransaction(const std::string& write_id,
+                                     std::vector<Condition> conditions,
+                                     std::vector<storage::Write> writes) {
   return {write_id, std::move(conditions), std::move(writes)};
 }
 
 // What every table service must do; run against each of them.
-void CheckContract(platform::TableService& table) {
+void CheckContract(storage::TableService& table) {
   const auto first = table.Commit(MakeTransaction(
-      "w1", {Condition::GenerationIs("a/1", platform::kAbsent)},
+      "w1", {Condition::GenerationIs("a/1", storage::kAbsent)},
       {{"a/1", R"({"holder":"x"})"}, {"a/2", "{}"}, {"b/1", "{}"}}));
   CHECK_TRUE(first.status == CommitStatus::kCommitted);
 
@@ -41,7 +41,7 @@
   // A condition that does not hold keeps every write from being made.
   const auto conflict = table.Commit(
       MakeTransaction("w2",
-                      {Condition::GenerationIs("a/1", platform::kAbsent),
+                      {Condition::GenerationIs("a/1", storage::kAbsent),
                        Condition::FieldIs("a/1", "holder", "x")},
                       {{"a/2", R"({"changed":true})"}}));
   CHECK_TRUE(conflict.status == CommitStatus::kConflict);
@@ -61,7 +61,7 @@
 
   // A generation is never used again, also after a delete.
   const auto again = table.Commit(
-      MakeTransaction("w5", {Condition::GenerationIs("a/2", platform::kAbsent)},
+      MakeTransaction("w5", {Condition::GenerationIs("a/2", storage::kAbsent)},
                       {{"a/2", "{}"}}));
   CHECK_TRUE(again.generation > deleted.generation);
 }
@@ -72,15 +72,15 @@
   standin::PlatformStandin m_standin{"", std::chrono::milliseconds(1)};
   std::unique_ptr<http::Server> m_server;
 
-  platform::HttpPlatform MakeClient(std::chrono::milliseconds timeout =
-                                        std::chrono::seconds(5)) {
+  storage::HttpPlatform MakeClient(std::chrono::milliseconds timeout =
+                                       std::chrono::seconds(5)) {
     http::ServerOptions options;
     options.listen = base::ParseEndpoint("127.0.0.1:0");
     m_server = std::make_unique<http::Server>(
         options, [this](const http::Request& request, http::Respond respond) {
           m_standin.Handle(request, std::move(respond));
         });
-    return platform::HttpPlatform(
+    return storage::HttpPlatform(
         "127.0.0.1:" + std::to_string(m_server->GetPort()), timeout);
   }
 
@@ -96,43 +96,43 @@
 }
 
 TEST(TableContract, HttpClientKeepsIt) {
-  platform::HttpPlatform table = MakeClient();
+  storage::HttpPlatform table = MakeClient();
   CheckContract(table);
 }
 
 TEST(TableContract, FaultsAreUnavailableAndSayWhichServiceIt) {
-  platform::HttpPlatform table = MakeClient(std::chrono::milliseconds(80));
+  storage::HttpPlatform table = MakeClient(std::chrono::milliseconds(80));
   for (const char* faults :
        {R"({"mode":"down"})", R"({"mode":"freeze"})", R"({"delay_ms":400})"}) {
     SetFaults(faults);
-    CHECK_THROWS(platform::Unavailable, table.Read({{"a"}, {}}));
-    CHECK_THROWS(platform::Unavailable, table.Commit({"w", {}, {}}));
-    CHECK_THROWS(platform::Unavailable, table.List());
+    CHECK_THROWS(storage::Unavailable, table.Read({{"a"}, {}}));
+    CHECK_THROWS(storage::Unavailable, table.Commit({"w", {}, {}}));
+    CHECK_THROWS(storage::Unavailable, table.List());
     SetFaults("{}");
   }
 }
 
 TEST(TableContract, ALostAnswerLeavesItsEffect) {
-  platform::HttpPlatform table = MakeClient();
+  storage::HttpPlatform table = MakeClient();
   SetFaults(R"({"mode":"lose-answers"})");
-  CHECK_THROWS(platform::Unavailable,
+  CHECK_THROWS(storage::Unavailable,
                table.Commit(MakeTransaction("w1", {}, {{"a", "{}"}})));
   SetFaults("{}");
   STRCMP_EQUAL("w1", table.Read({{"a"}, {}}).at(0).write_id.c_str());
 }
 
 TEST(TableContract, ObjectsAndHostsGoThroughWhole) {
-  platform::HttpPlatform client = MakeClient();
+  storage::HttpPlatform client = MakeClient();
   const std::string bytes("\0\xff\r\n bytes", 10);
   client.Put("claim-body/1", bytes);
   CHECK_TRUE(client.Get("claim-body/1") == bytes);
   CHECK_FALSE(client.Get("claim-body/2").has_value());
 
-  const platform::ListedHost host{"h1",    "127.0.0.1:80",
-                                  "dc-0",  "rack-0",
-                                  32,      64,
-                                  2,       platform::ListedStatus::kLeaving,
-                                  "boot-1"};
+  const storage::ListedHost host{"h1",    "127.0.0.1:80",
+                                 "dc-0",  "rack-0",
+                                 32,      64,
+                                 2,       storage::ListedStatus::kLeaving,
+                                 "boot-1"};
   m_standin.Handle(
       {"POST",
        "/standin/hosts",
@@ -141,18 +141,18 @@
          "rack":"rack-0","processors":32,"memory_gigabytes":64,
          "accelerators":2,"status":"leaving","boot_id":"boot-1"}]})"},
       [](const http::Response&) {});
-  CHECK_TRUE(client.List() == std::vector<platform::ListedHost>{host});
+  CHECK_TRUE(client.List() == std::vector<storage::ListedHost>{host});
 }
 
 TEST(TableContract, RebootEndsOnlyTheBootThatItNames) {
   fakes::FakeHostList hosts;
   hosts.Put({"h1", "127.0.0.1:80", "dc-0", "rack-0", 1, 1, 0,
-             platform::ListedStatus::kLive, "boot-1"});
+             storage::ListedStatus::kLive, "boot-1"});
   hosts.Reboot("h1", "boot-1");
   hosts.FinishReboot("h1");
   const std::string boot_id = hosts.List()[0].boot_id;
   // Asked again for the boot that has ended: nothing happens.
   hosts.Reboot("h1", "boot-1");
-  CHECK_TRUE(hosts.List()[0].status == platform::ListedStatus::kLive);
+  CHECK_TRUE(hosts.List()[0].status == storage::ListedStatus::kLive);
   STRCMP_EQUAL(boot_id.c_str(), hosts.List()[0].boot_id.c_str());
 }
--- a/services/shallotwick-admin/admin_api.cc
+++ b/services/shallotwick-admin/admin_api.cc
@@ -73,7 +73,7 @@
 
 }  // namespace
 
-AdminApi::AdminApi(platform::TableService& table, control::StoreWatch& watch,
+AdminApi::AdminApi(storage::TableService& table, control::StoreWatch& watch,
                    const AdminApiOptions& options)
     : m_table(table),
       m_watch(watch),
@@ -94,7 +94,7 @@
     http::Response response = Route(request, path);
     m_watch.ReportAnswer();
     return response;
-  } catch (const platform::Unavailable& error) {
+  } catch (const storage::Unavailable& error) {
     m_watch.ReportFailure(error.what());
     m_metrics.GetCounter("shallotwick_admin_store_failures_total").Increment();
     return http::MakeProblem(
@@ -352,7 +352,7 @@
 }
 
 http::Response AdminApi::ShowPools() {
-  platform::ReadRequest read = control::MakeDocumentRead();
+  storage::ReadRequest read = control::MakeDocumentRead();
   read.prefixes.push_back(records::kHostPrefix);
   const control::RowSet rows(m_table.Read(read));
   const document::EffectivePlan plan =
@@ -386,7 +386,7 @@
 }
 
 http::Response AdminApi::ShowWaves() {
-  platform::ReadRequest read = control::MakeDocumentRead();
+  storage::ReadRequest read = control::MakeDocumentRead();
   read.prefixes.push_back(records::kHostPrefix);
   const control::RowSet rows(m_table.Read(read));
   const document::EffectivePlan plan =
--- a/services/shallotwick-admin/admin_api.h
+++ b/services/shallotwick-admin/admin_api.h
@@ -7,7 +7,7 @@
 #include "control/store_watch.h"
 #include "document_store.h"
 #include "http/message.h"
-#include "platform/http_platform.h"
+#include "storage/http_platform.h"
 #include "team_tokens.h"
 
 namespace shallotwick::admin {
@@ -21,7 +21,7 @@
 // The operators' API; docs/API.md describes it. Keeps nothing.
 class AdminApi {
  public:
-  AdminApi(platform::TableService& table, control::StoreWatch& watch,
+  AdminApi(storage::TableService& table, control::StoreWatch& watch,
            const AdminApiOptions& options);
 
   http::Response Handle(const http::Request& request);
@@ -49,7 +49,7 @@
                                 const document::SubmissionResult& result);
   void CountVerdict(const std::string& verdict);
 
-  platform::TableService& m_table;
+  storage::TableService& m_table;
   control::StoreWatch& m_watch;
   DocumentStore m_documents;
   TeamTokens m_tokens;
--- a/services/shallotwick-admin/document_store.cc
+++ b/services/shallotwick-admin/document_store.cc
@@ -7,9 +7,9 @@
 #include "base/random_identifier.h"
 #include "base/runtime_clock.h"
 #include "control/row_set.h"
-#include "platform/commit_settler.h"
 #include "records/host_record.h"
 #include "records/keys.h"
+#include "storage/commit_settler.h"
 
 namespace shallotwick::admin {
 namespace {
@@ -19,13 +19,13 @@
 constexpr auto kLongestDelay = std::chrono::milliseconds(200);
 
 void AddWrite(const std::string& key, std::optional<std::string> value,
-              platform::Transaction* transaction) {
+              storage::Transaction* transaction) {
   transaction->writes.push_back({key, std::move(value)});
 }
 
 void AddSections(const document::PlanningDocument& before,
                  const document::PlanningDocument& after,
-                 platform::Transaction* transaction) {
+                 storage::Transaction* transaction) {
   for (const auto& [team, section] : after.sections) {
     const auto former = before.sections.find(team);
     if (former != before.sections.end() &&
@@ -41,7 +41,7 @@
 
 void AddDisputes(const document::PlanningDocument& before,
                  const document::PlanningDocument& after,
-                 platform::Transaction* transaction) {
+                 storage::Transaction* transaction) {
   for (const auto& [id, dispute] : after.disputes) {
     if (before.disputes.count(id) == 0) {
       AddWrite(records::DisputeKey(id), nlohmann::json(dispute).dump(),
@@ -56,7 +56,7 @@
 }
 
 void AddHistory(const std::vector<document::HistoryEntry>& history,
-                platform::Transaction* transaction) {
+                storage::Transaction* transaction) {
   for (const document::HistoryEntry& entry : history) {
     const control::HistoryRecord record{
         entry.version, entry.team, entry.author,
@@ -68,7 +68,7 @@
 
 }  // namespace
 
-DocumentStore::DocumentStore(platform::TableService& table, std::string arbiter,
+DocumentStore::DocumentStore(storage::TableService& table, std::string arbiter,
                              int reserve_per_data_centre)
     : m_table(table),
       m_arbiter(std::move(arbiter)),
@@ -80,7 +80,7 @@
 }
 
 DocumentStore::Loaded DocumentStore::LoadAll() {
-  platform::ReadRequest request = control::MakeDocumentRead();
+  storage::ReadRequest request = control::MakeDocumentRead();
   request.prefixes.push_back(records::kHostPrefix);
   const control::RowSet rows(m_table.Read(request));
   Loaded loaded;
@@ -105,7 +105,7 @@
     if (changes_nothing || Save(before, result.document, result.history)) {
       return result;
     }
-    platform::SleepFor(backoff.NextDelay(base::MakeRandomFraction()));
+    storage::SleepFor(backoff.NextDelay(base::MakeRandomFraction()));
   }
   return std::nullopt;
 }
@@ -129,7 +129,7 @@
     if (Save(before, *after, {})) {
       return WithdrawResult::kWithdrawn;
     }
-    platform::SleepFor(backoff.NextDelay(base::MakeRandomFraction()));
+    storage::SleepFor(backoff.NextDelay(base::MakeRandomFraction()));
   }
   return WithdrawResult::kBusy;
 }
@@ -137,10 +137,10 @@
 bool DocumentStore::Save(const Loaded& before,
                          const document::PlanningDocument& after,
                          const std::vector<document::HistoryEntry>& history) {
-  platform::Transaction transaction;
+  storage::Transaction transaction;
   transaction.write_id = base::MakeRandomIdentifier();
   // Every change writes the head, so that the head alone orders them all.
-  transaction.conditions.push_back(platform::Condition::GenerationIs(
+  transaction.conditions.push_back(storage::Condition::GenerationIs(
       records::kDocumentHeadKey, before.head_generation));
   AddWrite(records::kDocumentHeadKey,
            nlohmann::json(control::DocumentHeadRecord{after.version}).dump(),
@@ -148,13 +148,13 @@
   AddSections(before.document, after, &transaction);
   AddDisputes(before.document, after, &transaction);
   AddHistory(history, &transaction);
-  return platform::CommitAndSettle(m_table, transaction).status ==
-         platform::CommitStatus::kCommitted;
+  return storage::CommitAndSettle(m_table, transaction).status ==
+         storage::CommitStatus::kCommitted;
 }
 
 std::vector<control::HistoryRecord> DocumentStore::ReadHistory(uint64_t from,
                                                                int limit) {
-  platform::ReadRequest request;
+  storage::ReadRequest request;
   for (int step = 0; step < limit; ++step) {
     request.keys.push_back(
         records::HistoryKey(from + static_cast<uint64_t>(step)));
--- a/services/shallotwick-admin/document_store.h
+++ b/services/shallotwick-admin/document_store.h
@@ -8,17 +8,17 @@
 #include "control/document_records.h"
 #include "document/collision.h"
 #include "document/submission.h"
-#include "platform/table_service.h"
+#include "storage/table_service.h"
 
 namespace shallotwick::admin {
 
 // The planning document as kept in the table service.
 class DocumentStore {
  public:
-  DocumentStore(platform::TableService& table, std::string arbiter,
+  DocumentStore(storage::TableService& table, std::string arbiter,
                 int reserve_per_data_centre);
 
-  // All throw platform::Unavailable.
+  // All throw storage::Unavailable.
 
   document::PlanningDocument Load();
 
@@ -40,7 +40,7 @@
  private:
   struct Loaded {
     document::PlanningDocument document;
-    uint64_t head_generation = platform::kAbsent;
+    uint64_t head_generation = storage::kAbsent;
     document::FleetFacts facts;
   };
 
@@ -50,7 +50,7 @@
   bool Save(const Loaded& before, const document::PlanningDocument& after,
             const std::vector<document::HistoryEntry>& history);
 
-  platform::TableService& m_table;
+  storage::TableService& m_table;
   std::string m_arbiter;
   int m_reserve_per_data_centre;
 };
--- a/services/shallotwick-admin/main/main.cc
+++ b/services/shallotwick-admin/main/main.cc
@@ -12,7 +12,7 @@
 namespace base = shallotwick::base;
 namespace control = shallotwick::control;
 namespace http = shallotwick::http;
-namespace platform = shallotwick::platform;
+namespace storage = shallotwick::storage;
 
 constexpr int kLongestMilliseconds = 600'000;
 constexpr int kMostHosts = 100'000;
@@ -42,7 +42,7 @@
 }
 
 int RunAdmin(const base::Settings& settings) {
-  platform::HttpPlatform table(
+  storage::HttpPlatform table(
       settings.GetString("platform"),
       std::chrono::milliseconds(settings.GetInteger("platform-timeout-ms")));
   control::StoreWatch watch(settings.GetString("platform"));
--- a/services/shallotwick-controller/controller.cc
+++ b/services/shallotwick-controller/controller.cc
@@ -150,7 +150,7 @@
     } else {
       Forget();
     }
-  } catch (const platform::Unavailable& error) {
+  } catch (const storage::Unavailable& error) {
     m_store_watch.ReportFailure(error.what());
     // A lost answer may hide a commit: nothing of the copy is sure any more.
     Forget();
@@ -170,7 +170,7 @@
     return;
   }
   const control::RowSet rows(
-      m_platform.Read(platform::ReadRequest{{}, {records::kMemberPrefix}}));
+      m_platform.Read(storage::ReadRequest{{}, {records::kMemberPrefix}}));
   FollowMembers(rows, now);
   FollowHostList(now);
   if (!m_mirror) {
@@ -189,7 +189,7 @@
 
 void Controller::FollowDocument() {
   const control::RowSet head(
-      m_platform.Read(platform::ReadRequest{{records::kDocumentHeadKey}, {}}));
+      m_platform.Read(storage::ReadRequest{{records::kDocumentHeadKey}, {}}));
   const auto record =
       head.Find<control::DocumentHeadRecord>(records::kDocumentHeadKey);
   if (!record || record->version == m_plan.version) {
@@ -247,12 +247,12 @@
                                      base::TimePoint now) {
   for (const std::string& gateway : m_drains.FindLapsed(now)) {
     const std::string key = records::MemberKey(gateway);
-    platform::Transaction transaction;
+    storage::Transaction transaction;
     transaction.write_id = base::MakeRandomIdentifier();
     transaction.conditions = {
-        platform::Condition::FieldIs(records::kControllerLeaseKey, "token",
-                                     m_lease.GetToken()),
-        platform::Condition::GenerationIs(key, rows.GetGeneration(key))};
+        storage::Condition::FieldIs(records::kControllerLeaseKey, "token",
+                                    m_lease.GetToken()),
+        storage::Condition::GenerationIs(key, rows.GetGeneration(key))};
     transaction.writes = {{key, std::nullopt}};
     m_platform.Commit(transaction);
   }
@@ -263,7 +263,7 @@
     return;
   }
   m_listed.clear();
-  for (platform::ListedHost& host : m_platform.List()) {
+  for (storage::ListedHost& host : m_platform.List()) {
     m_listed[host.name] = std::move(host);
   }
   NoteStates(now);
@@ -344,7 +344,7 @@
       m_platform.Reboot(host, record.boot_id);
       base::Log(base::events::kRebootRequested,
                 {{"host", host}, {"boot_id", record.boot_id}});
-    } catch (const platform::Unavailable& error) {
+    } catch (const storage::Unavailable& error) {
       base::Log(base::events::kRebootFailed,
                 {{"host", host}, {"error", error.what()}});
     }
--- a/services/shallotwick-controller/controller.h
+++ b/services/shallotwick-controller/controller.h
@@ -18,7 +18,7 @@
 #include "fleet_mirror.h"
 #include "http/server.h"
 #include "lease_holder.h"
-#include "platform/http_platform.h"
+#include "storage/http_platform.h"
 #include "view_distributor.h"
 
 namespace shallotwick::controller {
@@ -56,7 +56,7 @@
   base::Backoff m_backoff;
   fleet::PlannerSettings m_planner_settings;
   base::Duration m_lapse_limit;
-  platform::HttpPlatform m_platform;
+  storage::HttpPlatform m_platform;
   control::StoreWatch m_store_watch;
   base::MetricRegistry m_metrics;
   LeaseHolder m_lease;
@@ -71,7 +71,7 @@
     base::TimePoint since;
   };
   std::map<std::string, Condition> m_conditions;
-  std::map<std::string, platform::ListedHost> m_listed;
+  std::map<std::string, storage::ListedHost> m_listed;
   std::map<std::string, int> m_reported_shortfalls;
   std::atomic<bool> m_acting{false};
   std::unique_ptr<http::Server> m_server;
--- a/services/shallotwick-controller/fleet_mirror.cc
+++ b/services/shallotwick-controller/fleet_mirror.cc
@@ -4,13 +4,13 @@
 
 #include "base/random_identifier.h"
 #include "control/row_set.h"
-#include "platform/commit_settler.h"
 #include "records/keys.h"
+#include "storage/commit_settler.h"
 
 namespace shallotwick::controller {
 
-FleetMirror FleetMirror::Load(platform::TableService& table) {
-  const control::RowSet rows(table.Read(platform::ReadRequest{
+FleetMirror FleetMirror::Load(storage::TableService& table) {
+  const control::RowSet rows(table.Read(storage::ReadRequest{
       {}, {records::kHostPrefix, records::kPoolPrefix, records::kViewPrefix}}));
   FleetMirror mirror;
   mirror.m_generations = rows.GetGenerations();
@@ -28,16 +28,16 @@
 }
 
 bool FleetMirror::CommitTransitions(
-    platform::TableService& table, const std::string& token,
+    storage::TableService& table, const std::string& token,
     const std::vector<fleet::Transition>& transitions) {
   const fleet::TransitionEffect effect =
       fleet::MakeEffect(transitions, m_head, m_pools);
-  const platform::Transaction transaction = fleet::MakeTransitionTransaction(
+  const storage::Transaction transaction = fleet::MakeTransitionTransaction(
       effect, m_generations,
       fleet::ControllerFence{token, base::MakeRandomIdentifier()});
-  const platform::CommitResult result =
-      platform::CommitAndSettle(table, transaction);
-  if (result.status != platform::CommitStatus::kCommitted) {
+  const storage::CommitResult result =
+      storage::CommitAndSettle(table, transaction);
+  if (result.status != storage::CommitStatus::kCommitted) {
     return false;
   }
   TakeEffect(effect, result.generation);
@@ -63,7 +63,7 @@
   }
 }
 
-bool FleetMirror::CommitServices(platform::TableService& table,
+bool FleetMirror::CommitServices(storage::TableService& table,
                                  const std::string& token,
                                  const control::ViewServicesRecord& services) {
   const records::ViewHeadRecord head{m_head.version + 1,
@@ -76,7 +76,7 @@
   return true;
 }
 
-bool FleetMirror::CommitMembers(platform::TableService& table,
+bool FleetMirror::CommitMembers(storage::TableService& table,
                                 const std::string& token,
                                 const control::ViewMembersRecord& members) {
   const records::ViewHeadRecord head{m_head.version + 1,
@@ -89,24 +89,23 @@
   return true;
 }
 
-bool FleetMirror::CommitViewRow(platform::TableService& table,
+bool FleetMirror::CommitViewRow(storage::TableService& table,
                                 const std::string& token,
                                 const std::string& key,
                                 const std::string& value,
                                 const records::ViewHeadRecord& head) {
-  platform::Transaction transaction;
+  storage::Transaction transaction;
   transaction.write_id = base::MakeRandomIdentifier();
   transaction.conditions = {
-      platform::Condition::FieldIs(records::kControllerLeaseKey, "token",
-                                   token),
-      platform::Condition::GenerationIs(key, m_generations[key]),
-      platform::Condition::GenerationIs(records::kViewHeadKey,
-                                        m_generations[records::kViewHeadKey])};
+      storage::Condition::FieldIs(records::kControllerLeaseKey, "token", token),
+      storage::Condition::GenerationIs(key, m_generations[key]),
+      storage::Condition::GenerationIs(records::kViewHeadKey,
+                                       m_generations[records::kViewHeadKey])};
   transaction.writes = {{key, value},
                         {records::kViewHeadKey, nlohmann::json(head).dump()}};
-  const platform::CommitResult result =
-      platform::CommitAndSettle(table, transaction);
-  if (result.status != platform::CommitStatus::kCommitted) {
+  const storage::CommitResult result =
+      storage::CommitAndSettle(table, transaction);
+  if (result.status != storage::CommitStatus::kCommitted) {
     return false;
   }
   m_generations[key] = result.generation;
--- a/services/shallotwick-controller/fleet_mirror.h
+++ b/services/shallotwick-controller/fleet_mirror.h
@@ -9,9 +9,9 @@
 #include "control/view_records.h"
 #include "document/planning_document.h"
 #include "fleet/transition_transaction.h"
-#include "platform/table_service.h"
 #include "records/control_records.h"
 #include "routing/routing_view.h"
+#include "storage/table_service.h"
 
 namespace shallotwick::controller {
 
@@ -19,18 +19,17 @@
 // as the lease is held and every commit was answered; else it is loaded anew.
 class FleetMirror {
  public:
-  // Reads all rows. Throws platform::Unavailable.
-  static FleetMirror Load(platform::TableService& table);
+  // Reads all rows. Throws storage::Unavailable.
+  static FleetMirror Load(storage::TableService& table);
 
   // Each of these commits one transaction under the fence and takes its effect
   // into the copy. Returns false if it did not commit: the copy is out of date
-  // then. Throws platform::Unavailable.
-  bool CommitTransitions(platform::TableService& table,
-                         const std::string& token,
+  // then. Throws storage::Unavailable.
+  bool CommitTransitions(storage::TableService& table, const std::string& token,
                          const std::vector<fleet::Transition>& transitions);
-  bool CommitServices(platform::TableService& table, const std::string& token,
+  bool CommitServices(storage::TableService& table, const std::string& token,
                       const control::ViewServicesRecord& services);
-  bool CommitMembers(platform::TableService& table, const std::string& token,
+  bool CommitMembers(storage::TableService& table, const std::string& token,
                      const control::ViewMembersRecord& members);
 
   const std::map<std::string, records::HostRecord>& GetHosts() const {
@@ -42,7 +41,7 @@
   routing::RoutingView MakeView() const;
 
  private:
-  bool CommitViewRow(platform::TableService& table, const std::string& token,
+  bool CommitViewRow(storage::TableService& table, const std::string& token,
                      const std::string& key, const std::string& value,
                      const records::ViewHeadRecord& head);
   void TakeEffect(const fleet::TransitionEffect& effect, uint64_t generation);
--- a/services/shallotwick-controller/lease_holder.cc
+++ b/services/shallotwick-controller/lease_holder.cc
@@ -10,7 +10,7 @@
 
 namespace shallotwick::controller {
 
-LeaseHolder::LeaseHolder(platform::TableService& table, std::string holder,
+LeaseHolder::LeaseHolder(storage::TableService& table, std::string holder,
                          base::Duration time_to_live,
                          base::Duration renewal_period)
     : m_table(table),
@@ -25,7 +25,7 @@
     return true;
   }
   const std::string key = records::kControllerLeaseKey;
-  const control::RowSet rows(m_table.Read(platform::ReadRequest{{key}, {}}));
+  const control::RowSet rows(m_table.Read(storage::ReadRequest{{key}, {}}));
   const auto row = rows.Find<records::LeaseRecord>(key);
   const fleet::LeaseStep step = m_keeper.Observe(row, now);
   if (step == fleet::LeaseStep::kWait) {
@@ -54,13 +54,13 @@
           std::chrono::duration_cast<std::chrono::milliseconds>(m_time_to_live)
               .count())};
   const std::string key = records::kControllerLeaseKey;
-  platform::Transaction transaction;
+  storage::Transaction transaction;
   transaction.write_id = base::MakeRandomIdentifier();
   transaction.conditions.push_back(
-      platform::Condition::GenerationIs(key, generation));
+      storage::Condition::GenerationIs(key, generation));
   transaction.writes.push_back({key, nlohmann::json(record).dump()});
   return m_table.Commit(transaction).status ==
-         platform::CommitStatus::kCommitted;
+         storage::CommitStatus::kCommitted;
 }
 
 void LeaseHolder::Lose() {
@@ -79,12 +79,12 @@
   }
   try {
     const std::string key = records::kControllerLeaseKey;
-    const control::RowSet rows(m_table.Read(platform::ReadRequest{{key}, {}}));
+    const control::RowSet rows(m_table.Read(storage::ReadRequest{{key}, {}}));
     const auto row = rows.Find<records::LeaseRecord>(key);
     if (row && row->token == m_token) {
       Write(rows.GetGeneration(key), row->renewal + 1, "");
     }
-  } catch (const platform::Unavailable&) {
+  } catch (const storage::Unavailable&) {
     // The lease lapses by itself.
   }
   Lose();
--- a/services/shallotwick-controller/lease_holder.h
+++ b/services/shallotwick-controller/lease_holder.h
@@ -3,18 +3,18 @@
 #include <string>
 
 #include "fleet/lease_keeper.h"
-#include "platform/table_service.h"
+#include "storage/table_service.h"
 
 namespace shallotwick::controller {
 
 // Takes and renews the controller's lease in the table service.
 class LeaseHolder {
  public:
-  LeaseHolder(platform::TableService& table, std::string holder,
+  LeaseHolder(storage::TableService& table, std::string holder,
               base::Duration time_to_live, base::Duration renewal_period);
 
   // Reads the row, and takes or renews the lease if that is due. Returns
-  // whether it is held. Throws platform::Unavailable.
+  // whether it is held. Throws storage::Unavailable.
   bool Advance(base::TimePoint now);
 
   // Gives the lease up, so that another may take it at once.
@@ -28,7 +28,7 @@
   bool Write(uint64_t generation, uint64_t renewal, const std::string& holder);
   void Lose();
 
-  platform::TableService& m_table;
+  storage::TableService& m_table;
   std::string m_holder;
   base::Duration m_time_to_live;
   base::Duration m_renewal_period;
--- a/services/shallotwick-controller/tests/controllers_race_test.cc
+++ b/services/shallotwick-controller/tests/controllers_race_test.cc
@@ -17,7 +17,7 @@
 namespace document = shallotwick::document;
 namespace fakes = shallotwick::fakes;
 namespace fleet = shallotwick::fleet;
-namespace platform = shallotwick::platform;
+namespace storage = shallotwick::storage;
 namespace records = shallotwick::records;
 
 using records::HostState;
@@ -38,10 +38,10 @@
   return plan;
 }
 
-std::map<std::string, platform::ListedHost> MakeList() {
-  std::map<std::string, platform::ListedHost> list;
+std::map<std::string, storage::ListedHost> MakeList() {
+  std::map<std::string, storage::ListedHost> list;
   for (int number = 0; number < kHosts; ++number) {
-    platform::ListedHost host;
+    storage::ListedHost host;
     host.name = "h" + std::to_string(number);
     host.data_centre = "dc-0";
     host.rack = "r" + std::to_string(number / 4);
@@ -60,7 +60,7 @@
         m_lease(table, name, seconds(3), base::Duration::zero()) {}
 
   void Step(int step, base::TimePoint now,
-            std::map<std::string, platform::ListedHost>& listed, bool drained) {
+            std::map<std::string, storage::ListedHost>& listed, bool drained) {
     try {
       switch (step) {
         case 0:
@@ -81,7 +81,7 @@
           CarryOut(listed);
           return;
       }
-    } catch (const platform::Unavailable&) {
+    } catch (const storage::Unavailable&) {
       m_mirror.reset();
       m_plan.reset();
     }
@@ -89,7 +89,7 @@
 
  private:
   void MakeFleetPlan(base::TimePoint now,
-                     const std::map<std::string, platform::ListedHost>& listed,
+                     const std::map<std::string, storage::ListedHost>& listed,
                      bool drained) {
     if (!m_mirror) {
       return;
@@ -107,7 +107,7 @@
     m_plan = fleet::PlanFleet(input, {});
   }
 
-  void CarryOut(std::map<std::string, platform::ListedHost>& listed) {
+  void CarryOut(std::map<std::string, storage::ListedHost>& listed) {
     if (!m_plan || !m_mirror) {
       return;
     }
@@ -121,7 +121,7 @@
     }
     for (const std::string& host : plan.reboots) {
       // Asked by the boot to be ended, as the platform takes it.
-      platform::ListedHost& entry = listed.at(host);
+      storage::ListedHost& entry = listed.at(host);
       if (entry.boot_id == m_mirror->GetHosts().at(host).boot_id) {
         entry.boot_id += "+";
       }
--- a/services/shallotwick-gateway/claim_store.cc
+++ b/services/shallotwick-gateway/claim_store.cc
@@ -22,9 +22,8 @@
 
 }  // namespace
 
-ClaimStore::ClaimStore(platform::TableService& table,
-                       platform::ObjectStore& objects,
-                       ClaimStoreOptions options)
+ClaimStore::ClaimStore(storage::TableService& table,
+                       storage::ObjectStore& objects, ClaimStoreOptions options)
     : m_table(table),
       m_objects(objects),
       m_options(options),
@@ -134,7 +133,7 @@
 }
 
 void ClaimStore::RunReads(Batch* batch) {
-  platform::ReadRequest request;
+  storage::ReadRequest request;
   for (const Operation& operation : *batch) {
     if (operation.kind == Kind::kRead) {
       request.keys.push_back(operation.key);
@@ -146,7 +145,7 @@
   std::optional<control::RowSet> rows;
   try {
     rows.emplace(m_table.Read(request));
-  } catch (const platform::Unavailable&) {
+  } catch (const storage::Unavailable&) {
   }
   for (Operation& operation : *batch) {
     if (operation.kind != Kind::kRead) {
@@ -178,7 +177,7 @@
     }
     record.body = std::move(*body);
     return record;
-  } catch (const platform::Unavailable&) {
+  } catch (const storage::Unavailable&) {
     return std::nullopt;
   }
 }
@@ -187,9 +186,9 @@
   StoreLargeBodies(batch);
   for (int round = 0; round < kRoundsPerBatch && !batch->empty(); ++round) {
     try {
-      const platform::CommitResult result =
+      const storage::CommitResult result =
           m_table.Commit(MakeTransaction(*batch));
-      if (result.status == platform::CommitStatus::kCommitted) {
+      if (result.status == storage::CommitStatus::kCommitted) {
         for (Operation& operation : *batch) {
           if (operation.kind == Kind::kAcquire) {
             operation.on_claimed(Claimed{});
@@ -201,10 +200,10 @@
         return;
       }
       SettleFromRows(batch);
-    } catch (const platform::Unavailable&) {
+    } catch (const storage::Unavailable&) {
       try {
         SettleFromRows(batch);
-      } catch (const platform::Unavailable&) {
+      } catch (const storage::Unavailable&) {
         return;
       }
     }
@@ -223,23 +222,23 @@
       m_objects.Put(BodyObjectKey(record), record.body);
       record.body_object = BodyObjectKey(record);
       record.body.clear();
-    } catch (const platform::Unavailable&) {
+    } catch (const storage::Unavailable&) {
     }
   }
 }
 
-platform::Transaction ClaimStore::MakeTransaction(const Batch& batch) const {
-  platform::Transaction transaction;
+storage::Transaction ClaimStore::MakeTransaction(const Batch& batch) const {
+  storage::Transaction transaction;
   transaction.write_id = base::MakeRandomIdentifier();
   for (const Operation& operation : batch) {
     if (operation.kind == Kind::kAcquire) {
       transaction.conditions.push_back(
-          platform::Condition::GenerationIs(operation.key, platform::kAbsent));
+          storage::Condition::GenerationIs(operation.key, storage::kAbsent));
     } else {
-      transaction.conditions.push_back(platform::Condition::FieldIs(
+      transaction.conditions.push_back(storage::Condition::FieldIs(
           operation.key, "attempt", operation.record.attempt));
     }
-    platform::Write write{operation.key, std::nullopt};
+    storage::Write write{operation.key, std::nullopt};
     if (operation.kind != Kind::kRelease) {
       write.value = nlohmann::json(operation.record).dump();
     }
@@ -249,7 +248,7 @@
 }
 
 void ClaimStore::SettleFromRows(Batch* batch) {
-  platform::ReadRequest request;
+  storage::ReadRequest request;
   for (const Operation& operation : *batch) {
     request.keys.push_back(operation.key);
   }
--- a/services/shallotwick-gateway/claim_store.h
+++ b/services/shallotwick-gateway/claim_store.h
@@ -12,9 +12,9 @@
 
 #include "base/metrics.h"
 #include "base/runtime_clock.h"
-#include "platform/object_store.h"
-#include "platform/table_service.h"
 #include "records/claim_record.h"
+#include "storage/object_store.h"
+#include "storage/table_service.h"
 
 namespace shallotwick::gateway {
 
@@ -47,7 +47,7 @@
   using OnRead =
       std::function<void(std::optional<records::ClaimRecord>, bool answered)>;
 
-  ClaimStore(platform::TableService& table, platform::ObjectStore& objects,
+  ClaimStore(storage::TableService& table, storage::ObjectStore& objects,
              ClaimStoreOptions options);
   // Refuses what waits.
   ~ClaimStore();
@@ -93,7 +93,7 @@
   // Commits the batch; leaves in it what has no result yet.
   void RunWrites(Batch* batch);
   void StoreLargeBodies(Batch* batch);
-  platform::Transaction MakeTransaction(const Batch& batch) const;
+  storage::Transaction MakeTransaction(const Batch& batch) const;
   // Ends the operations that the present rows settle.
   void SettleFromRows(Batch* batch);
   // Returns whether the row settles the operation; ends it then.
@@ -102,8 +102,8 @@
   void GiveUpOrKeep(Batch batch);
   std::optional<records::ClaimRecord> ReadBody(records::ClaimRecord record);
 
-  platform::TableService& m_table;
-  platform::ObjectStore& m_objects;
+  storage::TableService& m_table;
+  storage::ObjectStore& m_objects;
   ClaimStoreOptions m_options;
   std::mutex m_mutex;
   std::condition_variable m_changed;
--- a/services/shallotwick-gateway/gateway.h
+++ b/services/shallotwick-gateway/gateway.h
@@ -14,11 +14,11 @@
 #include "http/server.h"
 #include "membership.h"
 #include "peer_gossip.h"
-#include "platform/http_platform.h"
 #include "request_flow.h"
 #include "routing/dispatcher.h"
 #include "routing/retry_budget.h"
 #include "slot_lending.h"
+#include "storage/http_platform.h"
 #include "view_keeper.h"
 
 namespace shallotwick::gateway {
@@ -56,8 +56,8 @@
   std::chrono::milliseconds m_stop_limit;
   std::chrono::milliseconds m_stop_delay;
   GatewayMetrics m_metrics;
-  platform::HttpPlatform m_platform;
-  platform::HttpPlatform m_claim_platform;
+  storage::HttpPlatform m_platform;
+  storage::HttpPlatform m_claim_platform;
   control::StoreWatch m_store_watch;
   routing::Dispatcher m_dispatcher;
   routing::RetryBudget m_retry_budget;
--- a/services/shallotwick-gateway/membership.cc
+++ b/services/shallotwick-gateway/membership.cc
@@ -13,9 +13,8 @@
 
 namespace shallotwick::gateway {
 
-Membership::Membership(platform::TableService& table,
-                       control::StoreWatch& watch, ViewKeeper& views,
-                       control::LinkThread& links,
+Membership::Membership(storage::TableService& table, control::StoreWatch& watch,
+                       ViewKeeper& views, control::LinkThread& links,
                        std::function<records::MemberRecord()> describe,
                        MembershipOptions options)
     : m_table(table),
@@ -38,14 +37,14 @@
     }
     const base::TimePoint sent_at = base::RuntimeClock::now();
     const control::RowSet rows(
-        m_table.Read(platform::ReadRequest{{records::kViewHeadKey}, {}}));
+        m_table.Read(storage::ReadRequest{{records::kViewHeadKey}, {}}));
     m_watch.ReportAnswer();
     const auto head = rows.Find<records::ViewHeadRecord>(records::kViewHeadKey);
     if (head) {
       LookForView(head->version, sent_at);
     }
     ++m_rounds;
-  } catch (const platform::Unavailable& error) {
+  } catch (const storage::Unavailable& error) {
     m_watch.ReportFailure(error.what());
     m_views.ReportStoreUnreachable();
     RenewThroughPeer();
@@ -79,18 +78,18 @@
 
 std::optional<bool> Membership::WriteRenewal(records::MemberRecord member) {
   const std::string key = records::MemberKey(member.gateway);
-  const control::RowSet rows(m_table.Read(platform::ReadRequest{{key}, {}}));
+  const control::RowSet rows(m_table.Read(storage::ReadRequest{{key}, {}}));
   const auto row = rows.Find<records::MemberRecord>(key);
   const bool is_own = row && row->incarnation == member.incarnation;
   member.renewal = row ? row->renewal + 1 : 1;
-  platform::Transaction transaction;
+  storage::Transaction transaction;
   transaction.write_id = base::MakeRandomIdentifier();
   transaction.conditions.push_back(
-      platform::Condition::GenerationIs(key, rows.GetGeneration(key)));
+      storage::Condition::GenerationIs(key, rows.GetGeneration(key)));
   transaction.writes.push_back({key, nlohmann::json(member).dump()});
   // One that conflicts or whose answer is lost is made up for by the next one.
-  const platform::CommitResult result = m_table.Commit(transaction);
-  if (result.status != platform::CommitStatus::kCommitted) {
+  const storage::CommitResult result = m_table.Commit(transaction);
+  if (result.status != storage::CommitStatus::kCommitted) {
     return std::nullopt;
   }
   return !is_own;
@@ -140,7 +139,7 @@
       if (const auto is_new = WriteRenewal(renewal.member)) {
         reply = {link::ReplyStatus::kOk, control::Encode(*is_new)};
       }
-    } catch (const platform::Unavailable&) {
+    } catch (const storage::Unavailable&) {
       // The peer asks another one.
     }
     m_links.Post(
@@ -152,14 +151,14 @@
   m_task.Stop();
   const records::MemberRecord member = m_describe();
   const std::string key = records::MemberKey(member.gateway);
-  platform::Transaction transaction;
+  storage::Transaction transaction;
   transaction.write_id = base::MakeRandomIdentifier();
   transaction.conditions.push_back(
-      platform::Condition::FieldIs(key, "incarnation", member.incarnation));
+      storage::Condition::FieldIs(key, "incarnation", member.incarnation));
   transaction.writes.push_back({key, std::nullopt});
   try {
     m_table.Commit(transaction);
-  } catch (const platform::Unavailable&) {
+  } catch (const storage::Unavailable&) {
     // The row lapses by itself.
   }
 }
--- a/services/shallotwick-gateway/membership.h
+++ b/services/shallotwick-gateway/membership.h
@@ -11,8 +11,8 @@
 #include "base/periodic_task.h"
 #include "control/link_thread.h"
 #include "control/store_watch.h"
-#include "platform/table_service.h"
 #include "records/control_records.h"
+#include "storage/table_service.h"
 #include "view_keeper.h"
 
 namespace shallotwick::gateway {
@@ -32,7 +32,7 @@
 class Membership {
  public:
   // `describe` gives the row's present content; its renewal is set here.
-  Membership(platform::TableService& table, control::StoreWatch& watch,
+  Membership(storage::TableService& table, control::StoreWatch& watch,
              ViewKeeper& views, control::LinkThread& links,
              std::function<records::MemberRecord()> describe,
              MembershipOptions options);
@@ -52,7 +52,7 @@
   void RenewThroughPeer();
   // Writes a member's next renewal. Returns nothing if somebody else wrote the
   // row meanwhile, else whether no row of this incarnation stood before. Throws
-  // platform::Unavailable.
+  // storage::Unavailable.
   // FIXME: two live processes of one name take the row from each other; the one
   // without it should stop, and controllers should wait for its lapse.
   std::optional<bool> WriteRenewal(records::MemberRecord member);
@@ -62,7 +62,7 @@
     link::OnReply on_reply;
   };
 
-  platform::TableService& m_table;
+  storage::TableService& m_table;
   control::StoreWatch& m_watch;
   ViewKeeper& m_views;
   control::LinkThread& m_links;
--- /dev/null
+++ b/services/shallotwick-scheduler/job_api.cc
@@ -0,0 +1,184 @@
+#include "job_api.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/log.h"
+#include "base/log_catalogue.h"
+#include "platform/operator_codec.h"
+
+namespace shallotwick::scheduler {
+namespace {
+
+constexpr size_t kIdentifierDigits = 16;
+// Callers that were refused come back after this time, by when another host
+// has taken over what this one can't reach.
+constexpr char kRetryAfterSeconds[] = "1";
+
+bool IsIdentifier(const std::string& text) {
+  return text.size() == kIdentifierDigits &&
+         std::all_of(text.begin(), text.end(), [](char character) {
+           return (character >= '0' && character <= '9') ||
+                  (character >= 'a' && character <= 'f') ||
+                  (character >= 'A' && character <= 'F');
+         });
+}
+
+}  // namespace
+
+JobApi::JobApi(JobService& jobs, base::MetricRegistry& metrics)
+    : m_jobs(jobs), m_metrics(metrics) {}
+
+void JobApi::Handle(const http::Request& request,
+                    const http::Respond& respond) {
+  const scheduling::ServingConfig* config = m_get_config();
+  if (config == nullptr) {
+    respond(Refuse("no-config"));
+    return;
+  }
+  const std::string path = http::GetPath(request.target);
+  const std::string host =
+      http::FindHeader(request.headers, "Host").value_or("");
+  const scheduling::Route* route = config->FindRoute(host, path);
+  if (route == nullptr) {
+    respond(http::MakeProblem(404, "no-such-queue", "No queue has this path."));
+    return;
+  }
+  const std::string id = path.substr(route->prefix.size());
+  const bool is_read = request.method == "GET" || request.method == "HEAD";
+  if (id.empty() && is_read) {
+    Count(*route, respond);
+  } else if (request.method == "POST") {
+    Submit(*route, id, request, respond);
+  } else if (!IsIdentifier(id) && (is_read || request.method == "DELETE")) {
+    respond(http::MakeProblem(410, "no-such-job", "No job has this name."));
+  } else if (is_read) {
+    Show(*route, id, respond);
+  } else if (request.method == "DELETE") {
+    Cancel(*route, id, respond);
+  } else {
+    respond(http::MakeProblem(405, "method", "A job takes GET, POST, DELETE."));
+  }
+}
+
+void JobApi::Submit(const scheduling::Route& route, const std::string& id,
+                    const http::Request& request,
+                    const http::Respond& respond) {
+  if (!IsIdentifier(id)) {
+    respond(http::MakeProblem(400, "bad-identifier",
+                              "A job's name is 16 hexadecimal digits."));
+    return;
+  }
+  if (static_cast<int64_t>(request.body.size()) >
+      m_get_config()->longest_body_bytes) {
+    respond(http::MakeProblem(413, "body-too-large", "The body is too long."));
+    return;
+  }
+  if (!m_is_store_reachable()) {
+    base::Log(base::events::kJobRefused,
+              {{"job", id}, {"route", route.name}, {"reason", "store"}});
+    respond(Refuse("store-unreachable"));
+    return;
+  }
+  scheduling::JobSpec job;
+  try {
+    job = platform::DecodeJob(request.body);
+  } catch (const base::InvalidInput& error) {
+    base::Log(base::events::kJobRefused,
+              {{"job", id}, {"route", route.name}, {"reason", error.what()}});
+    respond(http::MakeProblem(400, "bad-job", error.what()));
+    return;
+  }
+  job.id = id;
+  job.route = route.name;
+  job.accepted_ms = base::WallClockMilliseconds();
+  m_jobs.Submit(route.service, job,
+                [this, id, name = route.name, service = route.service,
+                 respond](JobCallOutcome outcome) {
+                  if (outcome == JobCallOutcome::kDone) {
+                    base::Log(
+                        base::events::kJobAccepted,
+                        {{"job", id}, {"route", name}, {"pool", service}});
+                  }
+                  respond(MakeAnswer("submit", id, outcome,
+                                     http::MakeJsonResponse(200, "{}")));
+                });
+}
+
+void JobApi::Show(const scheduling::Route& route, const std::string& id,
+                  const http::Respond& respond) {
+  m_jobs.FindState(
+      ListServices(route), id,
+      [this, id, respond](JobCallOutcome outcome, scheduling::JobState state) {
+        respond(MakeAnswer(
+            "show", id, outcome,
+            http::MakeJsonResponse(200, platform::EncodeJobState(state))));
+      });
+}
+
+void JobApi::Cancel(const scheduling::Route& route, const std::string& id,
+                    const http::Respond& respond) {
+  m_jobs.Cancel(ListServices(route), id,
+                [this, id, respond](JobCallOutcome outcome) {
+                  if (outcome == JobCallOutcome::kDone) {
+                    base::Log(base::events::kJobCancelled, {{"job", id}});
+                  }
+                  respond(MakeAnswer("cancel", id, outcome,
+                                     http::MakeJsonResponse(200, "{}")));
+                });
+}
+
+void JobApi::Count(const scheduling::Route& route,
+                   const http::Respond& respond) {
+  m_jobs.CountQueued(
+      route.service, route.name,
+      [this, name = route.name, respond](JobCallOutcome outcome,
+                                         int64_t count) {
+        respond(MakeAnswer(
+            "count", name, outcome,
+            http::MakeJsonResponse(200, platform::EncodePendingCount(count))));
+      });
+}
+
+std::vector<std::string> JobApi::ListServices(
+    const scheduling::Route& route) const {
+  std::vector<std::string> services = {route.service};
+  for (const std::string& service : m_get_config()->services) {
+    if (service != route.service) {
+      services.push_back(service);
+    }
+  }
+  return services;
+}
+
+http::Response JobApi::Refuse(const char* reason) {
+  m_metrics.GetCounter("shallotwick_refusals_total", {{"reason", reason}})
+      .Increment();
+  http::Response response = http::MakeProblem(
+      503, reason, "Nothing was done; come back after the time given.");
+  response.headers.emplace_back("Retry-After", kRetryAfterSeconds);
+  return response;
+}
+
+http::Response JobApi::MakeAnswer(const char* call, const std::string& id,
+                                  JobCallOutcome outcome, http::Response done) {
+  switch (outcome) {
+    case JobCallOutcome::kDone:
+      return done;
+    case JobCallOutcome::kNotFound:
+      return http::MakeProblem(410, "no-such-job", "No job has this name.");
+    case JobCallOutcome::kRefused:
+      base::Log(base::events::kJobRefused,
+                {{"job", id}, {"call", call}, {"reason", "store"}});
+      return Refuse("store-refused");
+    case JobCallOutcome::kUnknown:
+      break;
+  }
+  base::Log(base::events::kJobOutcomeUnknown, {{"job", id}, {"call", call}});
+  m_metrics.GetCounter("shallotwick_unknown_outcomes_total", {{"call", call}})
+      .Increment();
+  return http::MakeProblem(504, "outcome-unknown",
+                           "The store did not answer; ask again.");
+}
+
+}  // namespace shallotwick::scheduler
--- /dev/null
+++ b/services/shallotwick-scheduler/job_tables.cc
@@ -0,0 +1,50 @@
+#include "job_tables.h"
+
+#include <cstdint>
+
+namespace shallotwick::scheduler {
+namespace {
+
+// With two tables a bucket, well under the store's 100 tables.
+constexpr uint32_t kBuckets = 32;
+
+std::string GetBucket(const std::string& service) {
+  uint32_t hash = 2166136261U;
+  for (char character : service) {
+    hash = (hash ^ static_cast<unsigned char>(character)) * 16777619U;
+  }
+  return std::to_string(hash % kBuckets);
+}
+
+}  // namespace
+
+std::string GetJobTable(const std::string& service) {
+  return "jobs-" + GetBucket(service);
+}
+
+std::string GetProgressTable(const std::string& service) {
+  return "progress-" + GetBucket(service);
+}
+
+storage::RowKey MakeJobKey(const std::string& service, const std::string& id) {
+  return {GetJobTable(service), service, id};
+}
+
+storage::RowKey MakeProgressKey(const std::string& service,
+                                const std::string& id) {
+  return {GetProgressTable(service), service, id};
+}
+
+storage::RowKey MakeOwnerKey(const std::string& service) {
+  return {kOwnerTable, service, kPoolKey};
+}
+
+storage::RowKey MakeRosterKey(const std::string& service) {
+  return {kRosterTable, service, kPoolKey};
+}
+
+storage::RowKey MakeSessionKey(const std::string& host) {
+  return {kSessionTable, kSinglePart, host};
+}
+
+}  // namespace shallotwick::scheduler
--- /dev/null
+++ b/services/shallotwick-scheduler/job_tables.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <string>
+
+#include "storage/row_store.h"
+
+// Where this system keeps its own rows. All rows of one pool are in the part
+// named after its service, so that they can be written together.
+namespace shallotwick::scheduler {
+
+inline constexpr char kSessionTable[] = "sessions";
+inline constexpr char kOwnerTable[] = "owners";
+inline constexpr char kRosterTable[] = "rosters";
+inline constexpr char kSinglePart[] = "";
+// The only key of a pool's part in the tables of owners and rosters.
+inline constexpr char kPoolKey[] = "pool";
+
+// Job specifications and progress are spread over several tables: an owner
+// follows a table as a whole, and the store has at most 100 of them.
+std::string GetJobTable(const std::string& service);
+std::string GetProgressTable(const std::string& service);
+
+storage::RowKey MakeJobKey(const std::string& service, const std::string& id);
+storage::RowKey MakeProgressKey(const std::string& service,
+                                const std::string& id);
+storage::RowKey MakeOwnerKey(const std::string& service);
+storage::RowKey MakeRosterKey(const std::string& service);
+storage::RowKey MakeSessionKey(const std::string& host);
+
+}  // namespace shallotwick::scheduler
--- /dev/null
+++ b/services/shallotwick-scheduler/ownership_manager.cc
@@ -0,0 +1,177 @@
+#include "ownership_manager.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "base/log.h"
+#include "base/log_catalogue.h"
+#include "job_tables.h"
+
+namespace shallotwick::scheduler {
+namespace {
+
+// The host that ranks first takes a pool at once; each further one waits so
+// long for those before it.
+constexpr auto kRankDelay = std::chrono::milliseconds(1'000);
+
+std::string EncodeOwner(const ownership::OwnerRecord& record) {
+  return nlohmann::json{{"host", record.holder.host},
+                        {"boot", record.holder.boot},
+                        {"term", record.term}}
+      .dump();
+}
+
+ownership::OwnerRecord DecodeOwner(const std::string& text) {
+  ownership::OwnerRecord record;
+  const auto object = nlohmann::json::parse(text, nullptr, false);
+  if (object.is_object()) {
+    record.holder.host = object.value("host", "");
+    record.holder.boot = object.value("boot", "");
+    record.term = object.value("term", int64_t{0});
+  }
+  return record;
+}
+
+}  // namespace
+
+OwnershipManager::OwnershipManager(base::EventLoop& loop,
+                                   storage::RowStore& store,
+                                   SessionKeeper& session)
+    : m_loop(loop),
+      m_store(store),
+      m_session(session),
+      m_owners_table(loop, store, {kOwnerTable, {}}) {
+  m_owners_table.m_on_reset =
+      [this](const std::vector<storage::VersionedRow>& rows) { OnReset(rows); };
+  m_owners_table.m_on_change = [this](const storage::VersionedRow& row) {
+    OnOwnerRow(row);
+  };
+}
+
+void OwnershipManager::SetPools(const std::set<std::string>& pools) {
+  if (pools == m_pools) {
+    return;
+  }
+  // A pool that leaves the configuration keeps its owner until its jobs end.
+  m_pools.insert(pools.begin(), pools.end());
+  m_owners_table.Restart({m_pools.begin(), m_pools.end()});
+}
+
+void OwnershipManager::OnReset(const std::vector<storage::VersionedRow>& rows) {
+  for (const storage::VersionedRow& row : rows) {
+    OnOwnerRow(row);
+  }
+  Reconsider();
+}
+
+void OwnershipManager::OnOwnerRow(const storage::VersionedRow& row) {
+  const std::string& pool = row.key.part;
+  Owner& owner = m_owners[pool];
+  if (row.version < owner.version) {
+    return;
+  }
+  owner = Owner{DecodeOwner(row.value), row.version};
+  m_orphaned_since.erase(pool);
+  const bool is_own = owner.record.holder == m_session.GetSelf();
+  if (!is_own && m_owned.erase(pool) > 0) {
+    m_on_lost(pool);
+  } else if (is_own && m_owned.count(pool) == 0 && m_is_claiming) {
+    // The answer to the claim was lost.
+    Gain(pool, owner);
+  }
+}
+
+void OwnershipManager::Reconsider() {
+  const auto now = base::RuntimeClock::now();
+  const bool may_claim = m_is_claiming && m_owners_table.IsLoaded() &&
+                         m_session.IsSafe(now) &&
+                         m_session.GetWatch().HasWatchedLongEnough();
+  if (!may_claim) {
+    return;
+  }
+  std::map<std::string, ownership::OwnerRecord> records;
+  for (const auto& [pool, owner] : m_owners) {
+    records[pool] = owner.record;
+  }
+  const auto ranks = ownership::RankCandidates(m_pools, records,
+                                               m_session.GetWatch().GetLive());
+  for (const auto& [pool, hosts] : ranks) {
+    const auto since = m_orphaned_since.try_emplace(pool, now).first->second;
+    const auto own = std::find(hosts.begin(), hosts.end(), m_session.GetSelf());
+    if (own == hosts.end()) {
+      continue;
+    }
+    const auto rank = std::distance(hosts.begin(), own);
+    if (now >= since + kRankDelay * rank) {
+      Claim(pool);
+    }
+  }
+  std::erase_if(m_orphaned_since, [&ranks](const auto& entry) {
+    return ranks.count(entry.first) == 0;
+  });
+}
+
+void OwnershipManager::Claim(const std::string& pool) {
+  if (!m_claiming.insert(pool).second) {
+    return;
+  }
+  const Owner& owner = m_owners[pool];
+  const ownership::OwnerRecord record{m_session.GetSelf(),
+                                      owner.record.term + 1};
+  storage::RowTransaction transaction;
+  transaction.expected = {{MakeOwnerKey(pool), owner.version}};
+  transaction.writes = {{MakeOwnerKey(pool), EncodeOwner(record)}};
+  m_store.Commit(std::move(transaction),
+                 m_lifetime.Guard([this, pool, record](
+                                      const storage::RowCommitResult& result) {
+                   OnClaimed(pool, record, result);
+                 }));
+}
+
+void OwnershipManager::OnClaimed(const std::string& pool,
+                                 const ownership::OwnerRecord& record,
+                                 const storage::RowCommitResult& result) {
+  m_claiming.erase(pool);
+  if (result.status == storage::RowCommitStatus::kCommitted) {
+    Owner& owner = m_owners[pool];
+    if (result.version > owner.version) {
+      owner = Owner{record, result.version};
+    }
+    if (owner.record.holder == m_session.GetSelf() &&
+        m_owned.count(pool) == 0) {
+      Gain(pool, owner);
+    }
+    return;
+  }
+  // After a conflict, or without an answer, the row itself tells.
+  for (const storage::VersionedRow& row : result.current) {
+    OnOwnerRow(row);
+  }
+}
+
+void OwnershipManager::Gain(const std::string& pool, const Owner& owner) {
+  m_owned.insert(pool);
+  base::Log(base::events::kPoolClaimed,
+            {{"pool", pool},
+             {"term", std::to_string(owner.record.term)},
+             {"fence", std::to_string(owner.version)}});
+  m_on_gained(pool, owner.version, owner.record.term);
+}
+
+void OwnershipManager::Release(const std::string& pool,
+                               std::function<void()> on_end) {
+  m_owned.erase(pool);
+  const Owner& owner = m_owners[pool];
+  ownership::OwnerRecord record;
+  record.term = owner.record.term;
+  storage::RowTransaction transaction;
+  transaction.expected = {{MakeOwnerKey(pool), owner.version}};
+  transaction.writes = {{MakeOwnerKey(pool), EncodeOwner(record)}};
+  m_store.Commit(
+      std::move(transaction),
+      m_lifetime.Guard([on_end = std::move(on_end)](
+                           const storage::RowCommitResult&) { on_end(); }));
+}
+
+}  // namespace shallotwick::scheduler
--- /dev/null
+++ b/services/shallotwick-scheduler/pool_runner.cc
@@ -0,0 +1,605 @@
+#include "pool_runner.h"
+
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+#include <utility>
+
+#include "base/log.h"
+#include "base/log_catalogue.h"
+#include "job_tables.h"
+#include "scheduling/job_record.h"
+
+namespace shallotwick::scheduler {
+namespace {
+
+// Events of a few milliseconds are acted on together.
+constexpr auto kWakeDelay = std::chrono::milliseconds(2);
+constexpr auto kTickPeriod = std::chrono::milliseconds(100);
+// Ends and final states gather so long before they are stored together.
+constexpr auto kUrgentCommitDelay = std::chrono::milliseconds(8);
+// Marks that a job has begun; a reader may see them somewhat late.
+constexpr auto kLazyCommitDelay = std::chrono::milliseconds(250);
+constexpr auto kCommitRetryDelay = std::chrono::milliseconds(150);
+constexpr auto kReadRetryDelay = std::chrono::milliseconds(200);
+// A job takes up to three entries of a transaction; one is the owner's row.
+constexpr size_t kMostChangesPerCommit =
+    (storage::kMostTransactionEntries - 1) / 3;
+// Run numbers of one ownership; the next one starts above.
+constexpr int64_t kRunsPerTerm = 1'000;
+// A predecessor may have started jobs that reach this owner by the feed.
+constexpr auto kPredecessorWindow = std::chrono::milliseconds(1'000);
+constexpr size_t kMostEndedJobs = 20'000;
+
+scheduling::PoolSchedulerOptions MakeSchedulerOptions(
+    const PoolRunnerOptions& options) {
+  scheduling::PoolSchedulerOptions scheduler;
+  scheduler.fence = options.owner_version;
+  scheduler.first_run = (options.term - 1) * kRunsPerTerm + 1;
+  scheduler.lease = options.lease;
+  scheduler.longest_stop = options.longest_stop;
+  return scheduler;
+}
+
+const char* NameOf(scheduling::OrderOutcome outcome) {
+  using scheduling::OrderOutcome;
+  switch (outcome) {
+    case OrderOutcome::kAccepted:
+      return "accepted";
+    case OrderOutcome::kFenced:
+      return "fenced";
+    case OrderOutcome::kOutdated:
+      return "outdated";
+    case OrderOutcome::kLeaseExpired:
+      return "lease-expired";
+    case OrderOutcome::kNoRoom:
+      return "no-room";
+    case OrderOutcome::kNoTicket:
+      return "no-ticket";
+    case OrderOutcome::kUnhealthy:
+      return "unhealthy";
+    case OrderOutcome::kOtherIncarnation:
+      return "other-incarnation";
+    case OrderOutcome::kNotSent:
+      return "not-sent";
+    case OrderOutcome::kUnknown:
+      return "unknown";
+    case OrderOutcome::kInvalid:
+      return "invalid";
+  }
+  return "unknown";
+}
+
+}  // namespace
+
+PoolRunner::PoolRunner(base::EventLoop& loop, storage::RowStore& store,
+                       scheduling::TargetOrders& orders,
+                       base::MetricRegistry& metrics,
+                       const PoolRunnerOptions& options)
+    : m_loop(loop),
+      m_store(store),
+      m_orders(orders),
+      m_metrics(metrics),
+      m_options(options),
+      m_scheduler(MakeSchedulerOptions(options)),
+      m_jobs(loop, store, {GetJobTable(options.service), {options.service}}),
+      m_started(base::RuntimeClock::now()) {
+  m_scheduler.m_on_note = [this](const scheduling::SchedulingNote& note) {
+    LogNote(note);
+  };
+  m_jobs.m_on_reset = [this](const std::vector<storage::VersionedRow>& rows) {
+    OnJobsReset(rows);
+  };
+  m_jobs.m_on_change = [this](const storage::VersionedRow& row) {
+    OnJobChanged(row);
+  };
+}
+
+void PoolRunner::Start() { ReadRoster(); }
+
+void PoolRunner::SetConfig(const scheduling::ServingConfig& config) {
+  m_scheduler.SetRoutes(config.GetPolicies());
+  Wake();
+}
+
+void PoolRunner::ReadRoster() {
+  storage::RowRange range;
+  range.table = kRosterTable;
+  range.part = m_options.service;
+  m_store.Read(
+      range, m_lifetime.Guard([this](const storage::RowReadResult& result) {
+        if (!result.is_read) {
+          m_loop.RunAfter(kReadRetryDelay,
+                          m_lifetime.Guard([this] { ReadRoster(); }));
+          return;
+        }
+        const auto now = base::RuntimeClock::now();
+        for (const storage::VersionedRow& row : result.rows) {
+          m_roster_version = row.version;
+          const auto roster = nlohmann::json::parse(row.value, nullptr, false);
+          for (const auto& [id, address] : roster.items()) {
+            scheduling::TargetEntry entry;
+            entry.id = id;
+            entry.service = m_options.service;
+            entry.address =
+                address.is_string() ? address.get<std::string>() : "";
+            m_scheduler.ExpectTarget(entry, now);
+            m_stored_roster[id] = entry.address;
+          }
+        }
+        m_is_roster_read = true;
+        SetTargets(m_targets_at_start);
+        ReadProgress();
+      }));
+}
+
+// Progress is read before the jobs: a job that is added in between has none
+// yet, and one that ends in between is gone from the jobs.
+void PoolRunner::ReadProgress() {
+  storage::ReadWholePart(
+      m_store, GetProgressTable(m_options.service), m_options.service,
+      m_lifetime.Guard([this](const storage::RowReadResult& result) {
+        if (!result.is_read) {
+          m_loop.RunAfter(kReadRetryDelay,
+                          m_lifetime.Guard([this] { ReadProgress(); }));
+          return;
+        }
+        for (const storage::VersionedRow& row : result.rows) {
+          m_loaded_progress[row.key.key] = row;
+        }
+        m_jobs.Start();
+      }));
+}
+
+void PoolRunner::OnJobsReset(const std::vector<storage::VersionedRow>& rows) {
+  std::set<std::string> present;
+  for (const storage::VersionedRow& row : rows) {
+    present.insert(row.key.key);
+    AddJob(row, !m_is_loaded);
+  }
+  if (m_is_loaded) {
+    // After a loss of history: what is gone was cancelled meanwhile.
+    std::vector<std::string> gone;
+    for (const auto& [id, version] : m_progress_versions) {
+      if (present.count(id) == 0) {
+        gone.push_back(id);
+      }
+    }
+    for (const std::string& id : gone) {
+      m_scheduler.CancelJob(id);
+      m_progress_versions.erase(id);
+      m_ended_jobs.insert(id);
+    }
+  }
+  m_loaded_progress.clear();
+  if (!m_is_loaded) {
+    m_is_loaded = true;
+    base::Log(base::events::kPoolLoaded,
+              {{"pool", m_options.service},
+               {"term", std::to_string(m_options.term)},
+               {"fence", std::to_string(m_options.owner_version)},
+               {"jobs", std::to_string(m_scheduler.GetJobCount())}});
+    Tick();
+  }
+  Wake();
+}
+
+void PoolRunner::OnJobChanged(const storage::VersionedRow& row) {
+  if (row.key.part != m_options.service) {
+    return;
+  }
+  if (!row.is_removed) {
+    AddJob(row, base::RuntimeClock::now() < m_started + kPredecessorWindow);
+  } else if (m_scheduler.IsActive(row.key.key)) {
+    // The owner removes the row only of a job that has ended.
+    m_scheduler.CancelJob(row.key.key);
+    m_progress_versions.erase(row.key.key);
+    m_ended_jobs.insert(row.key.key);
+  }
+  Wake();
+}
+
+void PoolRunner::AddJob(const storage::VersionedRow& row,
+                        bool predates_ownership) {
+  const std::string& id = row.key.key;
+  if (m_scheduler.HasJob(id) || m_ended_jobs.count(id) > 0) {
+    return;
+  }
+  try {
+    scheduling::JobSpec spec = scheduling::DecodeJobRecord(row.value);
+    scheduling::JobProgress progress = scheduling::MakeInitialProgress(spec);
+    // A job and its first progress are written together.
+    uint64_t version = row.version;
+    const auto loaded = m_loaded_progress.find(id);
+    if (loaded != m_loaded_progress.end()) {
+      progress = scheduling::DecodeProgress(spec, loaded->second.value);
+      version = loaded->second.version;
+    }
+    if (scheduling::IsTerminal(progress.state)) {
+      return;
+    }
+    m_progress_versions[id] = version;
+    m_scheduler.AddJob(std::move(spec), std::move(progress),
+                       predates_ownership);
+  } catch (const std::runtime_error& error) {
+    base::Log(
+        base::events::kStoreContentInvalid,
+        {{"pool", m_options.service}, {"job", id}, {"fault", error.what()}});
+  }
+}
+
+void PoolRunner::SetTargets(
+    const std::map<std::string, scheduling::TargetEntry>& targets) {
+  if (!m_is_roster_read) {
+    m_targets_at_start = targets;
+    return;
+  }
+  const auto now = base::RuntimeClock::now();
+  std::vector<std::string> gone;
+  for (const auto& [id, target] : m_scheduler.GetTargets()) {
+    if (targets.count(id) == 0 && target.m_is_registered) {
+      gone.push_back(id);
+    }
+  }
+  for (const std::string& id : gone) {
+    m_scheduler.RemoveTarget(id, now);
+  }
+  for (const auto& [id, entry] : targets) {
+    m_scheduler.UpdateTarget(entry, now);
+  }
+  Wake();
+}
+
+void PoolRunner::OnTargetChanged(const scheduling::TargetEntry& entry) {
+  if (!m_is_roster_read) {
+    m_targets_at_start[entry.id] = entry;
+    return;
+  }
+  m_scheduler.UpdateTarget(entry, base::RuntimeClock::now());
+  Wake();
+}
+
+void PoolRunner::OnTargetRemoved(const std::string& id) {
+  if (!m_is_roster_read) {
+    m_targets_at_start.erase(id);
+    return;
+  }
+  m_scheduler.RemoveTarget(id, base::RuntimeClock::now());
+  Wake();
+}
+
+// The roster is stored before the first start on a target, so that a successor
+// knows all that may run something, also what the registry no longer lists.
+void PoolRunner::WriteRoster() {
+  const std::map<std::string, std::string> roster = m_scheduler.GetRoster();
+  bool has_new = false;
+  for (const auto& [id, address] : roster) {
+    has_new = has_new || m_stored_roster.count(id) == 0;
+  }
+  if (!has_new || m_is_writing_roster || m_is_lost) {
+    return;
+  }
+  m_is_writing_roster = true;
+  storage::RowTransaction transaction;
+  transaction.expected = {
+      {MakeOwnerKey(m_options.service), m_options.owner_version},
+      {MakeRosterKey(m_options.service), m_roster_version}};
+  transaction.writes = {
+      {MakeRosterKey(m_options.service), nlohmann::json(roster).dump()}};
+  m_store.Commit(
+      std::move(transaction),
+      m_lifetime.Guard([this, roster](const storage::RowCommitResult& result) {
+        OnRosterWritten(result, roster);
+      }));
+}
+
+void PoolRunner::OnRosterWritten(
+    const storage::RowCommitResult& result,
+    const std::map<std::string, std::string>& roster) {
+  m_is_writing_roster = false;
+  if (result.status == storage::RowCommitStatus::kCommitted) {
+    m_roster_version = result.version;
+    m_stored_roster = roster;
+    m_scheduler.ConfirmRoster(roster);
+    Wake();
+    return;
+  }
+  if (result.status == storage::RowCommitStatus::kConflict) {
+    if (!IsStillOwner(result)) {
+      Lose("the owner's row has changed");
+      return;
+    }
+    // An earlier write took effect without an answer.
+    for (const storage::VersionedRow& row : result.current) {
+      if (row.key.table == kRosterTable) {
+        m_roster_version = row.version;
+      }
+    }
+  }
+  m_loop.RunAfter(kCommitRetryDelay,
+                  m_lifetime.Guard([this] { WriteRoster(); }));
+}
+
+void PoolRunner::Wake() {
+  if (m_is_waking || !m_is_loaded || m_is_lost) {
+    return;
+  }
+  m_is_waking = true;
+  m_loop.RunAfter(kWakeDelay, m_lifetime.Guard([this] {
+    m_is_waking = false;
+    Act();
+  }));
+}
+
+void PoolRunner::Tick() {
+  Act();
+  m_loop.RunAfter(kTickPeriod, m_lifetime.Guard([this] { Tick(); }));
+}
+
+void PoolRunner::Act() {
+  if (m_is_lost || !m_is_loaded) {
+    return;
+  }
+  if (m_scheduler.IsSuperseded()) {
+    Lose("a target took a higher fence");
+    return;
+  }
+  const bool may_order = m_may_order() && !m_on_quiet;
+  if (may_order) {
+    WriteRoster();
+    const auto now = base::RuntimeClock::now();
+    SendOrders(m_scheduler.Decide(now, base::WallClockMilliseconds()));
+    SendReports(now);
+  }
+  CommitSoon();
+}
+
+void PoolRunner::SendReports(base::TimePoint now) {
+  for (const scheduling::ReportOrder& order :
+       m_scheduler.TakeReportOrders(now)) {
+    m_orders.Report(
+        order, m_lifetime.Guard([this, order,
+                                 now](const scheduling::ReportResult& result) {
+          CountOutcome("report", result.outcome);
+          const auto received = base::RuntimeClock::now();
+          if (result.outcome == scheduling::OrderOutcome::kAccepted) {
+            m_scheduler.OnReport(order, now, received, result.report);
+          } else {
+            m_scheduler.OnReportFailed(order, result.outcome, received);
+          }
+          Wake();
+        }));
+  }
+}
+
+void PoolRunner::SendOrders(const scheduling::PoolOrders& orders) {
+  for (const scheduling::StartOrder& order : orders.starts) {
+    ++m_orders_in_flight;
+    m_orders.Start(
+        order,
+        m_lifetime.Guard([this, order](const scheduling::OrderResult& result) {
+          --m_orders_in_flight;
+          CountOutcome("start", result.outcome);
+          m_scheduler.OnStartResult(order, result, base::RuntimeClock::now());
+          Wake();
+        }));
+  }
+  for (const scheduling::StopOrder& order : orders.stops) {
+    ++m_orders_in_flight;
+    m_orders.Stop(
+        order,
+        m_lifetime.Guard([this, order](const scheduling::OrderResult& result) {
+          --m_orders_in_flight;
+          CountOutcome("stop", result.outcome);
+          m_scheduler.OnStopResult(order, result, base::RuntimeClock::now());
+          Wake();
+        }));
+  }
+  for (const scheduling::PaceOrder& order : orders.paces) {
+    ++m_orders_in_flight;
+    m_orders.Pace(
+        order,
+        m_lifetime.Guard([this, order](const scheduling::OrderResult& result) {
+          --m_orders_in_flight;
+          CountOutcome("pace", result.outcome);
+          m_scheduler.OnPaceResult(order, result);
+          Wake();
+        }));
+  }
+}
+
+void PoolRunner::CommitSoon() {
+  const bool is_urgent = m_scheduler.HasUrgentChanges();
+  const bool is_due = is_urgent || m_scheduler.HasChanges();
+  if (m_on_quiet && m_orders_in_flight == 0 && !is_due && !m_is_committing) {
+    std::exchange(m_on_quiet, nullptr)();
+    m_is_lost = true;
+    return;
+  }
+  if (!is_due || m_is_committing) {
+    return;
+  }
+  const auto now = base::RuntimeClock::now();
+  const auto wanted = now + (is_urgent ? base::Duration(kUrgentCommitDelay)
+                                       : base::Duration(kLazyCommitDelay));
+  const auto at = std::max(wanted, m_commit_not_before);
+  // A lazy plan is overtaken by an urgent one; Commit then finds nothing left.
+  if (m_is_commit_planned && !is_urgent) {
+    return;
+  }
+  if (m_is_urgent_commit_planned) {
+    return;
+  }
+  m_is_commit_planned = true;
+  m_is_urgent_commit_planned = is_urgent;
+  m_loop.RunAfter(at - now, m_lifetime.Guard([this] { Commit(); }));
+}
+
+void PoolRunner::Commit() {
+  m_is_commit_planned = false;
+  m_is_urgent_commit_planned = false;
+  if (m_is_committing || m_is_lost) {
+    return;
+  }
+  const std::vector<scheduling::ProgressChange> batch =
+      m_scheduler.TakeChanges(kMostChangesPerCommit);
+  if (batch.empty()) {
+    m_scheduler.OnCommitted(batch);
+    Wake();
+    return;
+  }
+  m_is_committing = true;
+  storage::RowTransaction transaction;
+  transaction.expected.push_back(
+      {MakeOwnerKey(m_options.service), m_options.owner_version});
+  for (const scheduling::ProgressChange& change : batch) {
+    const storage::RowKey key = MakeProgressKey(m_options.service, change.job);
+    transaction.expected.push_back({key, m_progress_versions[change.job]});
+    transaction.writes.push_back(
+        {key, scheduling::EncodeProgress(change.progress)});
+    if (scheduling::IsTerminal(change.progress.state)) {
+      transaction.removals.push_back(MakeJobKey(m_options.service, change.job));
+    }
+  }
+  m_store.Commit(
+      std::move(transaction),
+      m_lifetime.Guard([this, batch](const storage::RowCommitResult& result) {
+        OnCommitted(result, batch);
+      }));
+}
+
+void PoolRunner::OnCommitted(
+    const storage::RowCommitResult& result,
+    const std::vector<scheduling::ProgressChange>& batch) {
+  m_is_committing = false;
+  if (result.status == storage::RowCommitStatus::kCommitted) {
+    for (const scheduling::ProgressChange& change : batch) {
+      if (scheduling::IsTerminal(change.progress.state)) {
+        m_progress_versions.erase(change.job);
+        m_ended_jobs.insert(change.job);
+      } else {
+        m_progress_versions[change.job] = result.version;
+      }
+    }
+    if (m_ended_jobs.size() > kMostEndedJobs) {
+      m_ended_jobs.erase(m_ended_jobs.begin());
+    }
+    m_scheduler.OnCommitted(batch);
+    Wake();
+    return;
+  }
+  m_metrics
+      .GetCounter(
+          "shallotwick_progress_commit_retries_total",
+          {{"reason", result.status == storage::RowCommitStatus::kConflict
+                          ? "conflict"
+                          : "no-answer"}})
+      .Increment();
+  if (result.status == storage::RowCommitStatus::kConflict) {
+    ResolveConflict(result, batch);
+  } else {
+    m_commit_not_before = base::RuntimeClock::now() + kCommitRetryDelay;
+  }
+  m_scheduler.OnCommitFailed(batch);
+  Wake();
+}
+
+// Either this owner's own write took effect without an answer, or a caller has
+// cancelled a job, or another host owns the pool.
+void PoolRunner::ResolveConflict(
+    const storage::RowCommitResult& result,
+    const std::vector<scheduling::ProgressChange>& batch) {
+  if (!IsStillOwner(result)) {
+    Lose("the owner's row has changed");
+    return;
+  }
+  std::map<std::string, storage::VersionedRow> current;
+  for (const storage::VersionedRow& row : result.current) {
+    if (row.key.table == GetProgressTable(m_options.service)) {
+      current[row.key.key] = row;
+    }
+  }
+  for (const scheduling::ProgressChange& change : batch) {
+    const auto row = current.find(change.job);
+    const bool is_gone = row == current.end() ||
+                         row->second.version == storage::kNoVersion ||
+                         row->second.is_removed;
+    if (is_gone) {
+      // Only rows that differ may be listed.
+      continue;
+    }
+    const bool is_own =
+        row->second.value == scheduling::EncodeProgress(change.progress);
+    bool is_cancelled = false;
+    try {
+      is_cancelled =
+          !is_own && scheduling::DecodeSummary(row->second.value).state ==
+                         scheduling::JobState::kCancelled;
+    } catch (const std::runtime_error& error) {
+      base::Log(base::events::kStoreContentInvalid,
+                {{"pool", m_options.service},
+                 {"job", change.job},
+                 {"fault", error.what()}});
+    }
+    if (is_cancelled) {
+      m_scheduler.CancelJob(change.job);
+      m_progress_versions.erase(change.job);
+      m_ended_jobs.insert(change.job);
+    } else {
+      m_progress_versions[change.job] = row->second.version;
+    }
+  }
+}
+
+bool PoolRunner::IsStillOwner(const storage::RowCommitResult& result) const {
+  for (const storage::VersionedRow& row : result.current) {
+    if (row.key.table == kOwnerTable) {
+      return row.version == m_options.owner_version;
+    }
+  }
+  return true;
+}
+
+void PoolRunner::Quiesce(std::function<void()> on_quiet) {
+  m_on_quiet = std::move(on_quiet);
+  if (!m_is_loaded) {
+    std::exchange(m_on_quiet, nullptr)();
+    m_is_lost = true;
+    return;
+  }
+  Wake();
+}
+
+void PoolRunner::Lose(const char* reason) {
+  if (m_is_lost) {
+    return;
+  }
+  m_is_lost = true;
+  base::Log(base::events::kPoolLost, {{"pool", m_options.service},
+                                      {"term", std::to_string(m_options.term)},
+                                      {"reason", reason}});
+  m_loop.Post(m_lifetime.Guard([this] { m_on_lost(); }));
+}
+
+void PoolRunner::CountOutcome(const char* order,
+                              scheduling::OrderOutcome outcome) {
+  m_metrics
+      .GetCounter("shallotwick_orders_total",
+                  {{"order", order}, {"outcome", NameOf(outcome)}})
+      .Increment();
+}
+
+void PoolRunner::LogNote(const scheduling::SchedulingNote& note) const {
+  base::Log(base::events::kTaskDecision,
+            {{"pool", m_options.service},
+             {"what", note.what},
+             {"job", note.task.job},
+             {"occurrence", std::to_string(note.task.occurrence)},
+             {"step", std::to_string(note.task.step)},
+             {"index", std::to_string(note.task.index)},
+             {"run", std::to_string(note.run)},
+             {"target", note.target},
+             {"reason", note.reason},
+             {"fence", std::to_string(m_options.owner_version)}});
+}
+
+}  // namespace shallotwick::scheduler
--- /dev/null
+++ b/services/shallotwick-scheduler/pool_runner.h
@@ -0,0 +1,116 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "base/event_loop.h"
+#include "base/metrics.h"
+#include "scheduling/pool_scheduler.h"
+#include "scheduling/serving_config.h"
+#include "scheduling/target_orders.h"
+#include "storage/row_store.h"
+#include "table_follower.h"
+
+namespace shallotwick::scheduler {
+
+struct PoolRunnerOptions {
+  std::string service;
+  // The version of the row that made this host the owner; also the fence.
+  uint64_t owner_version = 0;
+  int64_t term = 1;
+  base::Duration lease = std::chrono::seconds(5);
+  base::Duration longest_stop = std::chrono::milliseconds(1'000);
+};
+
+// Runs one pool that this host owns: carries the pool's jobs, targets and
+// reports to the scheduler, its orders to the targets, and its records to the
+// store.
+class PoolRunner {
+ public:
+  PoolRunner(base::EventLoop& loop, storage::RowStore& store,
+             scheduling::TargetOrders& orders, base::MetricRegistry& metrics,
+             const PoolRunnerOptions& options);
+
+  // Whether this host may give orders at this moment.
+  std::function<bool()> m_may_order;
+  // Another host owns the pool.
+  std::function<void()> m_on_lost;
+  // The registry's targets as of the takeover; later ones come by calls.
+  std::map<std::string, scheduling::TargetEntry> m_targets_at_start;
+
+  void Start();
+  void SetConfig(const scheduling::ServingConfig& config);
+  // All targets of the registry that serve this pool.
+  void SetTargets(
+      const std::map<std::string, scheduling::TargetEntry>& targets);
+  void OnTargetChanged(const scheduling::TargetEntry& entry);
+  void OnTargetRemoved(const std::string& id);
+  // No orders from now on. Calls back once none is without its answer.
+  void Quiesce(std::function<void()> on_quiet);
+
+  scheduling::PoolScheduler& GetScheduler() { return m_scheduler; }
+  bool IsLoaded() const { return m_is_loaded; }
+  const PoolRunnerOptions& GetOptions() const { return m_options; }
+  // Acts on what has changed, soon.
+  void Wake();
+
+ private:
+  void ReadRoster();
+  void ReadProgress();
+  void OnJobsReset(const std::vector<storage::VersionedRow>& rows);
+  void OnJobChanged(const storage::VersionedRow& row);
+  void AddJob(const storage::VersionedRow& row, bool predates_ownership);
+  void WriteRoster();
+  void OnRosterWritten(const storage::RowCommitResult& result,
+                       const std::map<std::string, std::string>& roster);
+
+  void Tick();
+  void Act();
+  void SendReports(base::TimePoint now);
+  void SendOrders(const scheduling::PoolOrders& orders);
+  void CommitSoon();
+  void Commit();
+  void OnCommitted(const storage::RowCommitResult& result,
+                   const std::vector<scheduling::ProgressChange>& batch);
+  void ResolveConflict(const storage::RowCommitResult& result,
+                       const std::vector<scheduling::ProgressChange>& batch);
+  bool IsStillOwner(const storage::RowCommitResult& result) const;
+  void Lose(const char* reason);
+  void CountOutcome(const char* order, scheduling::OrderOutcome outcome);
+  void LogNote(const scheduling::SchedulingNote& note) const;
+
+  base::EventLoop& m_loop;
+  storage::RowStore& m_store;
+  scheduling::TargetOrders& m_orders;
+  base::MetricRegistry& m_metrics;
+  PoolRunnerOptions m_options;
+  scheduling::PoolScheduler m_scheduler;
+  TableFollower m_jobs;
+  base::TimePoint m_started;
+  // Versions of the progress rows of the jobs that are held.
+  std::map<std::string, uint64_t> m_progress_versions;
+  // Progress as read at the takeover, until the jobs are read.
+  std::map<std::string, storage::VersionedRow> m_loaded_progress;
+  // Jobs that have ended; the feed may bring their rows again.
+  std::set<std::string> m_ended_jobs;
+  uint64_t m_roster_version = storage::kNoVersion;
+  std::map<std::string, std::string> m_stored_roster;
+  bool m_is_roster_read = false;
+  bool m_is_writing_roster = false;
+  bool m_is_loaded = false;
+  bool m_is_lost = false;
+  bool m_is_waking = false;
+  bool m_is_commit_planned = false;
+  bool m_is_urgent_commit_planned = false;
+  bool m_is_committing = false;
+  base::TimePoint m_commit_not_before;
+  int m_orders_in_flight = 0;
+  std::function<void()> m_on_quiet;
+  base::Lifetime m_lifetime;
+};
+
+}  // namespace shallotwick::scheduler
--- /dev/null
+++ b/services/shallotwick-scheduler/scheduler_process.cc
@@ -0,0 +1,339 @@
+#include "scheduler_process.h"
+
+#include <csignal>
+#include <stdexcept>
+#include <utility>
+
+#include "base/log.h"
+#include "base/log_catalogue.h"
+#include "base/program.h"
+#include "base/random_identifier.h"
+#include "job_tables.h"
+#include "platform/names.h"
+#include "platform/operator_codec.h"
+
+namespace shallotwick::scheduler {
+namespace {
+
+// Long polls of the tables and calls beside them.
+constexpr int kStoreConnections = 32;
+// One for the report that waits and a few for orders; each new connection to a
+// target has its price.
+constexpr int kConnectionsPerTarget = 4;
+// Changes of the registry gather so long; a target that drains must be known
+// within the platform's drain time.
+constexpr auto kRegistryPause = std::chrono::milliseconds(300);
+// The lease is renewed about each second; a longer one only keeps the tasks of
+// a silent target waiting.
+constexpr auto kWantedLease = std::chrono::milliseconds(5'000);
+// The balancer takes a host out after two failed probes, one a second.
+constexpr auto kBalancerDelay = std::chrono::milliseconds(2'600);
+constexpr auto kStopCheckPeriod = std::chrono::milliseconds(50);
+// Kept back from the time that the platform gives to a stop.
+constexpr auto kStopMargin = std::chrono::milliseconds(800);
+
+base::Duration GetMilliseconds(const base::Settings& settings,
+                               const std::string& name) {
+  return std::chrono::milliseconds(settings.GetInteger(name));
+}
+
+http::ServerOptions MakeServerOptions(const std::string& address) {
+  http::ServerOptions options;
+  options.listen = base::ParseEndpoint(address);
+  options.threads = 1;
+  return options;
+}
+
+}  // namespace
+
+std::vector<base::SettingDeclaration> GetSettings() {
+  const auto milliseconds = base::CheckInteger(1, 600'000);
+  std::vector<base::SettingDeclaration> settings = {
+      {"name", "NAME", "name of this host", std::nullopt, base::CheckNotEmpty},
+      {"listen", "IP:PORT", "where callers hand in jobs", std::nullopt,
+       base::CheckAddress},
+      {"ready-listen", "IP:PORT", "where the balancer asks for readiness",
+       std::nullopt, base::CheckAddress},
+      {"store", "IP:PORT", "address of the platform's store", std::nullopt,
+       base::CheckAddress},
+      {"store-timeout-ms", "MILLISECONDS", "wait for an answer of the store",
+       "900", milliseconds},
+      {"order-timeout-ms", "MILLISECONDS",
+       "wait for a target's answer to an order", "800", milliseconds},
+      {"longest-lease-ms", "MILLISECONDS",
+       "the longest lease that targets grant", "10000", milliseconds},
+      {"longest-stop-ms", "MILLISECONDS",
+       "the longest time that a target takes to stop a run", "1000",
+       milliseconds},
+      {"stop-grace-s", "SECONDS", "time from SIGTERM to SIGKILL", "6",
+       base::CheckInteger(1, 600)}};
+  for (const base::SettingDeclaration& setting : base::GetLogSettings()) {
+    settings.push_back(setting);
+  }
+  return settings;
+}
+
+SchedulerProcess::SchedulerProcess(const base::Settings& settings)
+    : m_store_client(m_loop.GetContext(), kStoreConnections),
+      m_target_client(m_loop.GetContext(), kConnectionsPerTarget),
+      m_store(
+          m_store_client, settings.GetString("store"),
+          std::chrono::milliseconds(settings.GetInteger("store-timeout-ms"))),
+      m_orders(m_target_client, std::chrono::milliseconds(
+                                    settings.GetInteger("order-timeout-ms"))),
+      m_session(m_loop, m_store, settings.GetString("name"),
+                base::MakeRandomIdentifier()),
+      m_ownership(m_loop, m_store, m_session),
+      m_operator_table(m_loop, m_store,
+                       {platform::kOperatorTable, {platform::kSharedPart}}),
+      m_registry(
+          m_loop, m_store,
+          {platform::kRegistryTable, {platform::kSharedPart}, kRegistryPause}),
+      m_jobs(m_loop, m_store),
+      m_api(m_jobs, m_metrics),
+      m_lease(std::min(base::Duration(kWantedLease),
+                       GetMilliseconds(settings, "longest-lease-ms"))),
+      m_longest_stop(GetMilliseconds(settings, "longest-stop-ms")),
+      m_stop_grace(std::chrono::seconds(settings.GetInteger("stop-grace-s"))),
+      m_signals(m_loop.GetContext(), SIGTERM, SIGINT, SIGHUP) {
+  m_session.m_on_reading = [this] { m_ownership.Reconsider(); };
+  m_session.m_on_replaced = [this] {
+    base::Log(base::events::kSessionReplaced);
+    m_loop.Stop();
+  };
+  m_ownership.m_on_gained = [this](const std::string& pool, uint64_t version,
+                                   int64_t term) {
+    StartPool(pool, version, term);
+  };
+  m_ownership.m_on_lost = [this](const std::string& pool) {
+    base::Log(base::events::kPoolLost,
+              {{"pool", pool}, {"reason", "another owner"}});
+    m_pools.erase(pool);
+  };
+  m_operator_table.m_on_reset =
+      [this](const std::vector<storage::VersionedRow>& rows) {
+        for (const storage::VersionedRow& row : rows) {
+          OnOperatorRow(row);
+        }
+      };
+  m_operator_table.m_on_change = [this](const storage::VersionedRow& row) {
+    OnOperatorRow(row);
+  };
+  m_registry.m_on_reset =
+      [this](const std::vector<storage::VersionedRow>& rows) {
+        OnRegistryReset(rows);
+      };
+  m_registry.m_on_change = [this](const storage::VersionedRow& row) {
+    OnRegistryRow(row);
+  };
+  m_api.m_get_config = [this] { return m_config ? &*m_config : nullptr; };
+  m_api.m_is_store_reachable = [this] {
+    return m_session.IsStoreReachable(base::RuntimeClock::now());
+  };
+  m_front = std::make_unique<http::Server>(
+      MakeServerOptions(settings.GetString("listen")),
+      [this](http::Request request, http::Respond respond) {
+        m_loop.Post(
+            [this, request = std::move(request), respond = std::move(respond)] {
+              m_api.Handle(request, respond);
+            });
+      });
+  m_ready = std::make_unique<http::Server>(
+      MakeServerOptions(settings.GetString("ready-listen")),
+      [this](const http::Request& request, http::Respond respond) {
+        m_loop.Post([this, path = http::GetPath(request.target),
+                     respond = std::move(respond)] {
+          if (path == "/metrics") {
+            http::Response response;
+            response.body = m_metrics.FormatExposition();
+            respond(response);
+            return;
+          }
+          respond(http::MakeJsonResponse(IsReady() ? 200 : 503, "{}"));
+        });
+      });
+}
+
+SchedulerProcess::~SchedulerProcess() = default;
+
+void SchedulerProcess::Run() {
+  base::Log(base::events::kStarted,
+            {{"host", m_session.GetSelf().host},
+             {"incarnation", m_session.GetSelf().boot}});
+  WaitForSignal();
+  m_session.Start();
+  m_operator_table.Start();
+  m_registry.Start();
+  m_loop.Run();
+  m_front->Stop();
+  m_ready->Stop();
+  base::Log(base::events::kStopped);
+}
+
+void SchedulerProcess::WaitForSignal() {
+  m_signals.async_wait([this](const std::error_code& error, int signal) {
+    if (error) {
+      return;
+    }
+    // All settings come from the command line, so there is nothing to reload.
+    if (signal != SIGHUP) {
+      Stop();
+    }
+    WaitForSignal();
+  });
+}
+
+bool SchedulerProcess::IsReady() const {
+  return !m_is_stopping && m_config &&
+         m_session.IsStoreReachable(base::RuntimeClock::now());
+}
+
+void SchedulerProcess::OnOperatorRow(const storage::VersionedRow& row) {
+  if (row.is_removed) {
+    return;
+  }
+  if (row.key.key == platform::kConfigKey) {
+    SetConfig(row.value);
+  }
+}
+
+void SchedulerProcess::SetConfig(const std::string& text) {
+  try {
+    scheduling::ServingConfig config = platform::DecodeConfig(text);
+    if (m_config && config.version <= m_config->version) {
+      return;
+    }
+    m_config = std::move(config);
+  } catch (const std::runtime_error& error) {
+    base::Log(base::events::kStoreContentInvalid,
+              {{"row", "config"}, {"fault", error.what()}});
+    return;
+  }
+  base::Log(base::events::kConfigInForce,
+            {{"version", std::to_string(m_config->version)},
+             {"routes", std::to_string(m_config->routes.size())}});
+  m_ownership.SetPools(m_config->services);
+  for (const auto& [pool, runner] : m_pools) {
+    runner->SetConfig(*m_config);
+  }
+}
+
+void SchedulerProcess::OnRegistryReset(
+    const std::vector<storage::VersionedRow>& rows) {
+  m_targets.clear();
+  for (const storage::VersionedRow& row : rows) {
+    auto entry = platform::DecodeTarget(row.key.key, row.value);
+    if (entry) {
+      m_targets[entry->id] = std::move(*entry);
+    }
+  }
+  for (const auto& [pool, runner] : m_pools) {
+    std::map<std::string, scheduling::TargetEntry> targets;
+    for (const auto& [id, entry] : m_targets) {
+      if (entry.service == pool) {
+        targets[id] = entry;
+      }
+    }
+    runner->SetTargets(targets);
+  }
+}
+
+void SchedulerProcess::OnRegistryRow(const storage::VersionedRow& row) {
+  const std::string& id = row.key.key;
+  std::optional<scheduling::TargetEntry> entry;
+  if (!row.is_removed) {
+    entry = platform::DecodeTarget(id, row.value);
+  }
+  const auto before = m_targets.find(id);
+  const bool has_left = before != m_targets.end() &&
+                        (!entry || entry->service != before->second.service);
+  if (has_left) {
+    const auto runner = m_pools.find(before->second.service);
+    if (runner != m_pools.end()) {
+      runner->second->OnTargetRemoved(id);
+    }
+    m_targets.erase(before);
+  }
+  if (!entry) {
+    return;
+  }
+  m_targets[id] = *entry;
+  const auto runner = m_pools.find(entry->service);
+  if (runner != m_pools.end()) {
+    runner->second->OnTargetChanged(*entry);
+  }
+}
+
+void SchedulerProcess::StartPool(const std::string& pool, uint64_t version,
+                                 int64_t term) {
+  PoolRunnerOptions options;
+  options.service = pool;
+  options.owner_version = version;
+  options.term = term;
+  options.lease = m_lease;
+  options.longest_stop = m_longest_stop;
+  auto runner = std::make_unique<PoolRunner>(m_loop, m_store, m_orders,
+                                             m_metrics, options);
+  runner->m_may_order = [this] {
+    return m_session.IsSafe(base::RuntimeClock::now());
+  };
+  runner->m_on_lost = [this, pool] { m_pools.erase(pool); };
+  runner->SetConfig(*m_config);
+  std::map<std::string, scheduling::TargetEntry> targets;
+  for (const auto& [id, entry] : m_targets) {
+    if (entry.service == pool) {
+      targets[id] = entry;
+    }
+  }
+  runner->m_targets_at_start = std::move(targets);
+  runner->Start();
+  m_pools[pool] = std::move(runner);
+}
+
+void SchedulerProcess::Stop() {
+  if (m_is_stopping) {
+    return;
+  }
+  base::Log(base::events::kStopping);
+  m_is_stopping = true;
+  m_stop_began = base::RuntimeClock::now();
+  m_front->CloseConnectionsAfterAnswers();
+  m_ownership.StopClaiming();
+  ReleasePools();
+}
+
+void SchedulerProcess::ReleasePools() {
+  m_pools_to_release = m_pools.size();
+  if (m_pools.empty()) {
+    m_session.Release();
+    EndWhenAnswered();
+    return;
+  }
+  for (const auto& [pool, runner] : m_pools) {
+    runner->Quiesce([this, pool = pool] {
+      base::Log(base::events::kPoolReleased, {{"pool", pool}});
+      m_ownership.Release(pool, [this] { OnPoolReleased(); });
+    });
+  }
+  EndWhenAnswered();
+}
+
+void SchedulerProcess::OnPoolReleased() {
+  if (--m_pools_to_release == 0) {
+    m_session.Release();
+  }
+}
+
+void SchedulerProcess::EndWhenAnswered() {
+  const auto now = base::RuntimeClock::now();
+  const bool is_done = now >= m_stop_began + kBalancerDelay &&
+                       m_pools_to_release == 0 &&
+                       m_front->GetUnansweredCount() == 0;
+  if (is_done || now >= m_stop_began + m_stop_grace - kStopMargin) {
+    m_loop.Stop();
+    return;
+  }
+  m_loop.RunAfter(kStopCheckPeriod, [this] { EndWhenAnswered(); });
+}
+
+}  // namespace shallotwick::scheduler
--- /dev/null
+++ b/services/shallotwick-scheduler/scheduler_process.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/event_loop.h"
+#include "base/metrics.h"
+#include "base/settings.h"
+#include "http/client.h"
+#include "http/server.h"
+#include "job_api.h"
+#include "job_service.h"
+#include "ownership_manager.h"
+#include "platform/row_store_client.h"
+#include "platform/target_orders_client.h"
+#include "pool_runner.h"
+#include "session_keeper.h"
+#include "table_follower.h"
+
+namespace shallotwick::scheduler {
+
+std::vector<base::SettingDeclaration> GetSettings();
+
+// One host's process: callers' interface to jobs, and the pools that this host
+// owns.
+class SchedulerProcess {
+ public:
+  explicit SchedulerProcess(const base::Settings& settings);
+  ~SchedulerProcess();
+
+  // Runs until SIGTERM or SIGINT and what follows it is done.
+  void Run();
+
+ private:
+  void WaitForSignal();
+  void OnOperatorRow(const storage::VersionedRow& row);
+  void SetConfig(const std::string& text);
+  void OnRegistryReset(const std::vector<storage::VersionedRow>& rows);
+  void OnRegistryRow(const storage::VersionedRow& row);
+  void StartPool(const std::string& pool, uint64_t version, int64_t term);
+  bool IsReady() const;
+  void Stop();
+  void ReleasePools();
+  void OnPoolReleased();
+  void EndWhenAnswered();
+
+  base::EventLoop m_loop;
+  base::MetricRegistry m_metrics;
+  http::Client m_store_client;
+  http::Client m_target_client;
+  platform::RowStoreClient m_store;
+  platform::TargetOrdersClient m_orders;
+  SessionKeeper m_session;
+  OwnershipManager m_ownership;
+  TableFollower m_operator_table;
+  TableFollower m_registry;
+  JobService m_jobs;
+  JobApi m_api;
+  base::Duration m_lease;
+  base::Duration m_longest_stop;
+  base::Duration m_stop_grace;
+  std::optional<scheduling::ServingConfig> m_config;
+  std::map<std::string, scheduling::TargetEntry> m_targets;
+  std::map<std::string, std::unique_ptr<PoolRunner>> m_pools;
+  size_t m_pools_to_release = 0;
+  bool m_is_stopping = false;
+  base::TimePoint m_stop_began;
+  asio::signal_set m_signals;
+  std::unique_ptr<http::Server> m_front;
+  std::unique_ptr<http::Server> m_ready;
+};
+
+}  // namespace shallotwick::scheduler
--- /dev/null
+++ b/services/shallotwick-scheduler/session_keeper.cc
@@ -0,0 +1,135 @@
+#include "session_keeper.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "base/log.h"
+#include "base/log_catalogue.h"
+#include "job_tables.h"
+
+namespace shallotwick::scheduler {
+namespace {
+
+constexpr auto kRenewPeriod = std::chrono::milliseconds(700);
+constexpr auto kRetryPeriod = std::chrono::milliseconds(150);
+constexpr auto kReadPeriod = std::chrono::milliseconds(700);
+// A session that stands still for so long has lapsed. Several renewals fit in,
+// so that lost answers alone do not end it.
+constexpr auto kTimeToLive = std::chrono::milliseconds(2'800);
+// A holder stops giving orders so long after it sent its last renewal; the rest
+// of the time to live covers clocks that differ and orders on their way.
+constexpr auto kHolderWindow = std::chrono::milliseconds(2'200);
+constexpr auto kStoreReachableWindow = std::chrono::milliseconds(2'000);
+
+ownership::SessionRow DecodeSession(const storage::VersionedRow& row) {
+  ownership::SessionRow session;
+  session.holder.host = row.key.key;
+  session.version = row.version;
+  const auto object = nlohmann::json::parse(row.value, nullptr, false);
+  if (object.is_object()) {
+    session.holder.boot = object.value("boot", "");
+  }
+  return session;
+}
+
+}  // namespace
+
+SessionKeeper::SessionKeeper(base::EventLoop& loop, storage::RowStore& store,
+                             std::string host, std::string boot)
+    : m_loop(loop),
+      m_store(store),
+      m_self{std::move(host), std::move(boot)},
+      m_watch(kTimeToLive) {}
+
+void SessionKeeper::Start() {
+  Renew();
+  ReadSessions();
+}
+
+bool SessionKeeper::IsSafe(base::TimePoint now) const {
+  return m_has_session && !m_is_released && now < m_renewed_at + kHolderWindow;
+}
+
+bool SessionKeeper::IsStoreReachable(base::TimePoint now) const {
+  return m_has_session && now < m_renewed_at + kStoreReachableWindow;
+}
+
+void SessionKeeper::Renew() {
+  if (m_is_released) {
+    return;
+  }
+  ++m_renewals;
+  const std::string value =
+      nlohmann::json{{"boot", m_self.boot}, {"renewals", m_renewals}}.dump();
+  storage::RowTransaction transaction;
+  const storage::RowKey key = MakeSessionKey(m_self.host);
+  transaction.expected = {{key, m_version}};
+  transaction.writes = {{key, value}};
+  m_store.Commit(std::move(transaction),
+                 m_lifetime.Guard([this, sent = base::RuntimeClock::now()](
+                                      const storage::RowCommitResult& result) {
+                   OnRenewed(result, sent);
+                 }));
+}
+
+void SessionKeeper::OnRenewed(const storage::RowCommitResult& result,
+                              base::TimePoint sent) {
+  auto next = base::Duration(kRetryPeriod);
+  if (result.status == storage::RowCommitStatus::kCommitted) {
+    m_version = result.version;
+    m_has_session = true;
+    m_renewed_at = sent;
+    next = kRenewPeriod;
+  } else if (result.status == storage::RowCommitStatus::kConflict) {
+    const storage::VersionedRow row =
+        result.current.empty() ? storage::VersionedRow{} : result.current[0];
+    const bool is_own = DecodeSession(row).holder.boot == m_self.boot;
+    if (m_has_session && !is_own && row.version != storage::kNoVersion &&
+        !row.is_removed) {
+      m_on_replaced();
+      return;
+    }
+    // An earlier renewal took effect without an answer, or a former process of
+    // this host left its row.
+    m_version = row.is_removed ? storage::kNoVersion : row.version;
+    next = base::Duration(0);
+  }
+  m_loop.RunAfter(next, m_lifetime.Guard([this] { Renew(); }));
+}
+
+void SessionKeeper::ReadSessions() {
+  if (m_is_released) {
+    return;
+  }
+  storage::RowRange range;
+  range.table = kSessionTable;
+  range.part = kSinglePart;
+  m_store.Read(range,
+               m_lifetime.Guard([this](const storage::RowReadResult& result) {
+                 OnSessions(result);
+               }));
+}
+
+void SessionKeeper::OnSessions(const storage::RowReadResult& result) {
+  if (result.is_read) {
+    std::map<std::string, ownership::SessionRow> sessions;
+    for (const storage::VersionedRow& row : result.rows) {
+      sessions[row.key.key] = DecodeSession(row);
+    }
+    m_watch.Observe(sessions, base::RuntimeClock::now());
+    m_on_reading();
+  }
+  m_loop.RunAfter(kReadPeriod, m_lifetime.Guard([this] { ReadSessions(); }));
+}
+
+void SessionKeeper::Release() {
+  m_is_released = true;
+  storage::RowTransaction transaction;
+  const storage::RowKey key = MakeSessionKey(m_self.host);
+  transaction.expected = {{key, m_version}};
+  transaction.removals = {key};
+  m_store.Commit(std::move(transaction),
+                 [](const storage::RowCommitResult& /*result*/) {});
+}
+
+}  // namespace shallotwick::scheduler
--- /dev/null
+++ b/services/shallotwick-scheduler/session_keeper.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <functional>
+#include <string>
+
+#include "base/event_loop.h"
+#include "ownership/session_watch.h"
+#include "storage/row_store.h"
+
+namespace shallotwick::scheduler {
+
+// Renews this host's session in the store and watches those of the others.
+class SessionKeeper {
+ public:
+  SessionKeeper(base::EventLoop& loop, storage::RowStore& store,
+                std::string host, std::string boot);
+
+  // After each reading of the sessions.
+  std::function<void()> m_on_reading;
+  // Another process holds this host's session.
+  std::function<void()> m_on_replaced;
+
+  void Start();
+  // Gives the session up, so that others need not wait for it to lapse.
+  void Release();
+
+  const ownership::Incarnation& GetSelf() const { return m_self; }
+  const ownership::SessionWatch& GetWatch() const { return m_watch; }
+  // No other host can take this one's session for lapsed yet.
+  bool IsSafe(base::TimePoint now) const;
+  // The store answered lately.
+  bool IsStoreReachable(base::TimePoint now) const;
+
+ private:
+  void Renew();
+  void OnRenewed(const storage::RowCommitResult& result, base::TimePoint sent);
+  void ReadSessions();
+  void OnSessions(const storage::RowReadResult& result);
+
+  base::EventLoop& m_loop;
+  storage::RowStore& m_store;
+  ownership::Incarnation m_self;
+  ownership::SessionWatch m_watch;
+  uint64_t m_version = storage::kNoVersion;
+  int64_t m_renewals = 0;
+  bool m_has_session = false;
+  bool m_is_released = false;
+  base::TimePoint m_renewed_at;
+  base::Lifetime m_lifetime;
+};
+
+}  // namespace shallotwick::scheduler
--- /dev/null
+++ b/services/shallotwick-scheduler/table_follower.cc
@@ -0,0 +1,120 @@
+#include "table_follower.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/random_identifier.h"
+
+namespace shallotwick::scheduler {
+namespace {
+
+// One question waits so long for a change; the store takes up to 30 s. Shorter
+// ones notice a silent connection sooner.
+constexpr auto kFeedWait = std::chrono::milliseconds(3'000);
+// After a failure; spread, so that hosts do not come back together.
+constexpr auto kRetryAfter = std::chrono::milliseconds(200);
+
+}  // namespace
+
+TableFollower::TableFollower(base::EventLoop& loop, storage::RowStore& store,
+                             TableFollowerOptions options)
+    : m_loop(loop), m_store(store), m_options(std::move(options)) {}
+
+void TableFollower::Start() {
+  ++m_generation;
+  m_loading.clear();
+  m_next_part = 0;
+  ReadNextPart();
+}
+
+void TableFollower::Restart(std::vector<std::string> parts) {
+  m_options.parts = std::move(parts);
+  Start();
+}
+
+void TableFollower::ReadNextPart() {
+  if (m_next_part == m_options.parts.size()) {
+    m_is_loaded = true;
+    m_on_reset(m_loading);
+    m_loading.clear();
+    if (!m_options.parts.empty()) {
+      Follow();
+    }
+    return;
+  }
+  storage::ReadWholePart(
+      m_store, m_options.table, m_options.parts[m_next_part],
+      m_lifetime.Guard([this, generation = m_generation](
+                           const storage::RowReadResult& result) {
+        if (generation != m_generation) {
+          return;
+        }
+        if (!result.is_read) {
+          RetryAfterPause(&TableFollower::ReadNextPart);
+          return;
+        }
+        m_version = m_next_part == 0 ? result.version
+                                     : std::min(m_version, result.version);
+        m_loading.insert(m_loading.end(), result.rows.begin(),
+                         result.rows.end());
+        ++m_next_part;
+        ReadNextPart();
+      }));
+}
+
+void TableFollower::Follow() {
+  m_store.Follow(m_options.table, m_version, kFeedWait,
+                 m_lifetime.Guard([this, generation = m_generation](
+                                      const storage::RowFeedResult& result) {
+                   if (generation == m_generation) {
+                     OnFeed(result);
+                   }
+                 }));
+}
+
+void TableFollower::OnFeed(const storage::RowFeedResult& result) {
+  switch (result.status) {
+    case storage::FeedStatus::kHistoryGone:
+      Start();
+      return;
+    case storage::FeedStatus::kFailed:
+      RetryAfterPause(&TableFollower::Follow);
+      return;
+    case storage::FeedStatus::kRead:
+      break;
+  }
+  const int generation = m_generation;
+  m_version = std::max(m_version, result.version);
+  for (const storage::VersionedRow& row : result.rows) {
+    m_on_change(row);
+    if (generation != m_generation) {
+      return;
+    }
+  }
+  const bool pauses =
+      m_options.pause > base::Duration(0) && !result.rows.empty();
+  if (!pauses) {
+    Follow();
+    return;
+  }
+  m_loop.RunAfter(m_options.pause,
+                  m_lifetime.Guard([this, generation = m_generation] {
+                    if (generation == m_generation) {
+                      Follow();
+                    }
+                  }));
+}
+
+void TableFollower::RetryAfterPause(void (TableFollower::*step)()) {
+  const auto delay = base::Duration(static_cast<int64_t>(
+      static_cast<double>(base::Duration(kRetryAfter).count()) *
+      (0.5 + base::MakeRandomFraction())));
+  m_loop.RunAfter(delay,
+                  m_lifetime.Guard([this, step, generation = m_generation] {
+                    if (generation == m_generation) {
+                      (this->*step)();
+                    }
+                  }));
+}
+
+}  // namespace shallotwick::scheduler
--- /dev/null
+++ b/services/shallotwick-scheduler/table_follower.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "base/event_loop.h"
+#include "storage/row_store.h"
+
+namespace shallotwick::scheduler {
+
+struct TableFollowerOptions {
+  std::string table;
+  // The parts that are read at the start and after a loss of history.
+  std::vector<std::string> parts;
+  // Between an answer and the next question, so that changes gather.
+  base::Duration pause{0};
+};
+
+// Keeps up with a table: reads its parts, then follows its changes, and reads
+// them again when the store has dropped the history in between.
+class TableFollower {
+ public:
+  TableFollower(base::EventLoop& loop, storage::RowStore& store,
+                TableFollowerOptions options);
+
+  // All rows of the parts as of one moment each.
+  std::function<void(const std::vector<storage::VersionedRow>&)> m_on_reset;
+  std::function<void(const storage::VersionedRow&)> m_on_change;
+
+  void Start();
+  // Reads from anew, with these parts.
+  void Restart(std::vector<std::string> parts);
+  bool IsLoaded() const { return m_is_loaded; }
+
+ private:
+  void ReadNextPart();
+  void Follow();
+  void RetryAfterPause(void (TableFollower::*step)());
+  void OnFeed(const storage::RowFeedResult& result);
+
+  base::EventLoop& m_loop;
+  storage::RowStore& m_store;
+  TableFollowerOptions m_options;
+  std::vector<storage::VersionedRow> m_loading;
+  size_t m_next_part = 0;
+  uint64_t m_version = 0;
+  // Answers to questions from before a restart are dropped.
+  int m_generation = 0;
+  bool m_is_loaded = false;
+  base::Lifetime m_lifetime;
+};
+
+}  // namespace shallotwick::scheduler
--- a/tests/bench/fleet_simulation.cc
+++ b/tests/bench/fleet_simulation.cc
@@ -7,8 +7,8 @@
 namespace shallotwick::bench {
 namespace {
 
-using platform::ListedStatus;
 using records::HostState;
+using storage::ListedStatus;
 
 constexpr auto kStep = std::chrono::seconds(30);
 constexpr int kLongestSettle = 2'000;
@@ -31,7 +31,7 @@
 void FleetSimulation::ListHosts(const FleetShape& shape) {
   for (int number = 0; number < shape.hosts; ++number) {
     const int rack = number / shape.hosts_per_rack;
-    platform::ListedHost host;
+    storage::ListedHost host;
     host.name = "host-" + std::to_string(number);
     host.address = "10.0.0.1:8080";
     host.data_centre = DataCentreName(rack % shape.data_centres);
@@ -111,7 +111,7 @@
       if (entry.second > m_input.now) {
         return false;
       }
-      platform::ListedHost& host = m_input.listed.at(entry.first);
+      storage::ListedHost& host = m_input.listed.at(entry.first);
       host.status = ListedStatus::kLive;
       host.boot_id += "+";
       return true;
--- a/tests/fakes/fake_host_list.cc
+++ b/tests/fakes/fake_host_list.cc
@@ -4,9 +4,9 @@
 
 namespace shallotwick::fakes {
 
-std::vector<platform::ListedHost> FakeHostList::List() {
+std::vector<storage::ListedHost> FakeHostList::List() {
   std::lock_guard<std::mutex> lock(m_mutex);
-  std::vector<platform::ListedHost> hosts;
+  std::vector<storage::ListedHost> hosts;
   for (const auto& [name, host] : m_hosts) {
     hosts.push_back(host);
   }
@@ -19,10 +19,10 @@
     std::lock_guard<std::mutex> lock(m_mutex);
     const auto found = m_hosts.find(host);
     if (found == m_hosts.end() || found->second.boot_id != boot_id ||
-        found->second.status == platform::ListedStatus::kDead) {
+        found->second.status == storage::ListedStatus::kDead) {
       return;
     }
-    found->second.status = platform::ListedStatus::kDead;
+    found->second.status = storage::ListedStatus::kDead;
     on_reboot = m_on_reboot;
   }
   if (on_reboot) {
@@ -30,7 +30,7 @@
   }
 }
 
-void FakeHostList::Put(const platform::ListedHost& host) {
+void FakeHostList::Put(const storage::ListedHost& host) {
   std::lock_guard<std::mutex> lock(m_mutex);
   m_hosts[host.name] = host;
 }
@@ -41,15 +41,15 @@
 }
 
 void FakeHostList::SetStatus(const std::string& host,
-                             platform::ListedStatus status) {
+                             storage::ListedStatus status) {
   std::lock_guard<std::mutex> lock(m_mutex);
   m_hosts.at(host).status = status;
 }
 
 void FakeHostList::FinishReboot(const std::string& host) {
   std::lock_guard<std::mutex> lock(m_mutex);
-  platform::ListedHost& listed = m_hosts.at(host);
-  listed.status = platform::ListedStatus::kLive;
+  storage::ListedHost& listed = m_hosts.at(host);
+  listed.status = storage::ListedStatus::kLive;
   listed.boot_id += "+";
 }
 
--- a/tests/fakes/fake_host_list.h
+++ b/tests/fakes/fake_host_list.h
@@ -6,33 +6,33 @@
 #include <string>
 #include <vector>
 
-#include "platform/host_list.h"
-#include "platform/object_store.h"
+#include "storage/host_list.h"
+#include "storage/object_store.h"
 
 namespace shallotwick::fakes {
 
 // A host list and host control in memory. A host that is rebooted is listed as
 // dead until FinishReboot(). Safe to use from several threads.
-class FakeHostList : public platform::HostList, public platform::HostControl {
+class FakeHostList : public storage::HostList, public storage::HostControl {
  public:
-  std::vector<platform::ListedHost> List() override;
+  std::vector<storage::ListedHost> List() override;
   void Reboot(const std::string& host, const std::string& boot_id) override;
 
-  void Put(const platform::ListedHost& host);
+  void Put(const storage::ListedHost& host);
   void Remove(const std::string& host);
-  void SetStatus(const std::string& host, platform::ListedStatus status);
+  void SetStatus(const std::string& host, storage::ListedStatus status);
   void FinishReboot(const std::string& host);
   // Called with the host's name when a reboot begins.
   void SetOnReboot(std::function<void(const std::string&)> on_reboot);
 
  private:
   std::mutex m_mutex;
-  std::map<std::string, platform::ListedHost> m_hosts;
+  std::map<std::string, storage::ListedHost> m_hosts;
   std::function<void(const std::string&)> m_on_reboot;
 };
 
 // An object store in memory.
-class FakeObjectStore : public platform::ObjectStore {
+class FakeObjectStore : public storage::ObjectStore {
  public:
   void Put(const std::string& key, const std::string& value) override;
   std::optional<std::string> Get(const std::string& key) override;
--- a/tests/fakes/fake_table_service.cc
+++ b/tests/fakes/fake_table_service.cc
@@ -7,15 +7,15 @@
 
 namespace shallotwick::fakes {
 
-std::vector<platform::Row> FakeTableService::Read(
-    const platform::ReadRequest& request) {
+std::vector<storage::Row> FakeTableService::Read(
+    const storage::ReadRequest& request) {
   const TableFault fault = ChooseFault(false);
   if (fault != TableFault::kNone) {
-    throw platform::Unavailable("the fake table service does not answer");
+    throw storage::Unavailable("the fake table service does not answer");
   }
   std::lock_guard<std::mutex> lock(m_mutex);
   ++m_reads;
-  std::map<std::string, platform::Row> found;
+  std::map<std::string, storage::Row> found;
   for (const std::string& key : request.keys) {
     const auto row = m_rows.find(key);
     if (row != m_rows.end()) {
@@ -30,7 +30,7 @@
       found.insert(*row);
     }
   }
-  std::vector<platform::Row> rows;
+  std::vector<storage::Row> rows;
   rows.reserve(found.size());
   for (auto& [key, row] : found) {
     rows.push_back(std::move(row));
@@ -38,8 +38,8 @@
   return rows;
 }
 
-platform::CommitResult FakeTableService::Commit(
-    const platform::Transaction& transaction) {
+storage::CommitResult FakeTableService::Commit(
+    const storage::Transaction& transaction) {
   std::function<void()> before_commit;
   {
     std::lock_guard<std::mutex> lock(m_mutex);
@@ -50,23 +50,23 @@
   }
   const TableFault fault = ChooseFault(true);
   if (fault == TableFault::kDown) {
-    throw platform::Unavailable("the fake table service does not answer");
+    throw storage::Unavailable("the fake table service does not answer");
   }
-  platform::CommitResult result;
+  storage::CommitResult result;
   {
     std::lock_guard<std::mutex> lock(m_mutex);
     ++m_commits;
-    for (const platform::Condition& condition : transaction.conditions) {
+    for (const storage::Condition& condition : transaction.conditions) {
       if (!Holds(condition)) {
-        result.status = platform::CommitStatus::kConflict;
+        result.status = storage::CommitStatus::kConflict;
         result.conflicting_keys.push_back(condition.key);
       }
     }
-    if (result.status == platform::CommitStatus::kCommitted) {
+    if (result.status == storage::CommitStatus::kCommitted) {
       result.generation = ++m_commit_number;
-      for (const platform::Write& write : transaction.writes) {
+      for (const storage::Write& write : transaction.writes) {
         if (write.value) {
-          m_rows[write.key] = platform::Row{
+          m_rows[write.key] = storage::Row{
               write.key, *write.value, m_commit_number, transaction.write_id};
         } else {
           m_rows.erase(write.key);
@@ -75,16 +75,16 @@
     }
   }
   if (fault == TableFault::kAnswerLost) {
-    throw platform::Unavailable("the fake table service's answer was lost");
+    throw storage::Unavailable("the fake table service's answer was lost");
   }
   return result;
 }
 
-bool FakeTableService::Holds(const platform::Condition& condition) const {
+bool FakeTableService::Holds(const storage::Condition& condition) const {
   const auto row = m_rows.find(condition.key);
-  if (condition.kind == platform::Condition::Kind::kGenerationIs) {
+  if (condition.kind == storage::Condition::Kind::kGenerationIs) {
     const uint64_t generation =
-        row == m_rows.end() ? platform::kAbsent : row->second.generation;
+        row == m_rows.end() ? storage::kAbsent : row->second.generation;
     return generation == condition.generation;
   }
   if (row == m_rows.end()) {
@@ -115,12 +115,12 @@
   m_before_commit = std::move(before_commit);
 }
 
-std::optional<platform::Row> FakeTableService::Find(
+std::optional<storage::Row> FakeTableService::Find(
     const std::string& key) const {
   std::lock_guard<std::mutex> lock(m_mutex);
   const auto row = m_rows.find(key);
   return row == m_rows.end() ? std::nullopt
-                             : std::optional<platform::Row>(row->second);
+                             : std::optional<storage::Row>(row->second);
 }
 
 uint64_t FakeTableService::CountReads() const {
--- a/tests/fakes/fake_table_service.h
+++ b/tests/fakes/fake_table_service.h
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-#include "platform/table_service.h"
+#include "storage/table_service.h"
 
 namespace shallotwick::fakes {
 
@@ -21,12 +21,11 @@
 };
 
 // A table service in memory. Safe to use from several threads.
-class FakeTableService : public platform::TableService {
+class FakeTableService : public storage::TableService {
  public:
-  std::vector<platform::Row> Read(
-      const platform::ReadRequest& request) override;
-  platform::CommitResult Commit(
-      const platform::Transaction& transaction) override;
+  std::vector<storage::Row> Read(const storage::ReadRequest& request) override;
+  storage::CommitResult Commit(
+      const storage::Transaction& transaction) override;
 
   // Chooses the fault of each call; none by default.
   void SetChooseFault(std::function<TableFault(bool is_commit)> choose);
@@ -35,18 +34,18 @@
   // come first.
   void SetBeforeCommit(std::function<void()> before_commit);
 
-  std::optional<platform::Row> Find(const std::string& key) const;
+  std::optional<storage::Row> Find(const std::string& key) const;
   uint64_t CountReads() const;
   uint64_t CountCommits() const;
   // Bytes of all keys and values held.
   uint64_t CountBytes() const;
 
  private:
-  bool Holds(const platform::Condition& condition) const;
+  bool Holds(const storage::Condition& condition) const;
   TableFault ChooseFault(bool is_commit);
 
   mutable std::mutex m_mutex;
-  std::map<std::string, platform::Row> m_rows;
+  std::map<std::string, storage::Row> m_rows;
   uint64_t m_commit_number = 0;
   uint64_t m_reads = 0;
   uint64_t m_commits = 0;
--- a/tests/standin-platform/platform_standin.cc
+++ b/tests/standin-platform/platform_standin.cc
@@ -4,7 +4,7 @@
 #include <utility>
 
 #include "http/blocking_client.h"
-#include "platform/platform_codec.h"
+#include "storage/platform_codec.h"
 
 namespace shallotwick::standin {
 namespace {
@@ -87,15 +87,15 @@
                                            const http::Request& request) {
   const nlohmann::json body = nlohmann::json::parse(request.body);
   if (path == "read") {
-    const nlohmann::json rows = m_table.Read(body.get<platform::ReadRequest>());
+    const nlohmann::json rows = m_table.Read(body.get<storage::ReadRequest>());
     return http::MakeJsonResponse(200, nlohmann::json({{"rows", rows}}).dump());
   }
   if (path != "commit") {
     return http::MakeProblem(404, "not-found", "No such path.");
   }
-  const platform::CommitResult result =
-      m_table.Commit(body.get<platform::Transaction>());
-  if (result.status == platform::CommitStatus::kCommitted) {
+  const storage::CommitResult result =
+      m_table.Commit(body.get<storage::Transaction>());
+  if (result.status == storage::CommitStatus::kCommitted) {
     return http::MakeJsonResponse(
         200, nlohmann::json({{"generation", result.generation}}).dump());
   }
@@ -149,16 +149,16 @@
   }
   if (path.size() == 2 && path[1] == "hosts") {
     for (const auto& host : body.at("hosts")) {
-      m_hosts.Put(host.get<platform::ListedHost>());
+      m_hosts.Put(host.get<storage::ListedHost>());
     }
     return http::MakeJsonResponse(200, "{}");
   }
   if (path.size() == 3 && path[1] == "status") {
     const std::string status = body.at("status");
     m_hosts.SetStatus(path[2],
-                      status == "leaving" ? platform::ListedStatus::kLeaving
-                      : status == "dead"  ? platform::ListedStatus::kDead
-                                          : platform::ListedStatus::kLive);
+                      status == "leaving" ? storage::ListedStatus::kLeaving
+                      : status == "dead"  ? storage::ListedStatus::kDead
+                                          : storage::ListedStatus::kLive);
     return http::MakeJsonResponse(200, "{}");
   }
   if (path.size() == 2 && path[1] == "faults") {
