Take hosts through maintenance waves and move them between pools

Change: libraries/hosts (waves, needs), HostLedger (an operation is preceded by a write whose version is its fencing token, so tokens rise over all owners), WaveConductor, CapacityBroker. A host that its pool does not use goes to the pool that lacks most, else to one that is switched off. Operations are now resumed only where the holder is gone, and then end no runs.

--- a/libraries/base/log_catalogue.h
+++ b/libraries/base/log_catalogue.h
@@ -121,6 +121,9 @@
 inline constexpr LogEvent kHostOperation{
     530, "host-operation", Severity::kInfo,
     "A move or an upkeep of a host was asked of the platform."};
+inline constexpr LogEvent kPoolCapacity{
+    532, "pool-capacity", Severity::kInfo,
+    "A pool wants or has another number of hosts."};
 inline constexpr LogEvent kWaveProgress{
     531, "wave-progress", Severity::kInfo,
     "A maintenance wave has begun, gone on or ended."};
@@ -162,6 +165,7 @@
                                     kJobCancelled,
                                     kTaskDecision,
                                     kHostOperation,
+                                    kPoolCapacity,
                                     kWaveProgress};
 
 }  // namespace shallotwick::base::events
--- a/libraries/base/settings.cc
+++ b/libraries/base/settings.cc
@@ -18,6 +18,16 @@
 
 constexpr int64_t kLargestPort = 65535;
 
+std::optional<double> ParseNumber(const std::string& text) {
+  double number = 0;
+  const char* end = text.data() + text.size();
+  const auto [stopped, error] = std::from_chars(text.data(), end, number);
+  if (error != std::errc() || stopped != end) {
+    return std::nullopt;
+  }
+  return number;
+}
+
 std::optional<int64_t> ParseInteger(const std::string& text) {
   int64_t value = 0;
   const char* end = text.data() + text.size();
@@ -110,6 +120,18 @@
   return "";
 }
 
+std::function<std::string(const std::string&)> CheckNumber(double smallest,
+                                                           double largest) {
+  return [smallest, largest](const std::string& value) -> std::string {
+    const std::optional<double> number = ParseNumber(value);
+    if (number && *number >= smallest && *number <= largest) {
+      return "";
+    }
+    return "'" + value + "' is not a number from " + std::to_string(smallest) +
+           " to " + std::to_string(largest);
+  };
+}
+
 std::function<std::string(const std::string&)> CheckInteger(int64_t smallest,
                                                             int64_t largest) {
   return [smallest, largest](const std::string& value) -> std::string {
@@ -178,6 +200,10 @@
   return m_values.at(name);
 }
 
+double Settings::GetNumber(const std::string& name) const {
+  return ParseNumber(m_values.at(name)).value();
+}
+
 int64_t Settings::GetInteger(const std::string& name) const {
   return ParseInteger(m_values.at(name)).value();
 }
--- a/libraries/base/settings.h
+++ b/libraries/base/settings.h
@@ -30,6 +30,9 @@
 std::string CheckAddressList(const std::string& value);
 std::function<std::string(const std::string&)> CheckInteger(int64_t smallest,
                                                             int64_t largest);
+// A decimal number, as in 2 or 1.5.
+std::function<std::string(const std::string&)> CheckNumber(double smallest,
+                                                           double largest);
 std::function<std::string(const std::string&)> CheckOneOf(
     std::vector<std::string> choices);
 
@@ -46,6 +49,7 @@
 
   const std::string& GetString(const std::string& name) const;
   int64_t GetInteger(const std::string& name) const;
+  double GetNumber(const std::string& name) const;
   std::vector<std::string> GetList(const std::string& name) const;
 
  private:
--- a/libraries/scheduling/pool_scheduler.cc
+++ b/libraries/scheduling/pool_scheduler.cc
@@ -297,6 +297,13 @@
   }
 }
 
+void PoolScheduler::SetLeaving(const std::string& id, bool leaving) {
+  TargetLedger* target = FindTarget(id);
+  if (target != nullptr) {
+    target->m_is_leaving = leaving;
+  }
+}
+
 bool PoolScheduler::CanInterrupt(const std::string& id) const {
   const auto found = m_targets.find(id);
   if (found == m_targets.end()) {
@@ -338,6 +345,54 @@
   return true;
 }
 
+size_t PoolScheduler::CountRuns(const std::string& id) const {
+  const auto found = m_targets.find(id);
+  return found == m_targets.end() ? 0 : found->second.GetRuns().size();
+}
+
+PoolDemand PoolScheduler::EstimateDemand() const {
+  constexpr double kMilliPerCore = 1'000;
+  PoolDemand demand;
+  for (const auto& [id, job] : m_jobs) {
+    const JobSpec& spec = job.GetSpec();
+    const int k = job.GetFirstOpenOccurrence();
+    for (int step = 0; step < static_cast<int>(spec.steps.size()); ++step) {
+      const StepSpec& shape = spec.steps[static_cast<size_t>(step)];
+      const int open = IsTerminal(job.m_state) ? 0 : job.CountOpen(k, step);
+      if (open == 0 || shape.best_effort) {
+        continue;
+      }
+      const double cores =
+          static_cast<double>(shape.demand.cpu_milli) / kMilliPerCore;
+      if (shape.long_running) {
+        const int per_target =
+            shape.most_per_target > 0 ? shape.most_per_target : shape.count;
+        demand.least_targets =
+            std::max(demand.least_targets,
+                     (shape.count + per_target - 1) / per_target);
+      } else {
+        demand.open_core_seconds += open * cores *
+                                    static_cast<double>(shape.estimate_ms) /
+                                    kMilliPerCore;
+      }
+      if (job.IsStepReady(k, step)) {
+        demand.waiting_cores += open * cores;
+      }
+    }
+  }
+  for (const auto& [id, target] : m_targets) {
+    for (const auto& [name, run] : target.GetRuns()) {
+      if (!run.best_effort) {
+        demand.running_cores +=
+            static_cast<double>(run.demand.cpu_milli) / kMilliPerCore;
+      }
+    }
+  }
+  demand.waiting_cores =
+      std::max(0.0, demand.waiting_cores - demand.running_cores);
+  return demand;
+}
+
 size_t PoolScheduler::CountShortRuns(const std::string& id) const {
   const auto found = m_targets.find(id);
   if (found == m_targets.end()) {
--- a/libraries/scheduling/pool_scheduler.h
+++ b/libraries/scheduling/pool_scheduler.h
@@ -39,6 +39,19 @@
   auto operator<=>(const ProgressChange&) const = default;
 };
 
+// What a pool's jobs ask of its targets at this moment.
+struct PoolDemand {
+  double running_cores = 0;
+  // Of tasks that could start now.
+  double waiting_cores = 0;
+  // Estimated work of all that is not done.
+  double open_core_seconds = 0;
+  // Targets that the long-running steps need to be spread as they ask.
+  int least_targets = 0;
+
+  auto operator<=>(const PoolDemand&) const = default;
+};
+
 // A decision worth a log line: what was decided of which task, and why.
 struct SchedulingNote {
   std::string what;
@@ -109,7 +122,10 @@
   // Planned work: keeps new runs off a target, and tells whether ending all
   // that runs there keeps every disruption budget.
   void SetCordoned(const std::string& id, bool cordoned);
+  // While it leaves, its runs count as interrupted.
+  void SetLeaving(const std::string& id, bool leaving);
   bool CanInterrupt(const std::string& id) const;
+  size_t CountRuns(const std::string& id) const;
   size_t CountShortRuns(const std::string& id) const;
 
   // A target refused an order since another owner acts.
@@ -118,6 +134,7 @@
     return m_targets;
   }
   int64_t CountQueuedJobs() const;
+  PoolDemand EstimateDemand() const;
 
  private:
   using Position = std::pair<int, int>;
--- a/libraries/scheduling/target_ledger.h
+++ b/libraries/scheduling/target_ledger.h
@@ -77,6 +77,8 @@
   bool m_is_responsive = true;
   // No new runs, since planned work on the host is near.
   bool m_is_cordoned = false;
+  // An operation that ends all its runs may be under way.
+  bool m_is_leaving = false;
   int64_t m_reported_born_ms = 0;
   int64_t m_processed_end = 0;
   // Stored, so that the target may forget it; sent with the next report order.
--- /dev/null
+++ b/services/shallotwick-scheduler/capacity_broker.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "base/event_loop.h"
+#include "host_ledger.h"
+#include "hosts/capacity_need.h"
+#include "pool_runner.h"
+
+namespace shallotwick::scheduler {
+
+// Moves hosts between pools: writes what this host's pools lack, and gives hosts
+// that they don't use to pools that lack some, or else to a pool that is
+// switched off.
+class CapacityBroker {
+ public:
+  CapacityBroker(hosts::HostOperations& operations, HostLedger& ledger);
+
+  // The pools that this host owns.
+  std::function<std::map<std::string, PoolRunner*>()> m_get_pools;
+  std::function<bool(const std::string& host)> m_is_reserved;
+
+  void SetStandbyPools(std::set<std::string> pools) {
+    m_standby_pools = std::move(pools);
+  }
+  void Reconsider(base::TimePoint now);
+
+ private:
+  struct PoolView {
+    int wanted = 0;
+    int present = 0;
+    double cores_per_host = 0;
+  };
+
+  PoolView Look(const std::string& pool, const PoolRunner& runner) const;
+  void LogChange(const std::string& pool, const PoolView& view);
+  void WriteNeed(const std::string& pool, const PoolView& view);
+  void GiveSurplus(const std::string& pool, PoolRunner& runner,
+                   const PoolView& view, base::TimePoint now);
+  std::vector<std::string> FindIdleHosts(const std::string& pool,
+                                         const PoolRunner& runner,
+                                         base::TimePoint now) const;
+  void Give(const std::string& pool, std::vector<std::string> idle,
+            bool may_switch_off);
+  void Move(const std::string& from, const std::vector<std::string>& names,
+            const std::string& to, const storage::VersionedRow& row,
+            const std::string& new_value);
+  void SetCordoned(const std::string& pool,
+                   const std::vector<std::string>& names, bool cordoned);
+  void OnMoved(const std::string& from, const std::string& host,
+               const std::string& target, hosts::HostOperationOutcome outcome);
+
+  hosts::HostOperations& m_operations;
+  HostLedger& m_ledger;
+  std::set<std::string> m_standby_pools;
+  std::map<std::string, PoolView> m_logged;
+  // Since when a pool has had more hosts than it wants.
+  std::map<std::string, base::TimePoint> m_surplus_since;
+  // Hosts that were moved, until the list shows it.
+  std::map<std::string, base::TimePoint> m_moved;
+  base::Lifetime m_lifetime;
+};
+
+}  // namespace shallotwick::scheduler
--- /dev/null
+++ b/services/shallotwick-scheduler/host_ledger.cc
@@ -0,0 +1,226 @@
+#include "host_ledger.h"
+
+#include <utility>
+
+#include "base/log.h"
+#include "base/log_catalogue.h"
+#include "job_tables.h"
+
+namespace shallotwick::scheduler {
+namespace {
+
+constexpr auto kListPeriod = std::chrono::milliseconds(400);
+constexpr auto kRetryDelay = std::chrono::milliseconds(250);
+constexpr char kLockPrefix[] = "lock/";
+
+storage::RowKey MakeHostsKey(const std::string& key) {
+  return {kHostsTable, kSinglePart, key};
+}
+
+const char* NameOf(hosts::HostOperationOutcome outcome) {
+  using hosts::HostOperationOutcome;
+  switch (outcome) {
+    case HostOperationOutcome::kDone:
+      return "done";
+    case HostOperationOutcome::kFenced:
+      return "fenced";
+    case HostOperationOutcome::kBusy:
+      return "busy";
+    case HostOperationOutcome::kNotInWave:
+      return "not-in-wave";
+    case HostOperationOutcome::kInvalid:
+      return "invalid";
+    case HostOperationOutcome::kRefused:
+      return "refused";
+    case HostOperationOutcome::kUnknown:
+      return "unknown";
+  }
+  return "unknown";
+}
+
+}  // namespace
+
+HostLedger::HostLedger(base::EventLoop& loop, storage::RowStore& store,
+                       hosts::HostOperations& operations, std::string holder,
+                       base::Duration holder_pause)
+    : m_loop(loop),
+      m_store(store),
+      m_operations(operations),
+      m_holder(std::move(holder)),
+      m_holder_pause(holder_pause),
+      m_rows(loop, store, {kHostsTable, {kSinglePart}}) {
+  m_rows.m_on_reset = [this](const std::vector<storage::VersionedRow>& rows) {
+    for (const storage::VersionedRow& row : rows) {
+      OnRow(row);
+    }
+    m_on_change();
+  };
+  m_rows.m_on_change = [this](const storage::VersionedRow& row) {
+    OnRow(row);
+    m_on_change();
+  };
+}
+
+void HostLedger::Start() {
+  m_rows.Start();
+  RefreshList();
+}
+
+void HostLedger::OnRow(const storage::VersionedRow& row) {
+  const std::string& key = row.key.key;
+  const std::string prefix = kLockPrefix;
+  if (key.compare(0, prefix.size(), prefix) == 0) {
+    Lock& lock = m_locks[key.substr(prefix.size())];
+    if (row.version > lock.version) {
+      lock = Lock{row.version, row.value, base::RuntimeClock::now()};
+    }
+    return;
+  }
+  storage::VersionedRow& known = m_shared[key];
+  if (row.version > known.version) {
+    known = row;
+  }
+}
+
+void HostLedger::RefreshList() {
+  const auto again = [this] {
+    m_loop.RunAfter(kListPeriod, m_lifetime.Guard([this] { RefreshList(); }));
+  };
+  if (!m_is_needed()) {
+    again();
+    return;
+  }
+  const auto asked = base::RuntimeClock::now();
+  m_operations.List(m_lifetime.Guard(
+      [this, again, asked](bool is_listed,
+                           const std::vector<hosts::FleetHost>& listed) {
+        if (is_listed) {
+          m_hosts.clear();
+          for (const hosts::FleetHost& host : listed) {
+            m_hosts[host.name] = host;
+          }
+          m_list_time = asked;
+          m_on_change();
+        }
+        again();
+      }));
+}
+
+bool HostLedger::IsFree(const std::string& host, base::TimePoint now) const {
+  const auto ended = m_ended.find(host);
+  const bool is_list_older =
+      ended != m_ended.end() && m_list_time <= ended->second;
+  if (m_operating.count(host) > 0 || is_list_older) {
+    return false;
+  }
+  const auto lock = m_locks.find(host);
+  return lock == m_locks.end() || lock->second.holder == m_holder ||
+         now >= lock->second.observed + m_holder_pause;
+}
+
+storage::VersionedRow HostLedger::GetSharedRow(const std::string& key) const {
+  const auto found = m_shared.find(key);
+  if (found != m_shared.end() && !found->second.is_removed) {
+    return found->second;
+  }
+  storage::VersionedRow absent;
+  absent.key = MakeHostsKey(key);
+  return absent;
+}
+
+std::vector<storage::VersionedRow> HostLedger::ListSharedRows(
+    const std::string& prefix) const {
+  std::vector<storage::VersionedRow> rows;
+  for (const auto& [key, row] : m_shared) {
+    if (key.compare(0, prefix.size(), prefix) == 0 && !row.is_removed) {
+      rows.push_back(row);
+    }
+  }
+  return rows;
+}
+
+void HostLedger::WriteSharedRow(const storage::VersionedRow& row,
+                                const std::string& value) {
+  if (!m_writing.insert(row.key.key).second) {
+    return;
+  }
+  storage::RowTransaction transaction;
+  transaction.expected = {{row.key, row.version}};
+  transaction.writes = {{row.key, value}};
+  m_store.Commit(std::move(transaction),
+                 m_lifetime.Guard([this, key = row.key, value](
+                                      const storage::RowCommitResult& result) {
+                   m_writing.erase(key.key);
+                   if (result.status == storage::RowCommitStatus::kCommitted) {
+                     OnRow({key, value, result.version, false});
+                   }
+                   for (const storage::VersionedRow& current : result.current) {
+                     OnRow(current);
+                   }
+                 }));
+}
+
+void HostLedger::Operate(HostOperationRequest request) {
+  storage::RowTransaction transaction;
+  transaction.expected = {{request.shared_row.key, request.shared_row.version}};
+  transaction.writes = {{request.shared_row.key, request.new_value}};
+  for (const std::string& host : request.hosts) {
+    m_operating.insert(host);
+    const storage::RowKey key = MakeHostsKey(kLockPrefix + host);
+    transaction.expected.push_back({key, m_locks[host].version});
+    transaction.writes.push_back({key, m_holder});
+  }
+  m_store.Commit(
+      std::move(transaction),
+      m_lifetime.Guard([this, request = std::move(request)](
+                           const storage::RowCommitResult& result) {
+        for (const storage::VersionedRow& current : result.current) {
+          OnRow(current);
+        }
+        if (result.status != storage::RowCommitStatus::kCommitted) {
+          for (const std::string& host : request.hosts) {
+            m_operating.erase(host);
+          }
+          request.on_refused();
+          return;
+        }
+        OnRow({request.shared_row.key, request.new_value, result.version,
+               false});
+        for (const std::string& host : request.hosts) {
+          OnRow({MakeHostsKey(kLockPrefix + host), m_holder, result.version,
+                 false});
+          Call(request, host, hosts::HostFence{m_holder, result.version});
+        }
+      }));
+}
+
+// Repeats a call without a definite answer under the same token: what it asks
+// for is done once.
+void HostLedger::Call(const HostOperationRequest& request,
+                      const std::string& host, const hosts::HostFence& fence) {
+  request.operate(
+      host, fence,
+      m_lifetime.Guard([this, request, host,
+                        fence](hosts::HostOperationOutcome outcome) {
+        base::Log(base::events::kHostOperation,
+                  {{"host", host},
+                   {"agreed_in", request.shared_row.key.key},
+                   {"token", std::to_string(fence.token)},
+                   {"outcome", NameOf(outcome)}});
+        const bool is_open =
+            outcome == hosts::HostOperationOutcome::kUnknown ||
+            outcome == hosts::HostOperationOutcome::kRefused;
+        if (is_open) {
+          m_loop.RunAfter(kRetryDelay,
+                          m_lifetime.Guard([this, request, host, fence] {
+                            Call(request, host, fence);
+                          }));
+          return;
+        }
+        m_operating.erase(host);
+        m_ended[host] = base::RuntimeClock::now();
+        request.on_end(host, outcome);
+      }));
+}
+
+}  // namespace shallotwick::scheduler
--- a/services/shallotwick-scheduler/job_tables.h
+++ b/services/shallotwick-scheduler/job_tables.h
@@ -11,6 +11,8 @@
 inline constexpr char kSessionTable[] = "sessions";
 inline constexpr char kOwnerTable[] = "owners";
 inline constexpr char kRosterTable[] = "rosters";
+// Locks of hosts, maintenance waves and needs of capacity.
+inline constexpr char kHostsTable[] = "hosts";
 inline constexpr char kSinglePart[] = "";
 // The only key of a pool's part in the tables of owners and rosters.
 inline constexpr char kPoolKey[] = "pool";
--- a/services/shallotwick-scheduler/pool_runner.h
+++ b/services/shallotwick-scheduler/pool_runner.h
@@ -53,6 +53,7 @@
   void Quiesce(std::function<void()> on_quiet);
 
   scheduling::PoolScheduler& GetScheduler() { return m_scheduler; }
+  const scheduling::PoolScheduler& GetScheduler() const { return m_scheduler; }
   bool IsLoaded() const { return m_is_loaded; }
   const PoolRunnerOptions& GetOptions() const { return m_options; }
   // Acts on what has changed, soon.
--- a/services/shallotwick-scheduler/scheduler_process.cc
+++ b/services/shallotwick-scheduler/scheduler_process.cc
@@ -28,13 +28,29 @@
 constexpr auto kWantedLease = std::chrono::milliseconds(5'000);
 // The balancer takes a host out after two failed probes, one a second.
 constexpr auto kBalancerDelay = std::chrono::milliseconds(2'600);
+// On top of the pause that the platform asks for between two holders.
+constexpr auto kHolderPauseMargin = std::chrono::milliseconds(400);
+constexpr auto kHostsPeriod = std::chrono::milliseconds(100);
 constexpr auto kStopCheckPeriod = std::chrono::milliseconds(50);
 // Kept back from the time that the platform gives to a stop.
 constexpr auto kStopMargin = std::chrono::milliseconds(800);
 
 base::Duration GetMilliseconds(const base::Settings& settings,
                                const std::string& name) {
-  return std::chrono::milliseconds(settings.GetInteger(name));
+  return std::chrono::duration_cast<base::Duration>(
+      std::chrono::duration<double, std::milli>(settings.GetNumber(name)));
+}
+
+std::chrono::milliseconds GetTimeout(const base::Settings& settings,
+                                     const std::string& name) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+      GetMilliseconds(settings, name));
+}
+
+base::Duration GetSeconds(const base::Settings& settings,
+                          const std::string& name) {
+  return std::chrono::duration_cast<base::Duration>(
+      std::chrono::duration<double>(settings.GetNumber(name)));
 }
 
 http::ServerOptions MakeServerOptions(const std::string& address) {
@@ -47,7 +63,7 @@
 }  // namespace
 
 std::vector<base::SettingDeclaration> GetSettings() {
-  const auto milliseconds = base::CheckInteger(1, 600'000);
+  const auto milliseconds = base::CheckNumber(1, 600'000);
   std::vector<base::SettingDeclaration> settings = {
       {"name", "NAME", "name of this host", std::nullopt, base::CheckNotEmpty},
       {"listen", "IP:PORT", "where callers hand in jobs", std::nullopt,
@@ -58,6 +74,13 @@
        base::CheckAddress},
       {"store-timeout-ms", "MILLISECONDS", "wait for an answer of the store",
        "900", milliseconds},
+      {"hosts", "IP:PORT", "address of the platform's host operations",
+       std::nullopt, base::CheckAddress},
+      {"maintenance-s", "SECONDS", "how long a host is away for maintenance",
+       "2", base::CheckNumber(0, 86'400)},
+      {"holder-pause-ms", "MILLISECONDS",
+       "pause between operations of two holders on one host", "3000",
+       milliseconds},
       {"order-timeout-ms", "MILLISECONDS",
        "wait for a target's answer to an order", "800", milliseconds},
       {"longest-lease-ms", "MILLISECONDS",
@@ -66,7 +89,7 @@
        "the longest time that a target takes to stop a run", "1000",
        milliseconds},
       {"stop-grace-s", "SECONDS", "time from SIGTERM to SIGKILL", "6",
-       base::CheckInteger(1, 600)}};
+       base::CheckNumber(1, 600)}};
   for (const base::SettingDeclaration& setting : base::GetLogSettings()) {
     settings.push_back(setting);
   }
@@ -78,12 +101,22 @@
       m_target_client(m_loop.GetContext(), kConnectionsPerTarget),
       m_store(
           m_store_client, settings.GetString("store"),
-          std::chrono::milliseconds(settings.GetInteger("store-timeout-ms"))),
-      m_orders(m_target_client, std::chrono::milliseconds(
-                                    settings.GetInteger("order-timeout-ms"))),
+          GetTimeout(settings, "store-timeout-ms")),
+      m_orders(m_target_client, GetTimeout(settings, "order-timeout-ms")),
+      m_host_operations(
+          m_store_client, settings.GetString("hosts"),
+          GetTimeout(settings, "store-timeout-ms")),
       m_session(m_loop, m_store, settings.GetString("name"),
                 base::MakeRandomIdentifier()),
       m_ownership(m_loop, m_store, m_session),
+      m_host_ledger(m_loop, m_store, m_host_operations,
+                    m_session.GetSelf().host + "/" + m_session.GetSelf().boot,
+                    GetMilliseconds(settings, "holder-pause-ms") +
+                        kHolderPauseMargin),
+      m_waves(m_store, m_host_operations, m_host_ledger,
+              {m_session.GetSelf().host + "/" + m_session.GetSelf().boot,
+               GetSeconds(settings, "maintenance-s")}),
+      m_capacity(m_host_operations, m_host_ledger),
       m_operator_table(m_loop, m_store,
                        {platform::kOperatorTable, {platform::kSharedPart}}),
       m_registry(
@@ -94,7 +127,7 @@
       m_lease(std::min(base::Duration(kWantedLease),
                        GetMilliseconds(settings, "longest-lease-ms"))),
       m_longest_stop(GetMilliseconds(settings, "longest-stop-ms")),
-      m_stop_grace(std::chrono::seconds(settings.GetInteger("stop-grace-s"))),
+      m_stop_grace(GetSeconds(settings, "stop-grace-s")),
       m_signals(m_loop.GetContext(), SIGTERM, SIGINT, SIGHUP) {
   m_session.m_on_reading = [this] { m_ownership.Reconsider(); };
   m_session.m_on_replaced = [this] {
@@ -110,6 +143,29 @@
               {{"pool", pool}, {"reason", "another owner"}});
     m_pools.erase(pool);
   };
+  m_host_ledger.m_is_needed = [this] { return !m_pools.empty(); };
+  m_host_ledger.m_on_change = [this] { ReconsiderHosts(); };
+  m_waves.m_find_pool = [this](const std::string& pool) {
+    return FindPool(pool);
+  };
+  m_waves.m_is_holder_live = [this](const std::string& holder) {
+    const size_t slash = holder.find('/');
+    return slash != std::string::npos &&
+           m_session.GetWatch().IsLive(
+               {holder.substr(0, slash), holder.substr(slash + 1)});
+  };
+  m_capacity.m_get_pools = [this] {
+    std::map<std::string, PoolRunner*> pools;
+    for (const auto& [pool, runner] : m_pools) {
+      if (runner->IsLoaded()) {
+        pools[pool] = runner.get();
+      }
+    }
+    return pools;
+  };
+  m_capacity.m_is_reserved = [this](const std::string& host) {
+    return m_waves.IsPreparing(host);
+  };
   m_operator_table.m_on_reset =
       [this](const std::vector<storage::VersionedRow>& rows) {
         for (const storage::VersionedRow& row : rows) {
@@ -164,6 +220,8 @@
   m_session.Start();
   m_operator_table.Start();
   m_registry.Start();
+  m_host_ledger.Start();
+  TickHosts();
   m_loop.Run();
   m_front->Stop();
   m_ready->Stop();
@@ -194,9 +252,40 @@
   }
   if (row.key.key == platform::kConfigKey) {
     SetConfig(row.value);
+    return;
+  }
+  const std::string prefix = platform::kWaveKeyPrefix;
+  if (row.key.key.compare(0, prefix.size(), prefix) == 0) {
+    try {
+      m_waves.SetWave(platform::DecodeWave(row.value));
+    } catch (const std::runtime_error& error) {
+      base::Log(base::events::kStoreContentInvalid,
+                {{"row", row.key.key}, {"fault", error.what()}});
+    }
   }
 }
 
+void SchedulerProcess::TickHosts() {
+  ReconsiderHosts();
+  m_loop.RunAfter(kHostsPeriod, [this] { TickHosts(); });
+}
+
+void SchedulerProcess::ReconsiderHosts() {
+  const auto now = base::RuntimeClock::now();
+  const bool may_act =
+      !m_is_stopping && !m_pools.empty() && m_session.IsSafe(now);
+  if (may_act) {
+    m_waves.Reconsider(now);
+    m_capacity.Reconsider(now);
+  }
+}
+
+PoolRunner* SchedulerProcess::FindPool(const std::string& pool) const {
+  const auto found = m_pools.find(pool);
+  const bool is_found = found != m_pools.end() && found->second->IsLoaded();
+  return is_found ? found->second.get() : nullptr;
+}
+
 void SchedulerProcess::SetConfig(const std::string& text) {
   try {
     scheduling::ServingConfig config = platform::DecodeConfig(text);
@@ -213,6 +302,7 @@
             {{"version", std::to_string(m_config->version)},
              {"routes", std::to_string(m_config->routes.size())}});
   m_ownership.SetPools(m_config->services);
+  m_capacity.SetStandbyPools(m_config->standby_services);
   for (const auto& [pool, runner] : m_pools) {
     runner->SetConfig(*m_config);
   }
--- a/services/shallotwick-scheduler/scheduler_process.h
+++ b/services/shallotwick-scheduler/scheduler_process.h
@@ -9,16 +9,20 @@
 #include "base/event_loop.h"
 #include "base/metrics.h"
 #include "base/settings.h"
+#include "capacity_broker.h"
+#include "host_ledger.h"
 #include "http/client.h"
 #include "http/server.h"
 #include "job_api.h"
 #include "job_service.h"
 #include "ownership_manager.h"
+#include "platform/host_operations_client.h"
 #include "platform/row_store_client.h"
 #include "platform/target_orders_client.h"
 #include "pool_runner.h"
 #include "session_keeper.h"
 #include "table_follower.h"
+#include "wave_conductor.h"
 
 namespace shallotwick::scheduler {
 
@@ -41,6 +45,9 @@
   void OnRegistryReset(const std::vector<storage::VersionedRow>& rows);
   void OnRegistryRow(const storage::VersionedRow& row);
   void StartPool(const std::string& pool, uint64_t version, int64_t term);
+  void TickHosts();
+  void ReconsiderHosts();
+  PoolRunner* FindPool(const std::string& pool) const;
   bool IsReady() const;
   void Stop();
   void ReleasePools();
@@ -53,8 +60,12 @@
   http::Client m_target_client;
   platform::RowStoreClient m_store;
   platform::TargetOrdersClient m_orders;
+  platform::HostOperationsClient m_host_operations;
   SessionKeeper m_session;
   OwnershipManager m_ownership;
+  HostLedger m_host_ledger;
+  WaveConductor m_waves;
+  CapacityBroker m_capacity;
   TableFollower m_operator_table;
   TableFollower m_registry;
   JobService m_jobs;
--- /dev/null
+++ b/services/shallotwick-scheduler/wave_conductor.cc
@@ -0,0 +1,310 @@
+#include "wave_conductor.h"
+
+#include <algorithm>
+#include <stdexcept>
+#include <utility>
+
+#include "base/log.h"
+#include "base/log_catalogue.h"
+#include "platform/host_operations_client.h"
+#include "platform/names.h"
+
+namespace shallotwick::scheduler {
+namespace {
+
+constexpr char kWavePrefix[] = "wave/";
+// Short tasks get so long to end before a host is taken down under them.
+constexpr auto kLongestPreparation = std::chrono::milliseconds(2'500);
+// Hosts with work that are freed of it at a time; idle ones cost nothing.
+constexpr int kMostBusyPrepared = 1;
+// A host that the list lacks for so long has left the fleet.
+constexpr auto kMissingForGood = std::chrono::milliseconds(3'000);
+// The list may be a little older than the answer that the host is down.
+constexpr auto kListMargin = std::chrono::milliseconds(300);
+
+hosts::WaveRecord ReadRecord(const storage::VersionedRow& row) {
+  if (row.version == storage::kNoVersion) {
+    return {};
+  }
+  return hosts::DecodeWaveRecord(row.value);
+}
+
+std::string MakeWaveKey(int64_t number) {
+  return kWavePrefix + std::to_string(number);
+}
+
+}  // namespace
+
+WaveConductor::WaveConductor(storage::RowStore& store,
+                             hosts::HostOperations& operations,
+                             HostLedger& ledger,
+                             const WaveConductorOptions& options)
+    : m_store(store),
+      m_operations(operations),
+      m_ledger(ledger),
+      m_options(options) {}
+
+void WaveConductor::SetWave(const hosts::MaintenanceWave& wave) {
+  m_waves[wave.number] = wave;
+}
+
+void WaveConductor::Reconsider(base::TimePoint now) {
+  if (!m_ledger.IsLoaded()) {
+    return;
+  }
+  for (const auto& [number, wave] : m_waves) {
+    const auto reported = m_reported.find(number);
+    if (reported != m_reported.end() && reported->second) {
+      continue;
+    }
+    try {
+      Advance(wave, now);
+    } catch (const std::runtime_error& error) {
+      base::Log(base::events::kStoreContentInvalid,
+                {{"row", MakeWaveKey(number)}, {"fault", error.what()}});
+    }
+  }
+}
+
+void WaveConductor::Advance(const hosts::MaintenanceWave& wave,
+                            base::TimePoint now) {
+  const storage::VersionedRow row =
+      m_ledger.GetSharedRow(MakeWaveKey(wave.number));
+  const hosts::WaveRecord record = ReadRecord(row);
+  if (hosts::IsWaveCompleted(wave, record)) {
+    ReportStatus(wave, true);
+    return;
+  }
+  ReportStatus(wave, false);
+  if (EnterReturned(wave, row, record, now)) {
+    return;
+  }
+  Prepare(wave, record, now);
+  if (hosts::CountFreePlaces(wave, record) == 0) {
+    return;
+  }
+  // One at a time: each host that goes changes what the next would interrupt.
+  const auto waiting = hosts::ListWaitingHosts(wave, record);
+  for (const auto& [name, since] : m_preparing) {
+    const auto host = m_ledger.GetHosts().find(name);
+    const bool is_due =
+        host != m_ledger.GetHosts().end() && m_ledger.IsFree(name, now) &&
+        std::find(waiting.begin(), waiting.end(), name) != waiting.end() &&
+        IsFreeOfWork(host->second, now);
+    if (is_due) {
+      TakeDown(wave, host->second, true, row, record);
+      return;
+    }
+  }
+}
+
+// Enters the hosts of this host's pools that are up again, and those that have
+// left the fleet.
+bool WaveConductor::EnterReturned(const hosts::MaintenanceWave& wave,
+                                  const storage::VersionedRow& row,
+                                  hosts::WaveRecord record,
+                                  base::TimePoint now) {
+  bool has_changed = false;
+  const auto running = record.running;
+  for (const auto& [name, holder] : running) {
+    const auto host = m_ledger.GetHosts().find(name);
+    if (host == m_ledger.GetHosts().end()) {
+      continue;
+    }
+    const auto taken = m_taken_down.find(name);
+    if (taken == m_taken_down.end()) {
+      // Its holder may not have got to it: asked again, the platform says so
+      // if it is done.
+      const bool is_abandoned =
+          holder == m_options.holder || !m_is_holder_live(holder);
+      if (is_abandoned && m_find_pool(host->second.pool) != nullptr &&
+          m_ledger.IsFree(name, now) &&
+          host->second.state == hosts::HostState::kUp) {
+        TakeDown(wave, host->second, false, row, record);
+        return true;
+      }
+      continue;
+    }
+    const bool is_back =
+        host->second.state == hosts::HostState::kUp &&
+        m_ledger.GetListTime() >=
+            taken->second + m_options.maintenance_time + kListMargin;
+    if (is_back) {
+      record.running.erase(name);
+      record.done.insert(name);
+      has_changed = true;
+    }
+  }
+  for (const std::string& name : hosts::ListWaitingHosts(wave, record)) {
+    if (m_ledger.GetHosts().count(name) > 0) {
+      m_missing_since.erase(name);
+      continue;
+    }
+    const auto since = m_missing_since.try_emplace(name, now).first->second;
+    if (now >= since + kMissingForGood) {
+      record.gone.insert(name);
+      has_changed = true;
+    }
+  }
+  if (has_changed) {
+    m_ledger.WriteSharedRow(row, hosts::EncodeWaveRecord(record));
+    base::Log(base::events::kWaveProgress,
+              {{"wave", std::to_string(wave.number)},
+               {"running", std::to_string(record.running.size())},
+               {"done", std::to_string(record.done.size())},
+               {"gone", std::to_string(record.gone.size())}});
+  }
+  return has_changed;
+}
+
+// Keeps new work off the next hosts, those with the least work first.
+void WaveConductor::Prepare(const hosts::MaintenanceWave& wave,
+                            const hosts::WaveRecord& record,
+                            base::TimePoint now) {
+  std::vector<std::pair<size_t, std::string>> candidates;
+  for (const std::string& name : hosts::ListWaitingHosts(wave, record)) {
+    const auto host = m_ledger.GetHosts().find(name);
+    if (host == m_ledger.GetHosts().end() ||
+        host->second.state != hosts::HostState::kUp) {
+      Release(name);
+      continue;
+    }
+    PoolRunner* pool = m_find_pool(host->second.pool);
+    if (pool == nullptr) {
+      Release(name);
+    } else if (m_preparing.count(name) == 0 && m_ledger.IsFree(name, now)) {
+      candidates.emplace_back(
+          pool->GetScheduler().CountRuns(host->second.target), name);
+    }
+  }
+  std::sort(candidates.begin(), candidates.end());
+  const int places = hosts::CountFreePlaces(wave, record);
+  for (const auto& [runs, name] : candidates) {
+    const int most = runs == 0 ? places : kMostBusyPrepared;
+    if (static_cast<int>(m_preparing.size()) >= most) {
+      break;
+    }
+    const hosts::FleetHost& host = m_ledger.GetHosts().at(name);
+    m_preparing[name] = now;
+    m_find_pool(host.pool)->GetScheduler().SetCordoned(host.target, true);
+  }
+}
+
+bool WaveConductor::IsFreeOfWork(const hosts::FleetHost& host,
+                                 base::TimePoint now) const {
+  PoolRunner* pool = m_find_pool(host.pool);
+  if (pool == nullptr || host.state != hosts::HostState::kUp) {
+    return false;
+  }
+  const scheduling::PoolScheduler& scheduler = pool->GetScheduler();
+  const bool has_time_passed =
+      now >= m_preparing.at(host.name) + kLongestPreparation;
+  return scheduler.CanInterrupt(host.target) &&
+         (scheduler.CountShortRuns(host.target) == 0 || has_time_passed);
+}
+
+void WaveConductor::TakeDown(const hosts::MaintenanceWave& wave,
+                             const hosts::FleetHost& host, bool is_first,
+                             const storage::VersionedRow& row,
+                             hosts::WaveRecord record) {
+  record.running[host.name] = m_options.holder;
+  SetLeaving(host, is_first);
+  HostOperationRequest request;
+  request.hosts = {host.name};
+  request.shared_row = row;
+  request.new_value = hosts::EncodeWaveRecord(record);
+  request.operate = [this, number = wave.number](
+                        const std::string& name, const hosts::HostFence& fence,
+                        hosts::HostOperations::OnOutcome on_end) {
+    m_operations.Maintain(name, number, fence, std::move(on_end));
+  };
+  request.on_end = m_lifetime.Guard(
+      [this, host, is_first](const std::string& /*name*/,
+                             hosts::HostOperationOutcome outcome) {
+        OnTakenDown(host, is_first, outcome);
+      });
+  request.on_refused =
+      m_lifetime.Guard([this, host] { SetLeaving(host, false); });
+  m_ledger.Operate(std::move(request));
+}
+
+void WaveConductor::SetLeaving(const hosts::FleetHost& host, bool leaving) {
+  PoolRunner* pool = m_find_pool(host.pool);
+  if (pool != nullptr) {
+    pool->GetScheduler().SetLeaving(host.target, leaving);
+  }
+}
+
+void WaveConductor::OnTakenDown(const hosts::FleetHost& host, bool is_first,
+                                hosts::HostOperationOutcome outcome) {
+  if (outcome == hosts::HostOperationOutcome::kDone) {
+    m_taken_down[host.name] = base::RuntimeClock::now();
+    m_preparing.erase(host.name);
+    PoolRunner* pool = m_find_pool(host.pool);
+    // Asked again, the platform may have done it before the present target
+    // came; then that one runs on.
+    if (pool != nullptr && is_first) {
+      pool->GetScheduler().OnTargetDead(host.target);
+      pool->Wake();
+    }
+    return;
+  }
+  SetLeaving(host, false);
+  Release(host.name);
+  // Its place in the wave is given back; it is tried again later.
+  for (const auto& [number, wave] : m_waves) {
+    const storage::VersionedRow row =
+        m_ledger.GetSharedRow(MakeWaveKey(number));
+    hosts::WaveRecord record = ReadRecord(row);
+    if (record.running.erase(host.name) > 0) {
+      if (outcome == hosts::HostOperationOutcome::kNotInWave ||
+          outcome == hosts::HostOperationOutcome::kInvalid) {
+        record.gone.insert(host.name);
+      }
+      m_ledger.WriteSharedRow(row, hosts::EncodeWaveRecord(record));
+    }
+  }
+}
+
+void WaveConductor::Release(const std::string& host) {
+  if (m_preparing.erase(host) == 0) {
+    return;
+  }
+  const auto listed = m_ledger.GetHosts().find(host);
+  if (listed == m_ledger.GetHosts().end()) {
+    return;
+  }
+  PoolRunner* pool = m_find_pool(listed->second.pool);
+  if (pool != nullptr) {
+    pool->GetScheduler().SetCordoned(listed->second.target, false);
+    pool->GetScheduler().SetLeaving(listed->second.target, false);
+    pool->Wake();
+  }
+}
+
+void WaveConductor::ReportStatus(const hosts::MaintenanceWave& wave,
+                                 bool is_completed) {
+  const auto reported = m_reported.find(wave.number);
+  if (reported != m_reported.end() && reported->second == is_completed) {
+    return;
+  }
+  m_reported[wave.number] = is_completed;
+  storage::RowTransaction transaction;
+  const storage::RowKey key{platform::kStatusTable, platform::kSharedPart,
+                            platform::kWaveKeyPrefix +
+                                std::to_string(wave.number)};
+  transaction.writes = {
+      {key, platform::EncodeWaveStatus(wave.number, is_completed)}};
+  m_store.Commit(
+      std::move(transaction),
+      m_lifetime.Guard([this, number = wave.number, is_completed](
+                           const storage::RowCommitResult& result) {
+        const bool is_written =
+            result.status == storage::RowCommitStatus::kCommitted;
+        if (!is_written && m_reported[number] == is_completed) {
+          m_reported.erase(number);
+        }
+      }));
+}
+
+}  // namespace shallotwick::scheduler
