Free hosts of long-running tasks one by one before their maintenance

Change: such tasks are stopped one by one and start elsewhere; a host under preparation no longer counts as capacity of its pool.

--- a/libraries/scheduling/pool_scheduler.cc
+++ b/libraries/scheduling/pool_scheduler.cc
@@ -1,6 +1,7 @@
 #include "scheduling/pool_scheduler.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace shallotwick::scheduling {
@@ -9,6 +10,15 @@
 // Clocks of targets may run 2% slow; one more covers rounding.
 constexpr double kSlowestClockFactor = 1.03;
 
+// A long-running task is at work once it reports this share.
+constexpr int kAtWorkPercent = 100;
+
+// A step that names no budget is treated with the same care as one that allows
+// a single task to be away.
+int GetBudget(const StepSpec& step) {
+  return std::max(1, step.disruption_budget);
+}
+
 base::Duration Scale(base::Duration duration, double factor) {
   return base::Duration(
       static_cast<int64_t>(static_cast<double>(duration.count()) * factor));
@@ -304,45 +314,90 @@
   }
 }
 
+int PoolScheduler::CountAway(const ActiveJob& job, int occurrence, int step,
+                             const std::string& id) const {
+  const JobSpec& spec = job.GetSpec();
+  int present = 0;
+  for (int i = 0; i < spec.steps[static_cast<size_t>(step)].count; ++i) {
+    const TaskName name{spec.id, occurrence, step, i};
+    for (const auto& [target_id, target] : m_targets) {
+      const auto run = target.GetRuns().find(name);
+      if (run == target.GetRuns().end()) {
+        continue;
+      }
+      const bool is_at_work = run->second.state == RunState::kPresent &&
+                              run->second.percent >= kAtWorkPercent &&
+                              target.m_is_responsive && !target.m_is_leaving;
+      if (target_id == id || is_at_work) {
+        ++present;
+        break;
+      }
+    }
+  }
+  return spec.steps[static_cast<size_t>(step)].count - present;
+}
+
 bool PoolScheduler::CanInterrupt(const std::string& id) const {
-  const auto found = m_targets.find(id);
-  if (found == m_targets.end()) {
-    return true;
+  for (const auto& [key, names] : GroupLongRuns(id)) {
+    const ActiveJob& job = m_jobs.at(std::get<0>(key));
+    const auto step = std::get<2>(key);
+    const int away = CountAway(job, std::get<1>(key), step, id);
+    if (away + static_cast<int>(names.size()) >
+        GetBudget(job.GetSpec().steps[static_cast<size_t>(step)])) {
+      return false;
+    }
   }
-  std::map<std::tuple<std::string, int, int>, int> here;
-  for (const auto& [name, run] : found->second.GetRuns()) {
-    ++here[{name.job, name.occurrence, name.step}];
+  return true;
+}
+
+void PoolScheduler::Evacuate(const std::string& id) {
+  TargetLedger* target = FindTarget(id);
+  if (target == nullptr) {
+    return;
   }
-  for (const auto& [key, count] : here) {
-    const auto& [job_id, occurrence, step] = key;
-    const auto job = m_jobs.find(job_id);
-    if (job == m_jobs.end()) {
-      continue;
-    }
-    const StepSpec& spec =
-        job->second.GetSpec().steps[static_cast<size_t>(step)];
-    if (!spec.long_running) {
-      continue;
+  for (const auto& [key, names] : GroupLongRuns(id)) {
+    const ActiveJob& job = m_jobs.at(std::get<0>(key));
+    const auto step = std::get<2>(key);
+    int stopping = 0;
+    for (const TaskName& name : names) {
+      const Run& run = target->GetRuns().at(name);
+      stopping +=
+          run.state != RunState::kPresent || run.percent < kAtWorkPercent ? 1
+                                                                          : 0;
     }
-    int away = 0;
-    for (int i = 0; i < spec.count; ++i) {
-      const TaskName name{job_id, occurrence, step, i};
-      bool is_at_work = false;
-      for (const auto& [target_id, target] : m_targets) {
-        const auto run = target.GetRuns().find(name);
-        is_at_work = is_at_work ||
-                     (run != target.GetRuns().end() &&
-                      run->second.state == RunState::kPresent &&
-                      run->second.percent >= 100 && target.m_is_responsive);
+    int left = GetBudget(job.GetSpec().steps[static_cast<size_t>(step)]) -
+               CountAway(job, std::get<1>(key), step, id) - stopping;
+    for (const TaskName& name : names) {
+      const bool is_at_work =
+          target->GetRuns().at(name).state == RunState::kPresent;
+      if (left > 0 && is_at_work) {
+        Note("run-moved", name, target->GetRuns().at(name).number, id,
+             "maintenance of the host");
+        RequestStop(*target, name);
+        --left;
       }
-      const bool is_here = found->second.GetRuns().count(name) > 0;
-      away += !is_at_work && !is_here ? 1 : 0;
     }
-    if (away + count > std::max(1, spec.disruption_budget)) {
-      return false;
+  }
+}
+
+std::map<std::tuple<std::string, int, int>, std::vector<TaskName>>
+PoolScheduler::GroupLongRuns(const std::string& id) const {
+  std::map<std::tuple<std::string, int, int>, std::vector<TaskName>> groups;
+  const auto found = m_targets.find(id);
+  if (found == m_targets.end()) {
+    return groups;
+  }
+  for (const auto& [name, run] : found->second.GetRuns()) {
+    const auto job = m_jobs.find(name.job);
+    const bool is_long =
+        job != m_jobs.end() && job->second.GetSpec()
+                                   .steps[static_cast<size_t>(name.step)]
+                                   .long_running;
+    if (is_long) {
+      groups[{name.job, name.occurrence, name.step}].push_back(name);
     }
   }
-  return true;
+  return groups;
 }
 
 size_t PoolScheduler::CountRuns(const std::string& id) const {
@@ -367,9 +422,8 @@
       if (shape.long_running) {
         const int per_target =
             shape.most_per_target > 0 ? shape.most_per_target : shape.count;
-        demand.least_targets =
-            std::max(demand.least_targets,
-                     (shape.count + per_target - 1) / per_target);
+        demand.least_targets = std::max(
+            demand.least_targets, (shape.count + per_target - 1) / per_target);
       } else {
         demand.open_core_seconds += open * cores *
                                     static_cast<double>(shape.estimate_ms) /
--- a/libraries/scheduling/pool_scheduler.h
+++ b/libraries/scheduling/pool_scheduler.h
@@ -4,6 +4,8 @@
 #include <map>
 #include <set>
 #include <string>
+#include <tuple>
+#include <utility>
 #include <vector>
 
 #include "base/runtime_clock.h"
@@ -125,6 +127,9 @@
   // While it leaves, its runs count as interrupted.
   void SetLeaving(const std::string& id, bool leaving);
   bool CanInterrupt(const std::string& id) const;
+  // Stops long-running tasks of a target as far as the budgets allow, so that
+  // they start elsewhere; again and again it frees the target of them.
+  void Evacuate(const std::string& id);
   size_t CountRuns(const std::string& id) const;
   size_t CountShortRuns(const std::string& id) const;
 
@@ -139,6 +144,12 @@
  private:
   using Position = std::pair<int, int>;
 
+  // How many tasks of a step are not at work, those on `id` left aside.
+  int CountAway(const ActiveJob& job, int occurrence, int step,
+                const std::string& id) const;
+  // The long-running runs on a target by job, occurrence and step.
+  std::map<std::tuple<std::string, int, int>, std::vector<TaskName>>
+  GroupLongRuns(const std::string& id) const;
   TargetLedger* FindTarget(const std::string& id);
   ActiveJob* FindJob(const std::string& id);
   ActiveTask* FindTask(const TaskName& name);
--- a/services/shallotwick-scheduler/capacity_broker.cc
+++ b/services/shallotwick-scheduler/capacity_broker.cc
@@ -70,20 +70,20 @@
                                               const PoolRunner& runner) const {
   PoolView view;
   for (const auto& [name, host] : m_ledger.GetHosts()) {
-    if (host.pool == pool && m_moved.count(name) == 0) {
+    // A host that is about to be maintained takes no new tasks.
+    if (host.pool == pool && m_moved.count(name) == 0 && !m_is_reserved(name)) {
       view.present += host.state == hosts::HostState::kUp ||
                               host.state == hosts::HostState::kMoving
                           ? 1
                           : 0;
     }
-    view.cores_per_host = std::max(
-        view.cores_per_host, static_cast<double>(host.cpu_milli) / 1'000);
+    view.cores_per_host = std::max(view.cores_per_host,
+                                   static_cast<double>(host.cpu_milli) / 1'000);
   }
   if (m_standby_pools.count(pool) > 0) {
     return view;
   }
-  const scheduling::PoolDemand demand =
-      runner.GetScheduler().EstimateDemand();
+  const scheduling::PoolDemand demand = runner.GetScheduler().EstimateDemand();
   hosts::PoolLoad load;
   load.running_cores = demand.running_cores;
   load.waiting_cores = demand.waiting_cores;
@@ -151,8 +151,7 @@
 
 // To the pool that lacks most, or to one that is switched off.
 void CapacityBroker::Give(const std::string& pool,
-                          std::vector<std::string> idle,
-                          bool may_switch_off) {
+                          std::vector<std::string> idle, bool may_switch_off) {
   storage::VersionedRow neediest;
   hosts::NeedRecord need;
   for (const storage::VersionedRow& row :
--- a/services/shallotwick-scheduler/capacity_broker.h
+++ b/services/shallotwick-scheduler/capacity_broker.h
@@ -13,8 +13,8 @@
 
 namespace shallotwick::scheduler {
 
-// Moves hosts between pools: writes what this host's pools lack, and gives hosts
-// that they don't use to pools that lack some, or else to a pool that is
+// Moves hosts between pools: writes what this host's pools lack, and gives
+// hosts that they don't use to pools that lack some, or else to a pool that is
 // switched off.
 class CapacityBroker {
  public:
--- a/services/shallotwick-scheduler/host_ledger.cc
+++ b/services/shallotwick-scheduler/host_ledger.cc
@@ -184,8 +184,8 @@
           request.on_refused();
           return;
         }
-        OnRow({request.shared_row.key, request.new_value, result.version,
-               false});
+        OnRow(
+            {request.shared_row.key, request.new_value, result.version, false});
         for (const std::string& host : request.hosts) {
           OnRow({MakeHostsKey(kLockPrefix + host), m_holder, result.version,
                  false});
@@ -207,9 +207,8 @@
                    {"agreed_in", request.shared_row.key.key},
                    {"token", std::to_string(fence.token)},
                    {"outcome", NameOf(outcome)}});
-        const bool is_open =
-            outcome == hosts::HostOperationOutcome::kUnknown ||
-            outcome == hosts::HostOperationOutcome::kRefused;
+        const bool is_open = outcome == hosts::HostOperationOutcome::kUnknown ||
+                             outcome == hosts::HostOperationOutcome::kRefused;
         if (is_open) {
           m_loop.RunAfter(kRetryDelay,
                           m_lifetime.Guard([this, request, host, fence] {
--- a/services/shallotwick-scheduler/job_api.cc
+++ b/services/shallotwick-scheduler/job_api.cc
@@ -24,6 +24,28 @@
          });
 }
 
+// What decides how the job is scheduled, short enough for one log line.
+std::string DescribeSteps(const scheduling::JobSpec& job) {
+  constexpr size_t kMostDescribed = 6;
+  std::string text;
+  for (size_t i = 0; i < job.steps.size() && i < kMostDescribed; ++i) {
+    const scheduling::StepSpec& step = job.steps[i];
+    text += (i == 0 ? "" : ",") + std::to_string(step.count) + "x" +
+            std::to_string(step.demand.cpu_milli) + "m/" +
+            std::to_string(step.estimate_ms) + "ms";
+    text += step.long_running ? "/long" : "";
+    text += step.best_effort ? "/best-effort" : "";
+    text += step.gang ? "/gang" : "";
+    text += step.most_per_target > 0
+                ? "/per-target-" + std::to_string(step.most_per_target)
+                : "";
+    text += step.disruption_budget > 0
+                ? "/budget-" + std::to_string(step.disruption_budget)
+                : "";
+  }
+  return text;
+}
+
 }  // namespace
 
 JobApi::JobApi(JobService& jobs, base::MetricRegistry& metrics)
@@ -94,7 +116,7 @@
   job.accepted_ms = base::WallClockMilliseconds();
   m_jobs.Submit(route.service, job,
                 [this, id, name = route.name, service = route.service,
-                 respond](JobCallOutcome outcome) {
+                 shape = DescribeSteps(job), respond](JobCallOutcome outcome) {
                   if (outcome == JobCallOutcome::kDone) {
                     base::Log(
                         base::events::kJobAccepted,
--- a/services/shallotwick-scheduler/scheduler_process.cc
+++ b/services/shallotwick-scheduler/scheduler_process.cc
@@ -99,20 +99,18 @@
 SchedulerProcess::SchedulerProcess(const base::Settings& settings)
     : m_store_client(m_loop.GetContext(), kStoreConnections),
       m_target_client(m_loop.GetContext(), kConnectionsPerTarget),
-      m_store(
-          m_store_client, settings.GetString("store"),
-          GetTimeout(settings, "store-timeout-ms")),
+      m_store(m_store_client, settings.GetString("store"),
+              GetTimeout(settings, "store-timeout-ms")),
       m_orders(m_target_client, GetTimeout(settings, "order-timeout-ms")),
-      m_host_operations(
-          m_store_client, settings.GetString("hosts"),
-          GetTimeout(settings, "store-timeout-ms")),
+      m_host_operations(m_store_client, settings.GetString("hosts"),
+                        GetTimeout(settings, "store-timeout-ms")),
       m_session(m_loop, m_store, settings.GetString("name"),
                 base::MakeRandomIdentifier()),
       m_ownership(m_loop, m_store, m_session),
-      m_host_ledger(m_loop, m_store, m_host_operations,
-                    m_session.GetSelf().host + "/" + m_session.GetSelf().boot,
-                    GetMilliseconds(settings, "holder-pause-ms") +
-                        kHolderPauseMargin),
+      m_host_ledger(
+          m_loop, m_store, m_host_operations,
+          m_session.GetSelf().host + "/" + m_session.GetSelf().boot,
+          GetMilliseconds(settings, "holder-pause-ms") + kHolderPauseMargin),
       m_waves(m_store, m_host_operations, m_host_ledger,
               {m_session.GetSelf().host + "/" + m_session.GetSelf().boot,
                GetSeconds(settings, "maintenance-s")}),
--- a/services/shallotwick-scheduler/wave_conductor.cc
+++ b/services/shallotwick-scheduler/wave_conductor.cc
@@ -14,9 +14,9 @@
 
 constexpr char kWavePrefix[] = "wave/";
 // Short tasks get so long to end before a host is taken down under them.
-constexpr auto kLongestPreparation = std::chrono::milliseconds(2'500);
+constexpr auto kLongestPreparation = std::chrono::milliseconds(1'500);
 // Hosts with work that are freed of it at a time; idle ones cost nothing.
-constexpr int kMostBusyPrepared = 1;
+constexpr int kMostBusyPrepared = 2;
 // A host that the list lacks for so long has left the fleet.
 constexpr auto kMissingForGood = std::chrono::milliseconds(3'000);
 // The list may be a little older than the answer that the host is down.
@@ -91,6 +91,9 @@
         host != m_ledger.GetHosts().end() && m_ledger.IsFree(name, now) &&
         std::find(waiting.begin(), waiting.end(), name) != waiting.end() &&
         IsFreeOfWork(host->second, now);
+    if (host != m_ledger.GetHosts().end() && !is_due) {
+      Evacuate(host->second, now);
+    }
     if (is_due) {
       TakeDown(wave, host->second, true, row, record);
       return;
@@ -228,6 +231,20 @@
   m_ledger.Operate(std::move(request));
 }
 
+// Long-running tasks leave a host one by one, once its short ones are over.
+void WaveConductor::Evacuate(const hosts::FleetHost& host,
+                             base::TimePoint now) {
+  PoolRunner* pool = m_find_pool(host.pool);
+  const bool is_due = pool != nullptr &&
+                      !pool->GetScheduler().CanInterrupt(host.target) &&
+                      (pool->GetScheduler().CountShortRuns(host.target) == 0 ||
+                       now >= m_preparing.at(host.name) + kLongestPreparation);
+  if (is_due) {
+    pool->GetScheduler().Evacuate(host.target);
+    pool->Wake();
+  }
+}
+
 void WaveConductor::SetLeaving(const hosts::FleetHost& host, bool leaving) {
   PoolRunner* pool = m_find_pool(host.pool);
   if (pool != nullptr) {
@@ -290,21 +307,20 @@
   }
   m_reported[wave.number] = is_completed;
   storage::RowTransaction transaction;
-  const storage::RowKey key{platform::kStatusTable, platform::kSharedPart,
-                            platform::kWaveKeyPrefix +
-                                std::to_string(wave.number)};
+  const storage::RowKey key{
+      platform::kStatusTable, platform::kSharedPart,
+      platform::kWaveKeyPrefix + std::to_string(wave.number)};
   transaction.writes = {
       {key, platform::EncodeWaveStatus(wave.number, is_completed)}};
-  m_store.Commit(
-      std::move(transaction),
-      m_lifetime.Guard([this, number = wave.number, is_completed](
-                           const storage::RowCommitResult& result) {
-        const bool is_written =
-            result.status == storage::RowCommitStatus::kCommitted;
-        if (!is_written && m_reported[number] == is_completed) {
-          m_reported.erase(number);
-        }
-      }));
+  m_store.Commit(std::move(transaction),
+                 m_lifetime.Guard([this, number = wave.number, is_completed](
+                                      const storage::RowCommitResult& result) {
+                   const bool is_written =
+                       result.status == storage::RowCommitStatus::kCommitted;
+                   if (!is_written && m_reported[number] == is_completed) {
+                     m_reported.erase(number);
+                   }
+                 }));
 }
 
 }  // namespace shallotwick::scheduler
--- a/services/shallotwick-scheduler/wave_conductor.h
+++ b/services/shallotwick-scheduler/wave_conductor.h
@@ -43,8 +43,8 @@
   void Advance(const hosts::MaintenanceWave& wave, base::TimePoint now);
   // Returns whether it has changed the record or asks for a change.
   bool EnterReturned(const hosts::MaintenanceWave& wave,
-                     const storage::VersionedRow& row,
-                     hosts::WaveRecord record, base::TimePoint now);
+                     const storage::VersionedRow& row, hosts::WaveRecord record,
+                     base::TimePoint now);
   void Prepare(const hosts::MaintenanceWave& wave,
                const hosts::WaveRecord& record, base::TimePoint now);
   bool IsFreeOfWork(const hosts::FleetHost& host, base::TimePoint now) const;
@@ -55,6 +55,7 @@
   void OnTakenDown(const hosts::FleetHost& host, bool is_first,
                    hosts::HostOperationOutcome outcome);
   void ReportStatus(const hosts::MaintenanceWave& wave, bool is_completed);
+  void Evacuate(const hosts::FleetHost& host, base::TimePoint now);
   void SetLeaving(const hosts::FleetHost& host, bool leaving);
   void Release(const std::string& host);
 
