Call hosts for the load that will be there when they come

Change: ArrivalForecast extrapolates the rate of arriving work to the time when a host that is called now is there. Only owners of pools follow targets, hosts and shared rows.

--- a/libraries/hosts/capacity_need.cc
+++ b/libraries/hosts/capacity_need.cc
@@ -41,8 +41,9 @@
   const double by_work = load.open_core_seconds / kWorkOffSeconds / usable;
   const double by_width =
       (load.running_cores + load.waiting_cores) / usable;
+  const double by_forecast = load.forecast_cores / usable;
   const int wanted =
-      static_cast<int>(std::ceil(std::max(by_work, by_width)));
+      static_cast<int>(std::ceil(std::max({by_work, by_width, by_forecast})));
   return std::max(load.least_hosts, wanted);
 }
 
--- a/libraries/hosts/capacity_need.h
+++ b/libraries/hosts/capacity_need.h
@@ -33,6 +33,8 @@
   double waiting_cores = 0;
   // Work of all that is not done yet, in core-seconds.
   double open_core_seconds = 0;
+  // What arriving work will keep busy once a host that is called now is there.
+  double forecast_cores = 0;
   // Hosts that tasks which last need for themselves.
   int least_hosts = 0;
   double cores_per_host = 0;
--- /dev/null
+++ b/libraries/hosts/tests/hosts_test.cc
@@ -0,0 +1,102 @@
+#include <CppUTest/TestHarness.h>
+
+#include <stdexcept>
+
+#include "hosts/arrival_forecast.h"
+#include "hosts/capacity_need.h"
+#include "hosts/maintenance_wave.h"
+
+namespace base = shallotwick::base;
+namespace hosts = shallotwick::hosts;
+
+namespace {
+
+constexpr auto kStart = base::TimePoint(std::chrono::seconds(1'000));
+constexpr auto kMoveTime = std::chrono::milliseconds(1'500);
+
+// Feeds a rate of core-seconds a second that changes linearly.
+void FeedRamp(hosts::ArrivalForecast& forecast, double from, double to,
+              int tenths) {
+  for (int i = 0; i < tenths; ++i) {
+    const double rate = from + (to - from) * i / tenths;
+    forecast.Add(rate / 10, kStart + std::chrono::milliseconds(100) * i);
+  }
+}
+
+}  // namespace
+
+TEST_GROUP(Hosts){};
+
+TEST(Hosts, ForecastOfSteadyArrivalsIsTheirRate) {
+  hosts::ArrivalForecast forecast;
+  FeedRamp(forecast, 100, 100, 30);
+  const double cores = forecast.ForecastCores(
+      kMoveTime, kStart + std::chrono::milliseconds(2'900));
+  DOUBLES_EQUAL(100, cores, 1);
+}
+
+TEST(Hosts, ForecastOfARiseIsTheRateWhenACalledHostIsThere) {
+  hosts::ArrivalForecast forecast;
+  // 200 cores more each second; the newest full view is half a second old.
+  FeedRamp(forecast, 0, 400, 20);
+  const double cores = forecast.ForecastCores(
+      kMoveTime, kStart + std::chrono::milliseconds(1'900));
+  CHECK_TRUE(cores > 600);
+  CHECK_TRUE(cores < 750);
+}
+
+TEST(Hosts, ForecastAfterALullIsNothing) {
+  hosts::ArrivalForecast forecast;
+  FeedRamp(forecast, 100, 100, 30);
+  DOUBLES_EQUAL(0,
+                forecast.ForecastCores(kMoveTime,
+                                       kStart + std::chrono::seconds(20)),
+                0.001);
+}
+
+TEST(Hosts, WantsHostsForTheOpenWorkAndForWhatWillCome) {
+  hosts::PoolLoad load;
+  load.cores_per_host = 32;
+  load.least_hosts = 3;
+  LONGS_EQUAL(3, hosts::EstimateWantedHosts(load));
+  load.open_core_seconds = 400;
+  const int by_work = hosts::EstimateWantedHosts(load);
+  CHECK_TRUE(by_work > 3);
+  load.forecast_cores = 1'000;
+  CHECK_TRUE(hosts::EstimateWantedHosts(load) > by_work);
+}
+
+TEST(Hosts, WaveIsCompletedOnceEachHostHadItsTurnOrLeft) {
+  hosts::MaintenanceWave wave;
+  wave.number = 1;
+  wave.hosts = {"a", "b", "c"};
+  wave.most_at_once = 2;
+  hosts::WaveRecord record;
+  LONGS_EQUAL(2, hosts::CountFreePlaces(wave, record));
+  record.running = {{"a", "holder"}, {"b", "holder"}};
+  LONGS_EQUAL(0, hosts::CountFreePlaces(wave, record));
+  CHECK_FALSE(hosts::IsWaveCompleted(wave, record));
+  record.running = {{"b", "holder"}};
+  record.done = {"a"};
+  record.gone = {"c"};
+  CHECK_FALSE(hosts::IsWaveCompleted(wave, record));
+  record.running.clear();
+  record.done.insert("b");
+  CHECK_TRUE(hosts::IsWaveCompleted(wave, record));
+  CHECK_TRUE(hosts::DecodeWaveRecord(hosts::EncodeWaveRecord(record)) ==
+             record);
+}
+
+TEST(Hosts, RecordsOfAnotherFormAreRefused) {
+  CHECK_THROWS(std::runtime_error, hosts::DecodeWaveRecord("[1"));
+  CHECK_THROWS(std::runtime_error, hosts::DecodeWaveRecord("{\"running\":3}"));
+  CHECK_THROWS(std::runtime_error, hosts::DecodeNeedRecord("7"));
+}
+
+TEST(Hosts, NeedIsMetByOffers) {
+  hosts::NeedRecord need;
+  need.hosts = 3;
+  need.offers = {{"a", "pool-1"}, {"b", "pool-2"}};
+  LONGS_EQUAL(1, need.CountUnmet());
+  CHECK_TRUE(hosts::DecodeNeedRecord(hosts::EncodeNeedRecord(need)) == need);
+}
--- a/libraries/scheduling/job.cc
+++ b/libraries/scheduling/job.cc
@@ -74,6 +74,21 @@
   return JobChecker(job).Check();
 }
 
+double EstimateCoreSeconds(const JobSpec& job) {
+  constexpr double kMilliPerUnit = 1'000;
+  double work = 0;
+  for (const StepSpec& step : job.steps) {
+    const bool counts =
+        job.occurrences == 0 && !step.long_running && !step.best_effort;
+    if (counts) {
+      work += step.count * (static_cast<double>(step.demand.cpu_milli) /
+                            kMilliPerUnit) *
+              (static_cast<double>(step.estimate_ms) / kMilliPerUnit);
+    }
+  }
+  return work;
+}
+
 int64_t EstimateChainMs(const JobSpec& job, const std::vector<bool>& done) {
   std::vector<int64_t> ends(job.steps.size(), 0);
   int64_t longest = 0;
--- a/libraries/scheduling/job.h
+++ b/libraries/scheduling/job.h
@@ -80,6 +80,10 @@
   auto operator<=>(const TaskName&) const = default;
 };
 
+// The estimated work of a job's short tasks that are due now or have no due
+// time, in core-seconds.
+double EstimateCoreSeconds(const JobSpec& job);
+
 // The longest chain of estimated run times through the steps that are not in
 // `done`, in milliseconds.
 int64_t EstimateChainMs(const JobSpec& job, const std::vector<bool>& done);
--- a/services/shallotwick-scheduler/capacity_broker.cc
+++ b/services/shallotwick-scheduler/capacity_broker.cc
@@ -36,8 +36,8 @@
 }  // namespace
 
 CapacityBroker::CapacityBroker(hosts::HostOperations& operations,
-                               HostLedger& ledger)
-    : m_operations(operations), m_ledger(ledger) {}
+                               HostLedger& ledger, base::Duration move_time)
+    : m_operations(operations), m_ledger(ledger), m_move_time(move_time) {}
 
 void CapacityBroker::Reconsider(base::TimePoint now) {
   if (!m_ledger.IsLoaded() || m_standby_pools.empty()) {
@@ -67,7 +67,7 @@
 }
 
 CapacityBroker::PoolView CapacityBroker::Look(const std::string& pool,
-                                              const PoolRunner& runner) const {
+                                              PoolRunner& runner) const {
   PoolView view;
   for (const auto& [name, host] : m_ledger.GetHosts()) {
     // A host that is about to be maintained takes no new tasks.
@@ -88,6 +88,7 @@
   load.running_cores = demand.running_cores;
   load.waiting_cores = demand.waiting_cores;
   load.open_core_seconds = demand.open_core_seconds;
+  load.forecast_cores = runner.ForecastCores(m_move_time);
   load.least_hosts = demand.least_targets;
   load.cores_per_host = view.cores_per_host;
   view.wanted = hosts::EstimateWantedHosts(load);
--- a/services/shallotwick-scheduler/capacity_broker.h
+++ b/services/shallotwick-scheduler/capacity_broker.h
@@ -18,7 +18,9 @@
 // switched off.
 class CapacityBroker {
  public:
-  CapacityBroker(hosts::HostOperations& operations, HostLedger& ledger);
+  // `move_time`: until a host that is moved takes work.
+  CapacityBroker(hosts::HostOperations& operations, HostLedger& ledger,
+                 base::Duration move_time);
 
   // The pools that this host owns.
   std::function<std::map<std::string, PoolRunner*>()> m_get_pools;
@@ -36,7 +38,7 @@
     double cores_per_host = 0;
   };
 
-  PoolView Look(const std::string& pool, const PoolRunner& runner) const;
+  PoolView Look(const std::string& pool, PoolRunner& runner) const;
   void LogChange(const std::string& pool, const PoolView& view);
   void WriteNeed(const std::string& pool, const PoolView& view);
   void GiveSurplus(const std::string& pool, PoolRunner& runner,
@@ -56,6 +58,7 @@
 
   hosts::HostOperations& m_operations;
   HostLedger& m_ledger;
+  base::Duration m_move_time;
   std::set<std::string> m_standby_pools;
   std::map<std::string, PoolView> m_logged;
   // Since when a pool has had more hosts than it wants.
--- a/services/shallotwick-scheduler/host_ledger.cc
+++ b/services/shallotwick-scheduler/host_ledger.cc
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr auto kListPeriod = std::chrono::milliseconds(400);
+// Changes of the shared rows gather so long.
+constexpr auto kRowsPause = std::chrono::milliseconds(20);
 constexpr auto kRetryDelay = std::chrono::milliseconds(250);
 constexpr char kLockPrefix[] = "lock/";
 
@@ -48,7 +50,7 @@
       m_operations(operations),
       m_holder(std::move(holder)),
       m_holder_pause(holder_pause),
-      m_rows(loop, store, {kHostsTable, {kSinglePart}}) {
+      m_rows(loop, store, {kHostsTable, {kSinglePart}, kRowsPause}) {
   m_rows.m_on_reset = [this](const std::vector<storage::VersionedRow>& rows) {
     for (const storage::VersionedRow& row : rows) {
       OnRow(row);
@@ -62,8 +64,20 @@
 }
 
 void HostLedger::Start() {
+  if (m_is_started) {
+    return;
+  }
+  m_is_started = true;
   m_rows.Start();
-  RefreshList();
+  if (!m_is_listing) {
+    RefreshList();
+  }
+}
+
+void HostLedger::Stop() {
+  m_is_started = false;
+  m_rows.Stop();
+  m_hosts.clear();
 }
 
 void HostLedger::OnRow(const storage::VersionedRow& row) {
@@ -83,18 +97,15 @@
 }
 
 void HostLedger::RefreshList() {
-  const auto again = [this] {
-    m_loop.RunAfter(kListPeriod, m_lifetime.Guard([this] { RefreshList(); }));
-  };
-  if (!m_is_needed()) {
-    again();
+  m_is_listing = m_is_started;
+  if (!m_is_started) {
     return;
   }
   const auto asked = base::RuntimeClock::now();
   m_operations.List(m_lifetime.Guard(
-      [this, again, asked](bool is_listed,
-                           const std::vector<hosts::FleetHost>& listed) {
-        if (is_listed) {
+      [this, asked](bool is_listed,
+                    const std::vector<hosts::FleetHost>& listed) {
+        if (is_listed && m_is_started) {
           m_hosts.clear();
           for (const hosts::FleetHost& host : listed) {
             m_hosts[host.name] = host;
@@ -102,7 +113,8 @@
           m_list_time = asked;
           m_on_change();
         }
-        again();
+        m_loop.RunAfter(kListPeriod,
+                        m_lifetime.Guard([this] { RefreshList(); }));
       }));
 }
 
--- a/services/shallotwick-scheduler/host_ledger.h
+++ b/services/shallotwick-scheduler/host_ledger.h
@@ -39,12 +39,12 @@
              hosts::HostOperations& operations, std::string holder,
              base::Duration holder_pause);
 
-  // Whether this host owns a pool, and so needs the list.
-  std::function<bool()> m_is_needed;
   // After each list and each change of a shared row.
   std::function<void()> m_on_change;
 
+  // Keeps up with hosts and rows from now on, or no longer.
   void Start();
+  void Stop();
 
   const std::map<std::string, hosts::FleetHost>& GetHosts() const {
     return m_hosts;
@@ -92,6 +92,8 @@
   std::map<std::string, base::TimePoint> m_ended;
   std::map<std::string, hosts::FleetHost> m_hosts;
   base::TimePoint m_list_time;
+  bool m_is_started = false;
+  bool m_is_listing = false;
   base::Lifetime m_lifetime;
 };
 
--- a/services/shallotwick-scheduler/job_api.cc
+++ b/services/shallotwick-scheduler/job_api.cc
@@ -120,7 +120,10 @@
                   if (outcome == JobCallOutcome::kDone) {
                     base::Log(
                         base::events::kJobAccepted,
-                        {{"job", id}, {"route", name}, {"pool", service}});
+                        {{"job", id},
+                         {"route", name},
+                         {"pool", service},
+                         {"steps", shape}});
                   }
                   respond(MakeAnswer("submit", id, outcome,
                                      http::MakeJsonResponse(200, "{}")));
--- a/services/shallotwick-scheduler/pool_runner.cc
+++ b/services/shallotwick-scheduler/pool_runner.cc
@@ -12,6 +12,8 @@
 namespace shallotwick::scheduler {
 namespace {
 
+// Jobs that come together are read together.
+constexpr auto kJobPause = std::chrono::milliseconds(8);
 // Events of a few milliseconds are acted on together.
 constexpr auto kWakeDelay = std::chrono::milliseconds(2);
 constexpr auto kTickPeriod = std::chrono::milliseconds(100);
@@ -81,7 +83,8 @@
       m_metrics(metrics),
       m_options(options),
       m_scheduler(MakeSchedulerOptions(options)),
-      m_jobs(loop, store, {GetJobTable(options.service), {options.service}}),
+      m_jobs(loop, store,
+             {GetJobTable(options.service), {options.service}, kJobPause}),
       m_started(base::RuntimeClock::now()) {
   m_scheduler.m_on_note = [this](const scheduling::SchedulingNote& note) {
     LogNote(note);
@@ -218,6 +221,8 @@
       return;
     }
     m_progress_versions[id] = version;
+    m_arrivals.Add(scheduling::EstimateCoreSeconds(spec),
+                   base::RuntimeClock::now());
     m_scheduler.AddJob(std::move(spec), std::move(progress),
                        predates_ownership);
   } catch (const std::runtime_error& error) {
--- a/services/shallotwick-scheduler/pool_runner.h
+++ b/services/shallotwick-scheduler/pool_runner.h
@@ -9,6 +9,7 @@
 
 #include "base/event_loop.h"
 #include "base/metrics.h"
+#include "hosts/arrival_forecast.h"
 #include "scheduling/pool_scheduler.h"
 #include "scheduling/serving_config.h"
 #include "scheduling/target_orders.h"
@@ -56,6 +57,9 @@
   const scheduling::PoolScheduler& GetScheduler() const { return m_scheduler; }
   bool IsLoaded() const { return m_is_loaded; }
   const PoolRunnerOptions& GetOptions() const { return m_options; }
+  double ForecastCores(base::Duration ahead) {
+    return m_arrivals.ForecastCores(ahead, base::RuntimeClock::now());
+  }
   // Acts on what has changed, soon.
   void Wake();
 
@@ -90,6 +94,7 @@
   base::MetricRegistry& m_metrics;
   PoolRunnerOptions m_options;
   scheduling::PoolScheduler m_scheduler;
+  hosts::ArrivalForecast m_arrivals;
   TableFollower m_jobs;
   base::TimePoint m_started;
   // Versions of the progress rows of the jobs that are held.
--- a/services/shallotwick-scheduler/scheduler_process.cc
+++ b/services/shallotwick-scheduler/scheduler_process.cc
@@ -78,6 +78,8 @@
        std::nullopt, base::CheckAddress},
       {"maintenance-s", "SECONDS", "how long a host is away for maintenance",
        "2", base::CheckNumber(0, 86'400)},
+      {"move-s", "SECONDS", "how long the move of a host takes", "1.5",
+       base::CheckNumber(0, 86'400)},
       {"holder-pause-ms", "MILLISECONDS",
        "pause between operations of two holders on one host", "3000",
        milliseconds},
@@ -114,7 +116,8 @@
       m_waves(m_store, m_host_operations, m_host_ledger,
               {m_session.GetSelf().host + "/" + m_session.GetSelf().boot,
                GetSeconds(settings, "maintenance-s")}),
-      m_capacity(m_host_operations, m_host_ledger),
+      m_capacity(m_host_operations, m_host_ledger,
+                 GetSeconds(settings, "move-s")),
       m_operator_table(m_loop, m_store,
                        {platform::kOperatorTable, {platform::kSharedPart}}),
       m_registry(
@@ -139,9 +142,8 @@
   m_ownership.m_on_lost = [this](const std::string& pool) {
     base::Log(base::events::kPoolLost,
               {{"pool", pool}, {"reason", "another owner"}});
-    m_pools.erase(pool);
+    RemovePool(pool);
   };
-  m_host_ledger.m_is_needed = [this] { return !m_pools.empty(); };
   m_host_ledger.m_on_change = [this] { ReconsiderHosts(); };
   m_waves.m_find_pool = [this](const std::string& pool) {
     return FindPool(pool);
@@ -217,8 +219,6 @@
   WaitForSignal();
   m_session.Start();
   m_operator_table.Start();
-  m_registry.Start();
-  m_host_ledger.Start();
   TickHosts();
   m_loop.Run();
   m_front->Stop();
@@ -365,7 +365,7 @@
   runner->m_may_order = [this] {
     return m_session.IsSafe(base::RuntimeClock::now());
   };
-  runner->m_on_lost = [this, pool] { m_pools.erase(pool); };
+  runner->m_on_lost = [this, pool] { RemovePool(pool); };
   runner->SetConfig(*m_config);
   std::map<std::string, scheduling::TargetEntry> targets;
   for (const auto& [id, entry] : m_targets) {
@@ -375,9 +375,23 @@
   }
   runner->m_targets_at_start = std::move(targets);
   runner->Start();
+  if (m_pools.empty()) {
+    m_registry.Start();
+    m_host_ledger.Start();
+  }
   m_pools[pool] = std::move(runner);
 }
 
+// Only owners of pools need to know targets and hosts.
+void SchedulerProcess::RemovePool(const std::string& pool) {
+  m_pools.erase(pool);
+  if (m_pools.empty()) {
+    m_registry.Stop();
+    m_host_ledger.Stop();
+    m_targets.clear();
+  }
+}
+
 void SchedulerProcess::Stop() {
   if (m_is_stopping) {
     return;
--- a/services/shallotwick-scheduler/scheduler_process.h
+++ b/services/shallotwick-scheduler/scheduler_process.h
@@ -48,6 +48,7 @@
   void TickHosts();
   void ReconsiderHosts();
   PoolRunner* FindPool(const std::string& pool) const;
+  void RemovePool(const std::string& pool);
   bool IsReady() const;
   void Stop();
   void ReleasePools();
--- a/services/shallotwick-scheduler/table_follower.cc
+++ b/services/shallotwick-scheduler/table_follower.cc
@@ -27,6 +27,11 @@
   ReadNextPart();
 }
 
+void TableFollower::Stop() {
+  ++m_generation;
+  m_is_loaded = false;
+}
+
 void TableFollower::Restart(std::vector<std::string> parts) {
   m_options.parts = std::move(parts);
   Start();
--- a/services/shallotwick-scheduler/table_follower.h
+++ b/services/shallotwick-scheduler/table_follower.h
@@ -29,6 +29,7 @@
   std::function<void(const storage::VersionedRow&)> m_on_change;
 
   void Start();
+  void Stop();
   // Reads from anew, with these parts.
   void Restart(std::vector<std::string> parts);
   bool IsLoaded() const { return m_is_loaded; }
