Call standby hosts from the needy pool; count only reported targets as free

And hosts on standby could be had only from one owner; while it was cut off, no pool got any for 3.3 s. Change: a host counts as idle or interruptible only if its target has reported to this owner. A needy pool's owner calls standby hosts itself, under the host's lock row. Sessions live 2 s and are renewed each half second.

--- a/libraries/scheduling/job.cc
+++ b/libraries/scheduling/job.cc
@@ -81,8 +81,8 @@
     const bool counts =
         job.occurrences == 0 && !step.long_running && !step.best_effort;
     if (counts) {
-      work += step.count * (static_cast<double>(step.demand.cpu_milli) /
-                            kMilliPerUnit) *
+      work += step.count *
+              (static_cast<double>(step.demand.cpu_milli) / kMilliPerUnit) *
               (static_cast<double>(step.estimate_ms) / kMilliPerUnit);
     }
   }
--- a/libraries/scheduling/pool_scheduler.cc
+++ b/libraries/scheduling/pool_scheduler.cc
@@ -337,6 +337,12 @@
   return spec.steps[static_cast<size_t>(step)].count - present;
 }
 
+bool PoolScheduler::IsAccountedFor(const std::string& id) const {
+  const auto found = m_targets.find(id);
+  return found != m_targets.end() && found->second.m_is_fenced &&
+         found->second.m_is_responsive;
+}
+
 bool PoolScheduler::CanInterrupt(const std::string& id) const {
   for (const auto& [key, names] : GroupLongRuns(id)) {
     const ActiveJob& job = m_jobs.at(std::get<0>(key));
--- a/libraries/scheduling/pool_scheduler.h
+++ b/libraries/scheduling/pool_scheduler.h
@@ -124,6 +124,8 @@
   // Planned work: keeps new runs off a target, and tells whether ending all
   // that runs there keeps every disruption budget.
   void SetCordoned(const std::string& id, bool cordoned);
+  // Whether all that runs on the target is known from its own report.
+  bool IsAccountedFor(const std::string& id) const;
   // While it leaves, its runs count as interrupted.
   void SetLeaving(const std::string& id, bool leaving);
   bool CanInterrupt(const std::string& id) const;
--- a/services/shallotwick-scheduler/capacity_broker.cc
+++ b/services/shallotwick-scheduler/capacity_broker.cc
@@ -1,6 +1,7 @@
 #include "capacity_broker.h"
 
 #include <algorithm>
+#include <functional>
 #include <stdexcept>
 #include <utility>
 
@@ -50,10 +51,56 @@
     const PoolView view = Look(pool, *runner);
     LogChange(pool, view);
     WriteNeed(pool, view);
+    if (m_standby_pools.count(pool) > 0) {
+      continue;
+    }
+    CallStandbyHosts(pool, now);
     GiveSurplus(pool, *runner, view, now);
   }
 }
 
+// Hosts that are switched off run nothing, so that any pool's owner may call
+// them; it needs no help of the owner of their pool.
+void CapacityBroker::CallStandbyHosts(const std::string& pool,
+                                      base::TimePoint now) {
+  const storage::VersionedRow row = m_ledger.GetSharedRow(kNeedPrefix + pool);
+  hosts::NeedRecord need = ReadNeed(row);
+  const int unmet = need.CountUnmet();
+  if (unmet <= 0 || m_calling.count(pool) > 0) {
+    return;
+  }
+  std::vector<std::string> called;
+  std::string from;
+  for (const auto& [name, host] : m_ledger.GetHosts()) {
+    const bool may_call =
+        m_standby_pools.count(host.pool) > 0 && m_moved.count(name) == 0 &&
+        host.state == hosts::HostState::kUp && !m_is_reserved(name) &&
+        m_ledger.IsFree(name, now) && need.offers.count(name) == 0 &&
+        (from.empty() || from == host.pool);
+    if (may_call) {
+      from = host.pool;
+      called.push_back(name);
+    }
+  }
+  // Owners that call at the same time begin at different hosts.
+  if (!called.empty()) {
+    const size_t first = std::hash<std::string>{}(pool) % called.size();
+    std::rotate(called.begin(),
+                called.begin() + static_cast<std::ptrdiff_t>(first),
+                called.end());
+  }
+  called.resize(
+      std::min({called.size(), static_cast<size_t>(unmet), kMostMovesAtOnce}));
+  if (called.empty()) {
+    return;
+  }
+  for (const std::string& name : called) {
+    need.offers[name] = from;
+  }
+  m_calling.insert(pool);
+  Move(from, called, pool, row, hosts::EncodeNeedRecord(need));
+}
+
 void CapacityBroker::LogChange(const std::string& pool, const PoolView& view) {
   PoolView& logged = m_logged[pool];
   if (logged.wanted == view.wanted && logged.present == view.present) {
@@ -126,8 +173,7 @@
   if (idle.size() > kMostMovesAtOnce) {
     idle.resize(kMostMovesAtOnce);
   }
-  const bool is_standby = m_standby_pools.count(pool) > 0;
-  if (idle.empty() || (!is_standby && now < since + kShortSurplusHold)) {
+  if (idle.empty() || now < since + kShortSurplusHold) {
     return;
   }
   Give(pool, std::move(idle), now >= since + kSurplusHold);
@@ -142,6 +188,7 @@
                          host.state == hosts::HostState::kUp &&
                          m_moved.count(name) == 0 && !m_is_reserved(name) &&
                          m_ledger.IsFree(name, now) &&
+                         runner.GetScheduler().IsAccountedFor(host.target) &&
                          runner.GetScheduler().CountRuns(host.target) == 0;
     if (is_idle) {
       idle.push_back(name);
@@ -176,7 +223,7 @@
          hosts::EncodeNeedRecord(need));
     return;
   }
-  if (m_standby_pools.count(pool) > 0 || !may_switch_off) {
+  if (!may_switch_off) {
     return;
   }
   const storage::VersionedRow row =
@@ -204,12 +251,15 @@
     targets[name] = m_ledger.GetHosts().at(name).target;
   }
   request.on_end = m_lifetime.Guard(
-      [this, from, targets](const std::string& host,
-                            hosts::HostOperationOutcome outcome) {
+      [this, from, to, targets](const std::string& host,
+                                hosts::HostOperationOutcome outcome) {
+        m_calling.erase(to);
         OnMoved(from, host, targets.at(host), outcome);
       });
-  request.on_refused = m_lifetime.Guard(
-      [this, from, names] { SetCordoned(from, names, false); });
+  request.on_refused = m_lifetime.Guard([this, from, names, to] {
+    m_calling.erase(to);
+    SetCordoned(from, names, false);
+  });
   m_ledger.Operate(std::move(request));
 }
 
--- a/services/shallotwick-scheduler/capacity_broker.h
+++ b/services/shallotwick-scheduler/capacity_broker.h
@@ -41,6 +41,7 @@
   PoolView Look(const std::string& pool, PoolRunner& runner) const;
   void LogChange(const std::string& pool, const PoolView& view);
   void WriteNeed(const std::string& pool, const PoolView& view);
+  void CallStandbyHosts(const std::string& pool, base::TimePoint now);
   void GiveSurplus(const std::string& pool, PoolRunner& runner,
                    const PoolView& view, base::TimePoint now);
   std::vector<std::string> FindIdleHosts(const std::string& pool,
@@ -63,6 +64,8 @@
   std::map<std::string, PoolView> m_logged;
   // Since when a pool has had more hosts than it wants.
   std::map<std::string, base::TimePoint> m_surplus_since;
+  // Pools of this host that are calling standby hosts.
+  std::set<std::string> m_calling;
   // Hosts that were moved, until the list shows it.
   std::map<std::string, base::TimePoint> m_moved;
   base::Lifetime m_lifetime;
--- a/services/shallotwick-scheduler/job_api.cc
+++ b/services/shallotwick-scheduler/job_api.cc
@@ -118,12 +118,10 @@
                 [this, id, name = route.name, service = route.service,
                  shape = DescribeSteps(job), respond](JobCallOutcome outcome) {
                   if (outcome == JobCallOutcome::kDone) {
-                    base::Log(
-                        base::events::kJobAccepted,
-                        {{"job", id},
-                         {"route", name},
-                         {"pool", service},
-                         {"steps", shape}});
+                    base::Log(base::events::kJobAccepted, {{"job", id},
+                                                           {"route", name},
+                                                           {"pool", service},
+                                                           {"steps", shape}});
                   }
                   respond(MakeAnswer("submit", id, outcome,
                                      http::MakeJsonResponse(200, "{}")));
--- a/services/shallotwick-scheduler/session_keeper.cc
+++ b/services/shallotwick-scheduler/session_keeper.cc
@@ -10,15 +10,15 @@
 namespace shallotwick::scheduler {
 namespace {
 
-constexpr auto kRenewPeriod = std::chrono::milliseconds(700);
+constexpr auto kRenewPeriod = std::chrono::milliseconds(500);
 constexpr auto kRetryPeriod = std::chrono::milliseconds(150);
-constexpr auto kReadPeriod = std::chrono::milliseconds(700);
+constexpr auto kReadPeriod = std::chrono::milliseconds(400);
 // A session that stands still for so long has lapsed. Several renewals fit in,
 // so that lost answers alone do not end it.
-constexpr auto kTimeToLive = std::chrono::milliseconds(2'800);
+constexpr auto kTimeToLive = std::chrono::milliseconds(2'000);
 // A holder stops giving orders so long after it sent its last renewal; the rest
 // of the time to live covers clocks that differ and orders on their way.
-constexpr auto kHolderWindow = std::chrono::milliseconds(2'200);
+constexpr auto kHolderWindow = std::chrono::milliseconds(1'600);
 constexpr auto kStoreReachableWindow = std::chrono::milliseconds(2'000);
 
 ownership::SessionRow DecodeSession(const storage::VersionedRow& row) {
--- a/services/shallotwick-scheduler/wave_conductor.cc
+++ b/services/shallotwick-scheduler/wave_conductor.cc
@@ -202,7 +202,10 @@
   const scheduling::PoolScheduler& scheduler = pool->GetScheduler();
   const bool has_time_passed =
       now >= m_preparing.at(host.name) + kLongestPreparation;
-  return scheduler.CanInterrupt(host.target) &&
+  // A host without a target has nothing to interrupt.
+  const bool is_known =
+      host.target.empty() || scheduler.IsAccountedFor(host.target);
+  return is_known && scheduler.CanInterrupt(host.target) &&
          (scheduler.CountShortRuns(host.target) == 0 || has_time_passed);
 }
 
