Share hosts by work that can still be in time; place only when something changed

Change: needs tell timely hosts apart; where they are short each pool gets its share, and a pool above its share keeps new work off hosts and gives them. Placement runs only after an event that may let a task start, or each 50 ms.

--- a/libraries/hosts/arrival_forecast.cc
+++ b/libraries/hosts/arrival_forecast.cc
@@ -25,8 +25,8 @@
 
 void ArrivalForecast::Advance(base::TimePoint now) {
   const int64_t current = now.time_since_epoch() / kBucketLength;
-  const int64_t first = std::max(m_newest + 1,
-                                 current - static_cast<int64_t>(kBuckets) + 1);
+  const int64_t first =
+      std::max(m_newest + 1, current - static_cast<int64_t>(kBuckets) + 1);
   for (int64_t bucket = first; bucket <= current; ++bucket) {
     m_buckets[static_cast<size_t>(bucket) % kBuckets] = 0;
   }
--- a/libraries/hosts/arrival_forecast.h
+++ b/libraries/hosts/arrival_forecast.h
@@ -8,8 +8,9 @@
 namespace shallotwick::hosts {
 
 // Foresees the load of a pool from the work that arrived lately. Demand that
-// comes in turns rises within two seconds, and a host that is called takes about
-// as long to come; so hosts are called for the load that will be there by then.
+// comes in turns rises within two seconds, and a host that is called takes
+// about as long to come; so hosts are called for the load that will be there by
+// then.
 class ArrivalForecast {
  public:
   // Takes the work of a job that has just come, in core-seconds.
--- a/libraries/hosts/capacity_need.h
+++ b/libraries/hosts/capacity_need.h
@@ -8,20 +8,27 @@
 
 namespace shallotwick::hosts {
 
-// A pool's request for hosts, answered by offers of other pools' owners.
+// What a pool has and wants, as its owner tells the others.
 struct NeedRecord {
-  // Hosts that the pool lacks, those on offer included.
-  int hosts = 0;
-  // By host: the pool that it comes from.
+  // Hosts for work that can still be in time, and for what is about to come.
+  int timely = 0;
+  // Hosts for all its work.
+  int wanted = 0;
+  int present = 0;
+  // Hosts on their way to it: by host the pool that it comes from.
   std::map<std::string, std::string> offers;
 
-  int CountUnmet() const {
-    return hosts - static_cast<int>(offers.size());
-  }
+  int CountCovered() const { return present + static_cast<int>(offers.size()); }
+  int CountUnmet() const { return wanted - CountCovered(); }
 
   auto operator<=>(const NeedRecord&) const = default;
 };
 
+// How many hosts each pool should have for work that can be in time. If all
+// together want more than `hosts`, each gets its share.
+std::map<std::string, int> ShareHosts(
+    const std::map<std::string, NeedRecord>& needs, int hosts);
+
 std::string EncodeNeedRecord(const NeedRecord& record);
 // Throws std::runtime_error if the text is not a record.
 NeedRecord DecodeNeedRecord(const std::string& text);
@@ -35,6 +42,9 @@
   double open_core_seconds = 0;
   // What arriving work will keep busy once a host that is called now is there.
   double forecast_cores = 0;
+  // The part of these that can still be in time.
+  double timely_waiting_cores = 0;
+  double timely_core_seconds = 0;
   // Hosts that tasks which last need for themselves.
   int least_hosts = 0;
   double cores_per_host = 0;
@@ -42,6 +52,9 @@
   auto operator<=>(const PoolLoad&) const = default;
 };
 
+// How many hosts the work that can still be in time calls for.
+int EstimateTimelyHosts(const PoolLoad& load);
+
 // How many hosts a pool should have: enough to work off what is open within
 // the time that jobs can wait, and no more than its tasks can use at once.
 int EstimateWantedHosts(const PoolLoad& load);
--- a/libraries/hosts/maintenance_wave.cc
+++ b/libraries/hosts/maintenance_wave.cc
@@ -7,9 +7,8 @@
 namespace shallotwick::hosts {
 
 std::string EncodeWaveRecord(const WaveRecord& record) {
-  return nlohmann::json{{"running", record.running},
-                        {"done", record.done},
-                        {"gone", record.gone}}
+  return nlohmann::json{
+      {"running", record.running}, {"done", record.done}, {"gone", record.gone}}
       .dump();
 }
 
@@ -45,8 +44,8 @@
 }
 
 int CountFreePlaces(const MaintenanceWave& wave, const WaveRecord& record) {
-  return std::max(0, wave.most_at_once -
-                         static_cast<int>(record.running.size()));
+  return std::max(0,
+                  wave.most_at_once - static_cast<int>(record.running.size()));
 }
 
 }  // namespace shallotwick::hosts
--- a/libraries/scheduling/active_job.cc
+++ b/libraries/scheduling/active_job.cc
@@ -1,5 +1,6 @@
 #include "scheduling/active_job.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace shallotwick::scheduling {
@@ -23,6 +24,7 @@
         tasks.push_back(std::move(task));
       }
       open.push_back(open_count);
+      m_idle += open_count;
     }
   }
   for (const StepSpec& step : m_spec.steps) {
@@ -84,17 +86,34 @@
   return 0;
 }
 
+void ActiveJob::AssignRun(ActiveTask& task, const std::string& target,
+                          int64_t run) {
+  m_idle -= !task.progress.done && task.target.empty() ? 1 : 0;
+  task.target = target;
+  task.run = run;
+  task.last_run = std::max(task.last_run, run);
+}
+
+void ActiveJob::ReleaseRun(ActiveTask& task) {
+  m_idle += !task.progress.done && !task.target.empty() ? 1 : 0;
+  task.target.clear();
+  task.run = 0;
+}
+
 void ActiveJob::MarkDone(const TaskName& name) {
   auto& tasks = GetStep(name.occurrence, name.step);
   int& open = m_open[static_cast<size_t>(name.occurrence)]
                     [static_cast<size_t>(name.step)];
   if (m_spec.steps[static_cast<size_t>(name.step)].gang) {
     for (ActiveTask& task : tasks) {
+      m_idle -= !task.progress.done && task.target.empty() ? 1 : 0;
       task.progress.done = true;
     }
     open = 0;
   } else if (!tasks[static_cast<size_t>(name.index)].progress.done) {
-    tasks[static_cast<size_t>(name.index)].progress.done = true;
+    ActiveTask& task = tasks[static_cast<size_t>(name.index)];
+    m_idle -= task.target.empty() ? 1 : 0;
+    task.progress.done = true;
     --open;
   }
   if (open == 0) {
--- a/libraries/scheduling/active_job.h
+++ b/libraries/scheduling/active_job.h
@@ -45,6 +45,10 @@
   int64_t GetRemainingChainMs() const { return m_remaining_chain_ms; }
   int GetFirstOpenOccurrence() const;
 
+  // Tasks that are not done and have no run, those of later steps included.
+  int CountIdle() const { return m_idle; }
+  void AssignRun(ActiveTask& task, const std::string& target, int64_t run);
+  void ReleaseRun(ActiveTask& task);
   // Marks one task as done; a step that runs as a gang is done as a whole.
   void MarkDone(const TaskName& name);
   JobProgress MakeProgress() const;
@@ -60,6 +64,7 @@
   JobSpec m_spec;
   std::vector<std::vector<std::vector<ActiveTask>>> m_tasks;
   std::vector<std::vector<int>> m_open;
+  int m_idle = 0;
   bool m_has_long_running_step = false;
   int64_t m_whole_chain_ms = 0;
   int64_t m_remaining_chain_ms = 0;
--- a/libraries/scheduling/pool_decisions.cc
+++ b/libraries/scheduling/pool_decisions.cc
@@ -18,6 +18,7 @@
 constexpr auto kNoTicketPause = std::chrono::milliseconds(1'000);
 // Steps in a row that found no place, after which the pool counts as full.
 constexpr int kMostFutileSteps = 40;
+constexpr auto kPlacementPeriod = std::chrono::milliseconds(50);
 // Reports of the load are half a second old.
 constexpr auto kPacePeriod = std::chrono::milliseconds(500);
 // Schedules start no earlier than this before the host's clock says so.
@@ -28,7 +29,12 @@
 PoolOrders PoolScheduler::Decide(base::TimePoint now, int64_t wall_ms) {
   PoolOrders orders;
   LoseExpiredTargets(now);
-  StartWaitingTasks(now, wall_ms, orders);
+  // Pauses of targets and due times pass without an event.
+  if (m_may_start_more || now >= m_last_placement + kPlacementPeriod) {
+    m_may_start_more = false;
+    m_last_placement = now;
+    StartWaitingTasks(now, wall_ms, orders);
+  }
   SendStops(now, orders);
   PaceBestEffortRuns(now, orders);
   return orders;
@@ -74,6 +80,19 @@
   return candidates;
 }
 
+QueueRank PoolScheduler::Rank(const ActiveJob& job, int64_t wall_ms) const {
+  QueueInput input;
+  const auto route = m_routes.find(job.GetSpec().route);
+  if (route != m_routes.end()) {
+    input.policy = route->second;
+  }
+  input.long_running = job.HasLongRunningStep();
+  input.due_since_ms = job.GetDueMs(job.GetFirstOpenOccurrence());
+  input.whole_chain_ms = job.GetWholeChainMs();
+  input.remaining_chain_ms = job.GetRemainingChainMs();
+  return RankJob(input, wall_ms);
+}
+
 std::vector<ActiveJob*> PoolScheduler::RankWaitingJobs(base::TimePoint now,
                                                        int64_t wall_ms) {
   const bool may_run_elsewhere = IsAnyUnfenced(now);
@@ -85,16 +104,7 @@
     if (is_held_back) {
       continue;
     }
-    QueueInput input;
-    const auto route = m_routes.find(job.GetSpec().route);
-    if (route != m_routes.end()) {
-      input.policy = route->second;
-    }
-    input.long_running = job.HasLongRunningStep();
-    input.due_since_ms = job.GetDueMs(job.GetFirstOpenOccurrence());
-    input.whole_chain_ms = job.GetWholeChainMs();
-    input.remaining_chain_ms = job.GetRemainingChainMs();
-    ranked.emplace_back(RankJob(input, wall_ms), &job);
+    ranked.emplace_back(Rank(job, wall_ms), &job);
   }
   std::sort(
       ranked.begin(), ranked.end(), [](const auto& left, const auto& right) {
@@ -160,6 +170,9 @@
     }
     waiting.push_back(i);
   }
+  if (waiting.empty()) {
+    return true;
+  }
   // A gang starts again only as a whole, under one run number.
   if (step.gang && waiting.size() < tasks.size()) {
     return true;
@@ -221,9 +234,7 @@
                                     base::TimePoint now) {
   const StepSpec& step = job.GetSpec().steps[static_cast<size_t>(name.step)];
   ActiveTask& task = *job.FindTask(name);
-  task.target = target.m_entry.id;
-  task.run = run;
-  task.last_run = run;
+  job.AssignRun(task, target.m_entry.id, run);
   Run entry;
   entry.number = run;
   entry.demand = step.demand;
--- a/libraries/scheduling/pool_reports.cc
+++ b/libraries/scheduling/pool_reports.cc
@@ -128,6 +128,9 @@
     LoseRuns(*target);
     ForgetIncarnation(*target);
   }
+  if (!target->m_is_responsive || !target->m_is_fenced) {
+    m_may_start_more = true;
+  }
   target->m_reported_born_ms = report.born_ms;
   target->m_is_responsive = true;
   target->m_is_fenced = true;
@@ -278,8 +281,7 @@
   }
   Note("run-adopted", reported.task, reported.run, target.m_entry.id,
        "reported by the target");
-  task->target = target.m_entry.id;
-  task->run = reported.run;
+  job->AssignRun(*task, target.m_entry.id, reported.run);
 }
 
 void PoolScheduler::SettleMissingRuns(TargetLedger& target,
--- a/libraries/scheduling/pool_scheduler.cc
+++ b/libraries/scheduling/pool_scheduler.cc
@@ -80,6 +80,7 @@
   const bool is_reborn = target.m_entry.born_ms > 0 &&
                          entry.born_ms > target.m_entry.born_ms &&
                          entry.born_ms > target.m_reported_born_ms;
+  m_may_start_more = true;
   target.m_entry = entry;
   target.m_is_registered = true;
   if (is_reborn) {
@@ -186,11 +187,12 @@
 
 void PoolScheduler::ReleaseTask(const TaskName& name, const std::string& target,
                                 int64_t run) {
-  ActiveTask* task = FindTask(name);
+  ActiveJob* job = FindJob(name.job);
+  ActiveTask* task = job == nullptr ? nullptr : job->FindTask(name);
   if (task != nullptr && task->target == target && task->run == run) {
-    task->target.clear();
-    task->run = 0;
+    job->ReleaseRun(*task);
   }
+  m_may_start_more = true;
 }
 
 void PoolScheduler::RequestStop(TargetLedger& target, const TaskName& name) {
@@ -218,6 +220,7 @@
     }
   }
   job.MarkDone(name);
+  m_may_start_more = true;
   MarkDirty(job, true);
   if (job.IsDone()) {
     EndJob(job, JobState::kCompleted);
@@ -304,6 +307,7 @@
   TargetLedger* target = FindTarget(id);
   if (target != nullptr) {
     target->m_is_cordoned = cordoned;
+    m_may_start_more = true;
   }
 }
 
@@ -411,12 +415,13 @@
   return found == m_targets.end() ? 0 : found->second.GetRuns().size();
 }
 
-PoolDemand PoolScheduler::EstimateDemand() const {
+PoolDemand PoolScheduler::EstimateDemand(int64_t wall_ms) const {
   constexpr double kMilliPerCore = 1'000;
   PoolDemand demand;
   for (const auto& [id, job] : m_jobs) {
     const JobSpec& spec = job.GetSpec();
     const int k = job.GetFirstOpenOccurrence();
+    const bool is_timely = Rank(job, wall_ms).IsTimely();
     for (int step = 0; step < static_cast<int>(spec.steps.size()); ++step) {
       const StepSpec& shape = spec.steps[static_cast<size_t>(step)];
       const int open = IsTerminal(job.m_state) ? 0 : job.CountOpen(k, step);
@@ -431,12 +436,15 @@
         demand.least_targets = std::max(
             demand.least_targets, (shape.count + per_target - 1) / per_target);
       } else {
-        demand.open_core_seconds += open * cores *
-                                    static_cast<double>(shape.estimate_ms) /
-                                    kMilliPerCore;
+        const double work = open * cores *
+                            static_cast<double>(shape.estimate_ms) /
+                            kMilliPerCore;
+        demand.open_core_seconds += work;
+        demand.timely_core_seconds += is_timely ? work : 0;
       }
       if (job.IsStepReady(k, step)) {
         demand.waiting_cores += open * cores;
+        demand.timely_waiting_cores += is_timely ? open * cores : 0;
       }
     }
   }
@@ -448,6 +456,7 @@
       }
     }
   }
+  // Ready tasks that run already were counted among both.
   demand.waiting_cores =
       std::max(0.0, demand.waiting_cores - demand.running_cores);
   return demand;
--- a/libraries/scheduling/pool_scheduler.h
+++ b/libraries/scheduling/pool_scheduler.h
@@ -48,6 +48,9 @@
   double waiting_cores = 0;
   // Estimated work of all that is not done.
   double open_core_seconds = 0;
+  // The part of these that belongs to jobs which can still be in time.
+  double timely_waiting_cores = 0;
+  double timely_core_seconds = 0;
   // Targets that the long-running steps need to be spread as they ask.
   int least_targets = 0;
 
@@ -141,7 +144,7 @@
     return m_targets;
   }
   int64_t CountQueuedJobs() const;
-  PoolDemand EstimateDemand() const;
+  PoolDemand EstimateDemand(int64_t wall_ms) const;
 
  private:
   using Position = std::pair<int, int>;
@@ -184,6 +187,7 @@
   bool IsAnyUnfenced(base::TimePoint now) const;
   bool NeedsReport(const TargetLedger& target, base::TimePoint now) const;
   std::vector<Candidate> MakeCandidates(base::TimePoint now) const;
+  QueueRank Rank(const ActiveJob& job, int64_t wall_ms) const;
   std::vector<ActiveJob*> RankWaitingJobs(base::TimePoint now, int64_t wall_ms);
   void StartWaitingTasks(base::TimePoint now, int64_t wall_ms,
                          PoolOrders& orders);
@@ -209,6 +213,9 @@
   std::set<std::string> m_committing;
   // Ends that may be acknowledged once the batch under way is stored.
   std::map<std::string, int64_t> m_ends_in_batch;
+  // Something has changed that may let a task start.
+  bool m_may_start_more = true;
+  base::TimePoint m_last_placement;
   bool m_has_urgent_change = false;
   bool m_is_superseded = false;
 };
--- a/libraries/scheduling/queue_order.h
+++ b/libraries/scheduling/queue_order.h
@@ -38,6 +38,9 @@
   int priority = 0;
   int64_t slack_ms = 0;
 
+  // Whether the job can still end within its objective.
+  bool IsTimely() const { return slack_ms >= 0; }
+
   auto operator<=>(const QueueRank&) const = default;
 };
 
--- a/services/shallotwick-scheduler/capacity_broker.cc
+++ b/services/shallotwick-scheduler/capacity_broker.cc
@@ -55,6 +55,7 @@
       continue;
     }
     CallStandbyHosts(pool, now);
+    YieldHosts(pool, *runner, view);
     GiveSurplus(pool, *runner, view, now);
   }
 }
@@ -65,7 +66,15 @@
                                       base::TimePoint now) {
   const storage::VersionedRow row = m_ledger.GetSharedRow(kNeedPrefix + pool);
   hosts::NeedRecord need = ReadNeed(row);
-  const int unmet = need.CountUnmet();
+  // Work that is late in any case waits while another pool lacks hosts for work
+  // that can be in time.
+  bool is_other_short = false;
+  for (const auto& [name, other] : ReadNeeds()) {
+    is_other_short =
+        is_other_short || (name != pool && other.timely > other.CountCovered());
+  }
+  const int unmet =
+      is_other_short ? need.timely - need.CountCovered() : need.CountUnmet();
   if (unmet <= 0 || m_calling.count(pool) > 0) {
     return;
   }
@@ -130,15 +139,19 @@
   if (m_standby_pools.count(pool) > 0) {
     return view;
   }
-  const scheduling::PoolDemand demand = runner.GetScheduler().EstimateDemand();
+  const scheduling::PoolDemand demand =
+      runner.GetScheduler().EstimateDemand(base::WallClockMilliseconds());
   hosts::PoolLoad load;
   load.running_cores = demand.running_cores;
   load.waiting_cores = demand.waiting_cores;
   load.open_core_seconds = demand.open_core_seconds;
   load.forecast_cores = runner.ForecastCores(m_move_time);
+  load.timely_waiting_cores = demand.timely_waiting_cores;
+  load.timely_core_seconds = demand.timely_core_seconds;
   load.least_hosts = demand.least_targets;
   load.cores_per_host = view.cores_per_host;
-  view.wanted = hosts::EstimateWantedHosts(load);
+  view.timely = hosts::EstimateTimelyHosts(load);
+  view.wanted = std::max(view.timely, hosts::EstimateWantedHosts(load));
   return view;
 }
 
@@ -152,31 +165,98 @@
     return host == m_ledger.GetHosts().end() || host->second.pool == pool;
   });
   const bool is_standby = m_standby_pools.count(pool) > 0;
-  wanted.hosts = is_standby ? 0 : std::max(0, view.wanted - view.present);
+  wanted.timely = is_standby ? 0 : view.timely;
+  wanted.wanted = is_standby ? 0 : view.wanted;
+  wanted.present = view.present;
   if (wanted != record) {
     m_ledger.WriteSharedRow(row, hosts::EncodeNeedRecord(wanted));
   }
 }
 
+std::map<std::string, hosts::NeedRecord> CapacityBroker::ReadNeeds() const {
+  const std::string prefix = kNeedPrefix;
+  std::map<std::string, hosts::NeedRecord> needs;
+  for (const storage::VersionedRow& row : m_ledger.ListSharedRows(prefix)) {
+    const std::string pool = row.key.key.substr(prefix.size());
+    if (m_standby_pools.count(pool) == 0) {
+      needs[pool] = ReadNeed(row);
+    }
+  }
+  return needs;
+}
+
+// A turn of one queue begins while another still works off its own; hosts that
+// serve only late work there are worth more here.
+void CapacityBroker::YieldHosts(const std::string& pool, PoolRunner& runner,
+                                const PoolView& view) {
+  const auto needs = ReadNeeds();
+  const auto shares =
+      hosts::ShareHosts(needs, static_cast<int>(m_ledger.GetHosts().size()));
+  int lacking = 0;
+  for (const auto& [name, need] : needs) {
+    if (name != pool) {
+      lacking += std::max(0, shares.at(name) - need.CountCovered());
+    }
+  }
+  const auto own = shares.find(pool);
+  const int share =
+      own == shares.end() ? view.timely : std::max(own->second, 1);
+  const int surplus = std::min(lacking, view.present - share);
+  std::vector<std::pair<size_t, std::string>> candidates;
+  for (const auto& [name, host] : m_ledger.GetHosts()) {
+    const bool may_yield = host.pool == pool &&
+                           host.state == hosts::HostState::kUp &&
+                           !m_is_reserved(name) &&
+                           runner.GetScheduler().IsAccountedFor(host.target) &&
+                           runner.GetScheduler().CountShortRuns(host.target) ==
+                               runner.GetScheduler().CountRuns(host.target);
+    if (may_yield) {
+      candidates.emplace_back(runner.GetScheduler().CountRuns(host.target),
+                              name);
+    }
+  }
+  std::sort(candidates.begin(), candidates.end());
+  std::set<std::string> yielding;
+  for (const auto& [runs, name] : candidates) {
+    if (static_cast<int>(yielding.size()) < surplus) {
+      yielding.insert(name);
+    }
+  }
+  std::set<std::string>& before = m_yielding[pool];
+  for (const std::string& name : before) {
+    if (yielding.count(name) == 0 && !m_is_reserved(name)) {
+      SetCordoned(pool, {name}, false);
+    }
+  }
+  for (const std::string& name : yielding) {
+    SetCordoned(pool, {name}, true);
+  }
+  before = std::move(yielding);
+}
+
 void CapacityBroker::GiveSurplus(const std::string& pool, PoolRunner& runner,
                                  const PoolView& view, base::TimePoint now) {
-  if (view.present <= view.wanted) {
+  const size_t yielding = m_yielding[pool].size();
+  if (view.present <= view.wanted && yielding == 0) {
     m_surplus_since.erase(pool);
     return;
   }
   const auto since = m_surplus_since.try_emplace(pool, now).first->second;
   std::vector<std::string> idle = FindIdleHosts(pool, runner, now);
-  const auto surplus = static_cast<size_t>(view.present - view.wanted);
+  const auto surplus = std::max(
+      yielding, static_cast<size_t>(std::max(0, view.present - view.wanted)));
   if (idle.size() > surplus) {
     idle.resize(surplus);
   }
   if (idle.size() > kMostMovesAtOnce) {
     idle.resize(kMostMovesAtOnce);
   }
-  if (idle.empty() || now < since + kShortSurplusHold) {
+  if (idle.empty() || (yielding == 0 && now < since + kShortSurplusHold)) {
     return;
   }
-  Give(pool, std::move(idle), now >= since + kSurplusHold);
+  const bool may_switch_off = view.present > view.wanted && yielding == 0 &&
+                              now >= since + kSurplusHold;
+  Give(pool, std::move(idle), may_switch_off);
 }
 
 std::vector<std::string> CapacityBroker::FindIdleHosts(
@@ -202,19 +282,29 @@
                           std::vector<std::string> idle, bool may_switch_off) {
   storage::VersionedRow neediest;
   hosts::NeedRecord need;
-  for (const storage::VersionedRow& row :
-       m_ledger.ListSharedRows(kNeedPrefix)) {
-    const hosts::NeedRecord record = ReadNeed(row);
-    if (record.CountUnmet() > need.CountUnmet()) {
-      neediest = row;
-      need = record;
+  int most = 0;
+  const auto needs = ReadNeeds();
+  const auto shares =
+      hosts::ShareHosts(needs, static_cast<int>(m_ledger.GetHosts().size()));
+  const auto consider = [&](const std::string& name, int lacking) {
+    if (name != pool && lacking > most) {
+      most = lacking;
+      neediest = m_ledger.GetSharedRow(kNeedPrefix + name);
+      need = needs.at(name);
+    }
+  };
+  for (const auto& [name, other] : needs) {
+    consider(name, shares.at(name) - other.CountCovered());
+  }
+  if (most == 0) {
+    for (const auto& [name, other] : needs) {
+      consider(name, other.CountUnmet());
     }
   }
   const std::string prefix = kNeedPrefix;
-  if (need.CountUnmet() > 0) {
-    const auto most = static_cast<size_t>(need.CountUnmet());
-    if (idle.size() > most) {
-      idle.resize(most);
+  if (most > 0) {
+    if (idle.size() > static_cast<size_t>(most)) {
+      idle.resize(static_cast<size_t>(most));
     }
     for (const std::string& name : idle) {
       need.offers[name] = pool;
--- a/services/shallotwick-scheduler/capacity_broker.h
+++ b/services/shallotwick-scheduler/capacity_broker.h
@@ -33,6 +33,7 @@
 
  private:
   struct PoolView {
+    int timely = 0;
     int wanted = 0;
     int present = 0;
     double cores_per_host = 0;
@@ -42,6 +43,10 @@
   void LogChange(const std::string& pool, const PoolView& view);
   void WriteNeed(const std::string& pool, const PoolView& view);
   void CallStandbyHosts(const std::string& pool, base::TimePoint now);
+  // Keeps new work off hosts that another pool should have.
+  void YieldHosts(const std::string& pool, PoolRunner& runner,
+                  const PoolView& view);
+  std::map<std::string, hosts::NeedRecord> ReadNeeds() const;
   void GiveSurplus(const std::string& pool, PoolRunner& runner,
                    const PoolView& view, base::TimePoint now);
   std::vector<std::string> FindIdleHosts(const std::string& pool,
@@ -64,6 +69,8 @@
   std::map<std::string, PoolView> m_logged;
   // Since when a pool has had more hosts than it wants.
   std::map<std::string, base::TimePoint> m_surplus_since;
+  // Hosts that take no new work, as another pool should have them.
+  std::map<std::string, std::set<std::string>> m_yielding;
   // Pools of this host that are calling standby hosts.
   std::set<std::string> m_calling;
   // Hosts that were moved, until the list shows it.
--- a/services/shallotwick-scheduler/pool_runner.cc
+++ b/services/shallotwick-scheduler/pool_runner.cc
@@ -15,7 +15,7 @@
 // Jobs that come together are read together.
 constexpr auto kJobPause = std::chrono::milliseconds(8);
 // Events of a few milliseconds are acted on together.
-constexpr auto kWakeDelay = std::chrono::milliseconds(2);
+constexpr auto kWakeDelay = std::chrono::milliseconds(4);
 constexpr auto kTickPeriod = std::chrono::milliseconds(100);
 // Ends and final states gather so long before they are stored together.
 constexpr auto kUrgentCommitDelay = std::chrono::milliseconds(8);
