Start stalled tasks elsewhere; forget ended jobs; test the policies

Cause: tasks on some targets stand still for seconds while the target reports them as running, and jobs with such a task were late; rows of ended jobs were never removed. Change: IsStalled (elapsed, progress, expected time learnt by route) and a stop, so that the task starts elsewhere; the owner removes progress rows after the retention time. Tests of checks, records, queue order, placement, pacing, stalls and routes.

--- a/libraries/scheduling/pool_decisions.cc
+++ b/libraries/scheduling/pool_decisions.cc
@@ -5,6 +5,7 @@
 
 #include "scheduling/fill_pacing.h"
 #include "scheduling/pool_scheduler.h"
+#include "scheduling/stall_detection.h"
 
 namespace shallotwick::scheduling {
 namespace {
@@ -12,12 +13,17 @@
 // A stop that was taken and has no effect yet is sent again after this time.
 constexpr auto kRepeatStopAfter = std::chrono::milliseconds(1'500);
 constexpr auto kUnhealthyPause = std::chrono::milliseconds(1'000);
+// A target on which a run stalled gets no new ones for this time.
+constexpr auto kStalledTargetPause = std::chrono::milliseconds(2'000);
 constexpr auto kUnreachablePause = std::chrono::milliseconds(500);
 constexpr auto kNoRoomPause = std::chrono::milliseconds(300);
 constexpr auto kInvalidOrderPause = std::chrono::milliseconds(2'000);
 constexpr auto kNoTicketPause = std::chrono::milliseconds(1'000);
 // Steps in a row that found no place, after which the pool counts as full.
 constexpr int kMostFutileSteps = 40;
+constexpr auto kStallCheckPeriod = std::chrono::milliseconds(200);
+// The weight of the newest run time in the mean of its route.
+constexpr int64_t kLearnDivisor = 16;
 constexpr auto kPlacementPeriod = std::chrono::milliseconds(50);
 // Reports of the load are half a second old.
 constexpr auto kPacePeriod = std::chrono::milliseconds(500);
@@ -29,6 +35,10 @@
 PoolOrders PoolScheduler::Decide(base::TimePoint now, int64_t wall_ms) {
   PoolOrders orders;
   LoseExpiredTargets(now);
+  if (now >= m_last_stall_check + kStallCheckPeriod) {
+    m_last_stall_check = now;
+    StopStalledRuns(now);
+  }
   // Pauses of targets and due times pass without an event.
   if (m_may_start_more || now >= m_last_placement + kPlacementPeriod) {
     m_may_start_more = false;
@@ -340,6 +350,64 @@
   }
 }
 
+base::Duration PoolScheduler::GetExpectedTime(const ActiveJob& job,
+                                              int step) const {
+  const base::Duration estimate = std::chrono::milliseconds(
+      job.GetSpec().steps[static_cast<size_t>(step)].estimate_ms);
+  const auto typical = m_typical_times.find(job.GetSpec().route);
+  return typical == m_typical_times.end() ? estimate
+                                          : std::max(estimate, typical->second);
+}
+
+void PoolScheduler::LearnRunTime(const ActiveJob& job, base::Duration took) {
+  const auto [typical, is_first] =
+      m_typical_times.try_emplace(job.GetSpec().route, took);
+  if (!is_first) {
+    typical->second += (took - typical->second) / kLearnDivisor;
+  }
+}
+
+// A target can look sound while what runs there stands still; its tasks are
+// stopped, so that they start elsewhere.
+void PoolScheduler::StopStalledRuns(base::TimePoint now) {
+  for (auto& [id, target] : m_targets) {
+    if (!target.m_is_responsive) {
+      continue;
+    }
+    std::vector<TaskName> stalled;
+    for (const auto& [name, run] : target.GetRuns()) {
+      ActiveJob* job = FindJob(name.job);
+      const bool is_candidate =
+          run.state == RunState::kPresent && job != nullptr &&
+          !IsTerminal(job->m_state) &&
+          !job->GetSpec().steps[static_cast<size_t>(name.step)].long_running &&
+          !job->GetSpec().steps[static_cast<size_t>(name.step)].gang;
+      if (!is_candidate) {
+        continue;
+      }
+      RunPace pace;
+      pace.elapsed = now - run.started;
+      pace.since_progress = now - run.progressed;
+      pace.percent = run.percent;
+      pace.expected = GetExpectedTime(*job, name.step);
+      if (IsStalled(pace)) {
+        stalled.push_back(name);
+      }
+    }
+    for (const TaskName& name : stalled) {
+      const Run& run = target.GetRuns().at(name);
+      Note("run-stalled", name, run.number, id,
+           run.percent == 0 ? "no progress" : "slow");
+      FindTask(name)->avoided_target = id;
+      RequestStop(target, name);
+    }
+    if (!stalled.empty()) {
+      ++target.m_failure_streak;
+      target.m_suspended_until = now + kStalledTargetPause;
+    }
+  }
+}
+
 void PoolScheduler::SendStops(base::TimePoint now, PoolOrders& orders) {
   for (const auto& [id, name] : m_stopping) {
     TargetLedger* target = FindTarget(id);
--- a/libraries/scheduling/pool_reports.cc
+++ b/libraries/scheduling/pool_reports.cc
@@ -161,6 +161,10 @@
                              base::TimePoint now) {
   const auto run = target.GetRuns().find(end.task);
   if (run != target.GetRuns().end() && run->second.number == end.run) {
+    const ActiveJob* ended = FindJob(end.task.job);
+    if (ended != nullptr && end.how == RunEnd::kDone) {
+      LearnRunTime(*ended, now - run->second.started);
+    }
     run->second.checkpoint.clear();
     DropRun(target, end.task);
   }
--- a/libraries/scheduling/pool_scheduler.h
+++ b/libraries/scheduling/pool_scheduler.h
@@ -181,6 +181,9 @@
                    int64_t run);
   void DropRun(TargetLedger& target, const TaskName& name);
   void RequestStop(TargetLedger& target, const TaskName& name);
+  void StopStalledRuns(base::TimePoint now);
+  base::Duration GetExpectedTime(const ActiveJob& job, int step) const;
+  void LearnRunTime(const ActiveJob& job, base::Duration took);
   void MarkDirty(ActiveJob& job, bool urgent);
 
   bool IsUsable(const TargetLedger& target, base::TimePoint now) const;
@@ -213,6 +216,9 @@
   std::set<std::string> m_committing;
   // Ends that may be acknowledged once the batch under way is stored.
   std::map<std::string, int64_t> m_ends_in_batch;
+  // How long short tasks of each route took lately.
+  std::map<std::string, base::Duration> m_typical_times;
+  base::TimePoint m_last_stall_check;
   // Something has changed that may let a task start.
   bool m_may_start_more = true;
   base::TimePoint m_last_placement;
--- /dev/null
+++ b/libraries/scheduling/tests/policy_test.cc
@@ -0,0 +1,216 @@
+#include <CppUTest/TestHarness.h>
+
+#include <set>
+
+#include "scheduling/fill_pacing.h"
+#include "scheduling/job.h"
+#include "scheduling/job_record.h"
+#include "scheduling/placement.h"
+#include "scheduling/progress.h"
+#include "scheduling/queue_order.h"
+#include "scheduling/serving_config.h"
+#include "scheduling/stall_detection.h"
+
+namespace scheduling = shallotwick::scheduling;
+using std::chrono::milliseconds;
+
+namespace {
+
+scheduling::JobSpec MakeJob() {
+  scheduling::JobSpec job;
+  job.id = "5c0e7a21d94b36f8";
+  job.route = "quotes";
+  job.payload = "text";
+  job.accepted_ms = 1'000;
+  scheduling::StepSpec step;
+  step.count = 2;
+  step.demand = {1'800, 256, 0};
+  step.estimate_ms = 500;
+  job.steps = {step, step, step};
+  job.steps[1].after = {0};
+  job.steps[2].after = {0, 1};
+  return job;
+}
+
+scheduling::Candidate MakeCandidate(const char* id, int64_t cpu_milli) {
+  scheduling::Candidate candidate;
+  candidate.id = id;
+  candidate.rack = "r1";
+  candidate.labels = {"a", "r1"};
+  candidate.room = {cpu_milli, 65'536, 0};
+  return candidate;
+}
+
+scheduling::QueueRank RankAt(int64_t now_ms, int64_t due_since_ms,
+                             int64_t chain_ms) {
+  scheduling::QueueInput input;
+  input.policy.stretch = 1.6;
+  input.policy.allowance_ms = 600;
+  input.due_since_ms = due_since_ms;
+  input.whole_chain_ms = chain_ms;
+  input.remaining_chain_ms = chain_ms;
+  return scheduling::RankJob(input, now_ms);
+}
+
+}  // namespace
+
+TEST_GROUP(Policy){};
+
+TEST(Policy, ChecksReportAllFaultsOfAJob) {
+  LONGS_EQUAL(0, scheduling::CheckJob(MakeJob()).size());
+  struct Case {
+    const char* place;
+    void (*spoil)(scheduling::JobSpec&);
+  };
+  const Case cases[] = {
+      {"payload", [](auto& job) { job.payload.assign(4'001, 'x'); }},
+      {"steps", [](auto& job) { job.steps.clear(); }},
+      {"steps[0].count", [](auto& job) { job.steps[0].count = 0; }},
+      {"steps[1].count", [](auto& job) { job.steps[1].count = 3'000'000; }},
+      {"steps[0].after", [](auto& job) { job.steps[0].after = {0}; }},
+      {"steps[1].after", [](auto& job) { job.steps[1].after = {2}; }},
+      {"steps[1].after", [](auto& job) { job.steps[1].after = {-1}; }},
+      {"steps[2]", [](auto& job) { job.steps[2].demand.memory_mb = -1; }},
+      {"occurrences", [](auto& job) { job.occurrences = 2'000'000; }}};
+  for (const Case& spoiled : cases) {
+    scheduling::JobSpec job = MakeJob();
+    spoiled.spoil(job);
+    const auto findings = scheduling::CheckJob(job);
+    CHECK_TEXT(!findings.empty(), spoiled.place);
+    STRCMP_EQUAL(spoiled.place, findings[0].place.c_str());
+  }
+  scheduling::JobSpec job = MakeJob();
+  job.steps[0].count = 0;
+  job.steps[2].estimate_ms = -5;
+  LONGS_EQUAL(2, scheduling::CheckJob(job).size());
+}
+
+TEST(Policy, ChainOfWorkFollowsTheOrderOfSteps) {
+  const scheduling::JobSpec job = MakeJob();
+  LONGS_EQUAL(1'500, scheduling::EstimateChainMs(job, {}));
+  LONGS_EQUAL(1'000, scheduling::EstimateChainMs(job, {true, false, false}));
+  scheduling::JobSpec wide = job;
+  wide.steps[1].after.clear();
+  wide.steps[2].after.clear();
+  LONGS_EQUAL(500, scheduling::EstimateChainMs(wide, {}));
+}
+
+TEST(Policy, StoredRecordsComeBackAsTheyWere) {
+  scheduling::JobSpec job = MakeJob();
+  job.steps[0].long_running = true;
+  job.steps[0].most_per_target = 2;
+  job.steps[1].required_label = "b";
+  job.steps[2].best_effort = true;
+  job.occurrences = 3;
+  job.first_due_ms = 17;
+  job.interval_ms = 4;
+  CHECK_TRUE(scheduling::DecodeJobRecord(scheduling::EncodeJobRecord(job)) ==
+             job);
+  scheduling::JobProgress progress = scheduling::MakeInitialProgress(job);
+  progress.state = scheduling::JobState::kRunning;
+  progress.tasks[2][1][1].done = true;
+  progress.tasks[0][0][1].failures = 1;
+  progress.tasks[0][0][1].last_failed_run = 1'002;
+  progress.tasks[1][2][0].checkpoint = "00000bb8";
+  const std::string text = scheduling::EncodeProgress(progress);
+  CHECK_TRUE(scheduling::DecodeProgress(job, text) == progress);
+  CHECK_TRUE(scheduling::DecodeSummary(text).state ==
+             scheduling::JobState::kRunning);
+  STRCMP_EQUAL("quotes", scheduling::DecodeSummary(text).route.c_str());
+}
+
+TEST(Policy, RecordsOfAnotherFormAreRefused) {
+  const scheduling::JobSpec job = MakeJob();
+  const char* const texts[] = {
+      "", "[]", "{\"state\":3}", "{\"state\":\"flying\"}",
+      "{\"state\":\"running\",\"tasks\":[[0,7,0,{\"done\":true}]]}"};
+  for (const char* text : texts) {
+    CHECK_THROWS(std::runtime_error, scheduling::DecodeProgress(job, text));
+  }
+  CHECK_THROWS(std::runtime_error, scheduling::DecodeJobRecord("{\"id\":1}"));
+}
+
+// The load of a turn: jobs that were in time when they came make way, once
+// late, for those that still can be in time.
+TEST(Policy, JobsThatCanBeInTimeGoBeforeLateOnes) {
+  const auto fresh = RankAt(10'000, 9'900, 1'000);
+  const auto pressing = RankAt(10'000, 8'900, 1'000);
+  const auto late = RankAt(10'000, 7'000, 1'000);
+  const auto lost = RankAt(10'000, 1'000, 1'000);
+  CHECK_TRUE(pressing < fresh);
+  CHECK_TRUE(fresh < late);
+  CHECK_TRUE(late < lost);
+  CHECK_TRUE(fresh.IsTimely());
+  CHECK_FALSE(late.IsTimely());
+}
+
+TEST(Policy, PlacesWhereLeastRoomIsLeftThatSuffices) {
+  const scheduling::JobSpec job = MakeJob();
+  scheduling::PlacementRequest request;
+  request.step = &job.steps[0];
+  const std::vector<scheduling::Candidate> candidates = {
+      MakeCandidate("wide", 30'000), MakeCandidate("tight", 2'000),
+      MakeCandidate("full", 1'000)};
+  LONGS_EQUAL(1, *scheduling::PlaceTask(request, candidates));
+  request.avoided = {"tight"};
+  LONGS_EQUAL(0, *scheduling::PlaceTask(request, candidates));
+  request.excluded = {"wide"};
+  LONGS_EQUAL(1, *scheduling::PlaceTask(request, candidates));
+  request.excluded = {"wide", "tight"};
+  CHECK_FALSE(scheduling::PlaceTask(request, candidates).has_value());
+}
+
+TEST(Policy, PlacementKeepsLabelsSpreadAndRacks) {
+  scheduling::JobSpec job = MakeJob();
+  std::vector<scheduling::Candidate> candidates = {
+      MakeCandidate("near", 30'000), MakeCandidate("far", 20'000)};
+  candidates[1].rack = "r2";
+  candidates[1].labels = {"b", "r2"};
+  scheduling::PlacementRequest request;
+  request.step = &job.steps[0];
+  request.preferred_rack = "r1";
+  LONGS_EQUAL(0, *scheduling::PlaceTask(request, candidates));
+  job.steps[0].most_per_target = 1;
+  request.siblings = {{"near", 1}};
+  LONGS_EQUAL(1, *scheduling::PlaceTask(request, candidates));
+  job.steps[0].required_label = "c";
+  CHECK_FALSE(scheduling::PlaceTask(request, candidates).has_value());
+}
+
+TEST(Policy, BestEffortTasksSlowDownBeforeTheTargetIsReached) {
+  LONGS_EQUAL(100, scheduling::DecideFillPercent(0.3, 100));
+  LONGS_EQUAL(50, scheduling::DecideFillPercent(0.9, 100));
+  LONGS_EQUAL(0, scheduling::DecideFillPercent(1.2, 100));
+  LONGS_EQUAL(60, scheduling::DecideFillPercent(0.7, 60));
+  LONGS_EQUAL(20, scheduling::DecideFillPercent(0.2, 0));
+}
+
+TEST(Policy, RunsThatStandStillAreToldFromSlowAndFromLongOnes) {
+  scheduling::RunPace pace;
+  pace.expected = milliseconds(600);
+  pace.elapsed = milliseconds(2'500);
+  pace.since_progress = milliseconds(2'500);
+  CHECK_FALSE(scheduling::IsStalled(pace));
+  pace.elapsed = milliseconds(2'900);
+  CHECK_TRUE(scheduling::IsStalled(pace));
+  // Nearly done: a new start would take longer.
+  pace.since_progress = milliseconds(200);
+  pace.percent = 80;
+  CHECK_FALSE(scheduling::IsStalled(pace));
+  pace.percent = 20;
+  CHECK_TRUE(scheduling::IsStalled(pace));
+}
+
+TEST(Policy, LongestPrefixOfTheHostDecidesTheRoute) {
+  scheduling::ServingConfig config;
+  config.routes.resize(3);
+  config.routes[0] = {"wide", "a.example", "/q/", "one", {}};
+  config.routes[1] = {"narrow", "a.example", "/q/r/", "two", {}};
+  config.routes[2] = {"other", "b.example", "/q/", "three", {}};
+  STRCMP_EQUAL("wide", config.FindRoute("a.example", "/q/x")->name.c_str());
+  STRCMP_EQUAL("narrow",
+               config.FindRoute("a.example:80", "/q/r/x")->name.c_str());
+  STRCMP_EQUAL("other", config.FindRoute("b.example", "/q/r/x")->name.c_str());
+  POINTERS_EQUAL(nullptr, config.FindRoute("c.example", "/q/x"));
+  POINTERS_EQUAL(nullptr, config.FindRoute("a.example", "/p"));
+}
--- a/libraries/scheduling/tests/pool_model.cc
+++ b/libraries/scheduling/tests/pool_model.cc
@@ -288,8 +288,10 @@
                      std::function<OrderResult(const Order&)> apply,
                      std::function<void(const OrderResult&)> answer) {
   const int generation = m_generation;
-  const auto reply = [this, generation, answer](const OrderResult& result) {
-    if (generation == m_generation) {
+  const auto is_answered = std::make_shared<bool>(false);
+  const auto reply = [this, generation, answer,
+                      is_answered](const OrderResult& result) {
+    if (generation == m_generation && !std::exchange(*is_answered, true)) {
       answer(result);
     }
   };
@@ -317,12 +319,9 @@
       }
     });
   }
-  const Target* target = Find(order.target);
-  if (is_lost || target->is_cut || !target->is_up) {
-    Later(std::chrono::milliseconds(800), [reply] {
-      reply({OrderOutcome::kUnknown, std::nullopt});
-    });
-  }
+  Later(std::chrono::milliseconds(800), [reply] {
+    reply({OrderOutcome::kUnknown, std::nullopt});
+  });
 }
 
 OrderResult PoolModel::ApplyStart(const StartOrder& order) {
--- a/services/shallotwick-scheduler/pool_runner.cc
+++ b/services/shallotwick-scheduler/pool_runner.cc
@@ -30,7 +30,8 @@
 constexpr int64_t kRunsPerTerm = 1'000;
 // A predecessor may have started jobs that reach this owner by the feed.
 constexpr auto kPredecessorWindow = std::chrono::milliseconds(1'000);
-constexpr size_t kMostEndedJobs = 20'000;
+// Rows of ended jobs that are removed together.
+constexpr size_t kMostForgottenAtOnce = 50;
 
 scheduling::PoolSchedulerOptions MakeSchedulerOptions(
     const PoolRunnerOptions& options) {
@@ -148,6 +149,7 @@
         }
         for (const storage::VersionedRow& row : result.rows) {
           m_loaded_progress[row.key.key] = row;
+          NoteIfEnded(row);
         }
         m_jobs.Start();
       }));
@@ -170,7 +172,7 @@
     for (const std::string& id : gone) {
       m_scheduler.CancelJob(id);
       m_progress_versions.erase(id);
-      m_ended_jobs.insert(id);
+      NoteEnded(id);
     }
   }
   m_loaded_progress.clear();
@@ -196,7 +198,7 @@
     // The owner removes the row only of a job that has ended.
     m_scheduler.CancelJob(row.key.key);
     m_progress_versions.erase(row.key.key);
-    m_ended_jobs.insert(row.key.key);
+    NoteEnded(row.key.key);
   }
   Wake();
 }
@@ -335,8 +337,62 @@
   }));
 }
 
+void PoolRunner::NoteEnded(const std::string& job) {
+  if (m_ended_jobs.insert(job).second) {
+    m_ended_order.emplace_back(base::RuntimeClock::now(), job);
+  }
+}
+
+void PoolRunner::NoteIfEnded(const storage::VersionedRow& row) {
+  try {
+    if (scheduling::IsTerminal(scheduling::DecodeSummary(row.value).state)) {
+      NoteEnded(row.key.key);
+    }
+  } catch (const std::runtime_error& error) {
+    base::Log(base::events::kStoreContentInvalid, {{"pool", m_options.service},
+                                                   {"job", row.key.key},
+                                                   {"fault", error.what()}});
+  }
+}
+
+// Removes the progress of jobs whose state nobody may ask for any more.
+void PoolRunner::ForgetOldJobs() {
+  const auto now = base::RuntimeClock::now();
+  std::vector<std::string> old;
+  while (!m_ended_order.empty() && old.size() < kMostForgottenAtOnce &&
+         m_ended_order.front().first + m_options.retention <= now) {
+    old.push_back(m_ended_order.front().second);
+    m_ended_order.pop_front();
+  }
+  if (old.empty()) {
+    return;
+  }
+  m_is_forgetting = true;
+  storage::RowTransaction transaction;
+  transaction.expected = {
+      {MakeOwnerKey(m_options.service), m_options.owner_version}};
+  for (const std::string& job : old) {
+    m_ended_jobs.erase(job);
+    transaction.removals.push_back(MakeProgressKey(m_options.service, job));
+  }
+  m_store.Commit(
+      std::move(transaction),
+      m_lifetime.Guard([this, old](const storage::RowCommitResult& result) {
+        m_is_forgetting = false;
+        if (result.status != storage::RowCommitStatus::kCommitted) {
+          // Later again; a row that is gone is removed in vain.
+          for (const std::string& job : old) {
+            NoteEnded(job);
+          }
+        }
+      }));
+}
+
 void PoolRunner::Tick() {
   Act();
+  if (!m_is_forgetting && !m_is_lost && m_may_order()) {
+    ForgetOldJobs();
+  }
   m_loop.RunAfter(kTickPeriod, m_lifetime.Guard([this] { Tick(); }));
 }
 
@@ -480,14 +536,11 @@
     for (const scheduling::ProgressChange& change : batch) {
       if (scheduling::IsTerminal(change.progress.state)) {
         m_progress_versions.erase(change.job);
-        m_ended_jobs.insert(change.job);
+        NoteEnded(change.job);
       } else {
         m_progress_versions[change.job] = result.version;
       }
     }
-    if (m_ended_jobs.size() > kMostEndedJobs) {
-      m_ended_jobs.erase(m_ended_jobs.begin());
-    }
     m_scheduler.OnCommitted(batch);
     Wake();
     return;
@@ -548,7 +601,7 @@
     if (is_cancelled) {
       m_scheduler.CancelJob(change.job);
       m_progress_versions.erase(change.job);
-      m_ended_jobs.insert(change.job);
+      NoteEnded(change.job);
     } else {
       m_progress_versions[change.job] = row->second.version;
     }
--- a/services/shallotwick-scheduler/pool_runner.h
+++ b/services/shallotwick-scheduler/pool_runner.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -25,6 +26,8 @@
   int64_t term = 1;
   base::Duration lease = std::chrono::seconds(5);
   base::Duration longest_stop = std::chrono::milliseconds(1'000);
+  // How long the state of a job can be read after its end.
+  base::Duration retention = std::chrono::seconds(150);
 };
 
 // Runs one pool that this host owns: carries the pool's jobs, targets and
@@ -73,6 +76,9 @@
   void OnRosterWritten(const storage::RowCommitResult& result,
                        const std::map<std::string, std::string>& roster);
 
+  void NoteEnded(const std::string& job);
+  void NoteIfEnded(const storage::VersionedRow& row);
+  void ForgetOldJobs();
   void Tick();
   void Act();
   void SendReports(base::TimePoint now);
@@ -103,6 +109,9 @@
   std::map<std::string, storage::VersionedRow> m_loaded_progress;
   // Jobs that have ended; the feed may bring their rows again.
   std::set<std::string> m_ended_jobs;
+  // The same in the order of their ends.
+  std::deque<std::pair<base::TimePoint, std::string>> m_ended_order;
+  bool m_is_forgetting = false;
   uint64_t m_roster_version = storage::kNoVersion;
   std::map<std::string, std::string> m_stored_roster;
   bool m_is_roster_read = false;
--- a/services/shallotwick-scheduler/scheduler_process.cc
+++ b/services/shallotwick-scheduler/scheduler_process.cc
@@ -31,6 +31,8 @@
 // On top of the pause that the platform asks for between two holders.
 constexpr auto kHolderPauseMargin = std::chrono::milliseconds(400);
 constexpr auto kHostsPeriod = std::chrono::milliseconds(100);
+// States are kept longer than asked for, as clocks and questions may be late.
+constexpr auto kRetentionMargin = std::chrono::seconds(60);
 constexpr auto kStopCheckPeriod = std::chrono::milliseconds(50);
 // Kept back from the time that the platform gives to a stop.
 constexpr auto kStopMargin = std::chrono::milliseconds(800);
@@ -90,6 +92,9 @@
       {"longest-stop-ms", "MILLISECONDS",
        "the longest time that a target takes to stop a run", "1000",
        milliseconds},
+      {"retention-s", "SECONDS",
+       "how long the state of an ended job can be read", "120",
+       base::CheckNumber(1, 86'400)},
       {"stop-grace-s", "SECONDS", "time from SIGTERM to SIGKILL", "6",
        base::CheckNumber(1, 600)}};
   for (const base::SettingDeclaration& setting : base::GetLogSettings()) {
@@ -128,6 +133,7 @@
       m_lease(std::min(base::Duration(kWantedLease),
                        GetMilliseconds(settings, "longest-lease-ms"))),
       m_longest_stop(GetMilliseconds(settings, "longest-stop-ms")),
+      m_retention(GetSeconds(settings, "retention-s") + kRetentionMargin),
       m_stop_grace(GetSeconds(settings, "stop-grace-s")),
       m_signals(m_loop.GetContext(), SIGTERM, SIGINT, SIGHUP) {
   m_session.m_on_reading = [this] { m_ownership.Reconsider(); };
@@ -360,6 +366,7 @@
   options.term = term;
   options.lease = m_lease;
   options.longest_stop = m_longest_stop;
+  options.retention = m_retention;
   auto runner = std::make_unique<PoolRunner>(m_loop, m_store, m_orders,
                                              m_metrics, options);
   runner->m_may_order = [this] {
--- a/services/shallotwick-scheduler/scheduler_process.h
+++ b/services/shallotwick-scheduler/scheduler_process.h
@@ -73,6 +73,7 @@
   JobApi m_api;
   base::Duration m_lease;
   base::Duration m_longest_stop;
+  base::Duration m_retention;
   base::Duration m_stop_grace;
   std::optional<scheduling::ServingConfig> m_config;
   std::map<std::string, scheduling::TargetEntry> m_targets;
