Check feeds that fall silent by reading

Cause: while the store compacts its history, feeds hear nothing for a second, and jobs accepted meanwhile waited for the feed's end. Change: a follower of jobs (0.3 s) or of hosts' rows (0.5 s) reads its part after silence.

--- a/services/shallotwick-scheduler/host_ledger.cc
+++ b/services/shallotwick-scheduler/host_ledger.cc
@@ -12,6 +12,7 @@
 constexpr auto kListPeriod = std::chrono::milliseconds(400);
 // Changes of the shared rows gather so long.
 constexpr auto kRowsPause = std::chrono::milliseconds(20);
+constexpr auto kRowsSilence = std::chrono::milliseconds(500);
 constexpr auto kRetryDelay = std::chrono::milliseconds(250);
 constexpr char kLockPrefix[] = "lock/";
 
@@ -50,7 +51,7 @@
       m_operations(operations),
       m_holder(std::move(holder)),
       m_holder_pause(holder_pause),
-      m_rows(loop, store, {kHostsTable, {kSinglePart}, kRowsPause}) {
+      m_rows(loop, store, {kHostsTable, {kSinglePart}, kRowsPause, kRowsSilence}) {
   m_rows.m_on_reset = [this](const std::vector<storage::VersionedRow>& rows) {
     for (const storage::VersionedRow& row : rows) {
       OnRow(row);
--- a/services/shallotwick-scheduler/pool_runner.cc
+++ b/services/shallotwick-scheduler/pool_runner.cc
@@ -14,6 +14,7 @@
 
 // Jobs that come together are read together.
 constexpr auto kJobPause = std::chrono::milliseconds(8);
+constexpr auto kJobSilence = std::chrono::milliseconds(300);
 // Events of a few milliseconds are acted on together.
 constexpr auto kWakeDelay = std::chrono::milliseconds(4);
 constexpr auto kTickPeriod = std::chrono::milliseconds(100);
@@ -85,7 +86,7 @@
       m_options(options),
       m_scheduler(MakeSchedulerOptions(options)),
       m_jobs(loop, store,
-             {GetJobTable(options.service), {options.service}, kJobPause}),
+             {GetJobTable(options.service), {options.service}, kJobPause, kJobSilence}),
       m_started(base::RuntimeClock::now()) {
   m_scheduler.m_on_note = [this](const scheduling::SchedulingNote& note) {
     LogNote(note);
--- a/services/shallotwick-scheduler/table_follower.cc
+++ b/services/shallotwick-scheduler/table_follower.cc
@@ -42,8 +42,10 @@
     m_is_loaded = true;
     m_on_reset(m_loading);
     m_loading.clear();
+    m_last_news = base::RuntimeClock::now();
     if (!m_options.parts.empty()) {
       Follow();
+      WatchSilence();
     }
     return;
   }
@@ -77,6 +79,42 @@
                  }));
 }
 
+void TableFollower::WatchSilence() {
+  if (m_is_watching_silence || m_options.silence == base::Duration(0)) {
+    return;
+  }
+  m_is_watching_silence = true;
+  m_loop.RunAfter(m_options.silence, m_lifetime.Guard([this] {
+    m_is_watching_silence = false;
+    if (!m_is_loaded) {
+      return;
+    }
+    if (base::RuntimeClock::now() >= m_last_news + m_options.silence) {
+      CheckSilence();
+    } else {
+      WatchSilence();
+    }
+  }));
+}
+
+// Reads the first part; the followers that check have only one.
+void TableFollower::CheckSilence() {
+  storage::ReadWholePart(
+      m_store, m_options.table, m_options.parts.front(),
+      m_lifetime.Guard([this, generation = m_generation](
+                           const storage::RowReadResult& result) {
+        // What the feed has brought meanwhile is newer.
+        const bool is_news = result.is_read && generation == m_generation &&
+                             result.version > m_version;
+        if (is_news) {
+          m_version = result.version;
+          m_on_reset(result.rows);
+        }
+        m_last_news = base::RuntimeClock::now();
+        WatchSilence();
+      }));
+}
+
 void TableFollower::OnFeed(const storage::RowFeedResult& result) {
   switch (result.status) {
     case storage::FeedStatus::kHistoryGone:
@@ -89,13 +127,19 @@
       break;
   }
   const int generation = m_generation;
-  m_version = std::max(m_version, result.version);
+  if (!result.rows.empty()) {
+    m_last_news = base::RuntimeClock::now();
+  }
   for (const storage::VersionedRow& row : result.rows) {
-    m_on_change(row);
+    // A reading in between may have been newer than this.
+    if (row.version > m_version) {
+      m_on_change(row);
+    }
     if (generation != m_generation) {
       return;
     }
   }
+  m_version = std::max(m_version, result.version);
   const bool pauses =
       m_options.pause > base::Duration(0) && !result.rows.empty();
   if (!pauses) {
--- a/services/shallotwick-scheduler/table_follower.h
+++ b/services/shallotwick-scheduler/table_follower.h
@@ -15,6 +15,9 @@
   std::vector<std::string> parts;
   // Between an answer and the next question, so that changes gather.
   base::Duration pause{0};
+  // A feed that was silent for so long is checked by reading the parts; zero
+  // for never. Feeds may fall silent while changes are made.
+  base::Duration silence{0};
 };
 
 // Keeps up with a table: reads its parts, then follows its changes, and reads
@@ -38,6 +41,8 @@
   void ReadNextPart();
   void Follow();
   void RetryAfterPause(void (TableFollower::*step)());
+  void WatchSilence();
+  void CheckSilence();
   void OnFeed(const storage::RowFeedResult& result);
 
   base::EventLoop& m_loop;
@@ -49,6 +54,8 @@
   // Answers to questions from before a restart are dropped.
   int m_generation = 0;
   bool m_is_loaded = false;
+  bool m_is_watching_silence = false;
+  base::TimePoint m_last_news;
   base::Lifetime m_lifetime;
 };
 
