Do not silence a target for a single missing report; give orders 400 ms

Cause: a share of orders gets no answer; each cost 0.8 s, and a lost report took its target out for up to 2 s: in a queue's turn half of the jobs were hit.

--- a/libraries/scheduling/pool_reports.cc
+++ b/libraries/scheduling/pool_reports.cc
@@ -15,7 +15,10 @@
 constexpr auto kLongestWaitForCommit = std::chrono::milliseconds(400);
 // A target answers at the first end or after this time; the bound keeps its
 // lease renewed several times over.
-constexpr int64_t kReportWaitMs = 1'200;
+constexpr int64_t kReportWaitMs = 500;
+// Missing reports in a row after which a target gets no new runs. A single one
+// may just have been lost; then it is asked again at once.
+constexpr int kSilentMisses = 2;
 // While a stop or an unanswered start waits to be settled.
 constexpr int64_t kSettlingWaitMs = 150;
 // Failures in a row after which a target gets no new runs for a while.
@@ -110,7 +113,13 @@
       return;
     }
   }
-  target->m_is_responsive = false;
+  ++target->m_missed_reports;
+  const bool is_silent = target->m_missed_reports >= kSilentMisses ||
+                         outcome != OrderOutcome::kUnknown ||
+                         !target->m_is_fenced;
+  if (is_silent) {
+    target->m_is_responsive = false;
+  }
   target->m_has_unsent_acknowledgement = true;
   target->m_last_report = now;
 }
@@ -133,6 +142,7 @@
   }
   target->m_reported_born_ms = report.born_ms;
   target->m_is_responsive = true;
+  target->m_missed_reports = 0;
   target->m_is_fenced = true;
   target->m_last_report = now;
   target->ObserveClock(report.clock_ms, now);
--- a/libraries/scheduling/target_ledger.h
+++ b/libraries/scheduling/target_ledger.h
@@ -75,6 +75,8 @@
   bool m_is_in_roster = false;
   // The last report came in time.
   bool m_is_responsive = true;
+  // Reports in a row that did not come.
+  int m_missed_reports = 0;
   // No new runs, since planned work on the host is near.
   bool m_is_cordoned = false;
   // An operation that ends all its runs may be under way.
--- a/services/shallotwick-scheduler/scheduler_process.cc
+++ b/services/shallotwick-scheduler/scheduler_process.cc
@@ -86,7 +86,7 @@
        "pause between operations of two holders on one host", "3000",
        milliseconds},
       {"order-timeout-ms", "MILLISECONDS",
-       "wait for a target's answer to an order", "800", milliseconds},
+       "wait for a target's answer to an order", "400", milliseconds},
       {"longest-lease-ms", "MILLISECONDS",
        "the longest lease that targets grant", "10000", milliseconds},
       {"longest-stop-ms", "MILLISECONDS",
