--- a/services/shallotwick-scheduler/host_ledger.cc
+++ b/services/shallotwick-scheduler/host_ledger.cc
@@ -51,7 +51,8 @@
       m_operations(operations),
       m_holder(std::move(holder)),
       m_holder_pause(holder_pause),
-      m_rows(loop, store, {kHostsTable, {kSinglePart}, kRowsPause, kRowsSilence}) {
+      m_rows(loop, store,
+             {kHostsTable, {kSinglePart}, kRowsPause, kRowsSilence}) {
   m_rows.m_on_reset = [this](const std::vector<storage::VersionedRow>& rows) {
     for (const storage::VersionedRow& row : rows) {
       OnRow(row);
--- a/services/shallotwick-scheduler/pool_runner.cc
+++ b/services/shallotwick-scheduler/pool_runner.cc
@@ -86,7 +86,10 @@
       m_options(options),
       m_scheduler(MakeSchedulerOptions(options)),
       m_jobs(loop, store,
-             {GetJobTable(options.service), {options.service}, kJobPause, kJobSilence}),
+             {GetJobTable(options.service),
+              {options.service},
+              kJobPause,
+              kJobSilence}),
       m_started(base::RuntimeClock::now()) {
   m_scheduler.m_on_note = [this](const scheduling::SchedulingNote& note) {
     LogNote(note);
--- a/services/shallotwick-scheduler/scheduler_process.cc
+++ b/services/shallotwick-scheduler/scheduler_process.cc
@@ -72,9 +72,9 @@
        base::CheckAddress},
       {"ready-listen", "IP:PORT", "where the balancer asks for readiness",
        std::nullopt, base::CheckAddress},
-      {"store", "IP:PORT", "address of the platform's store", std::nullopt,
+      {"platform", "IP:PORT", "address of the platform's store", std::nullopt,
        base::CheckAddress},
-      {"store-timeout-ms", "MILLISECONDS", "wait for an answer of the store",
+      {"platform-timeout-ms", "MILLISECONDS", "wait for an answer of the store",
        "900", milliseconds},
       {"hosts", "IP:PORT", "address of the platform's host operations",
        std::nullopt, base::CheckAddress},
@@ -106,11 +106,11 @@
 SchedulerProcess::SchedulerProcess(const base::Settings& settings)
     : m_store_client(m_loop.GetContext(), kStoreConnections),
       m_target_client(m_loop.GetContext(), kConnectionsPerTarget),
-      m_store(m_store_client, settings.GetString("store"),
-              GetTimeout(settings, "store-timeout-ms")),
+      m_store(m_store_client, settings.GetString("platform"),
+              GetTimeout(settings, "platform-timeout-ms")),
       m_orders(m_target_client, GetTimeout(settings, "order-timeout-ms")),
       m_host_operations(m_store_client, settings.GetString("hosts"),
-                        GetTimeout(settings, "store-timeout-ms")),
+                        GetTimeout(settings, "platform-timeout-ms")),
       m_session(m_loop, m_store, settings.GetString("name"),
                 base::MakeRandomIdentifier()),
       m_ownership(m_loop, m_store, m_session),
@@ -214,6 +214,10 @@
           respond(http::MakeJsonResponse(IsReady() ? 200 : 503, "{}"));
         });
       });
+  m_front_endpoint = base::ParseEndpoint(settings.GetString("listen"));
+  m_front_endpoint.port = m_front->GetPort();
+  m_ready_endpoint = base::ParseEndpoint(settings.GetString("ready-listen"));
+  m_ready_endpoint.port = m_ready->GetPort();
 }
 
 SchedulerProcess::~SchedulerProcess() = default;
@@ -221,7 +225,9 @@
 void SchedulerProcess::Run() {
   base::Log(base::events::kStarted,
             {{"host", m_session.GetSelf().host},
-             {"incarnation", m_session.GetSelf().boot}});
+             {"incarnation", m_session.GetSelf().boot},
+             {"http", base::FormatEndpoint(m_front_endpoint)},
+             {"ready", base::FormatEndpoint(m_ready_endpoint)}});
   WaitForSignal();
   m_session.Start();
   m_operator_table.Start();
--- a/services/shallotwick-scheduler/scheduler_process.h
+++ b/services/shallotwick-scheduler/scheduler_process.h
@@ -84,6 +84,8 @@
   asio::signal_set m_signals;
   std::unique_ptr<http::Server> m_front;
   std::unique_ptr<http::Server> m_ready;
+  base::Endpoint m_front_endpoint;
+  base::Endpoint m_ready_endpoint;
 };
 
 }  // namespace shallotwick::scheduler
--- a/tests/process/settings_test.cc
+++ b/tests/process/settings_test.cc
@@ -16,7 +16,8 @@
 const char* const kServers[] = {
     "services/shallotwick-gateway/shallotwick-gateway",
     "services/shallotwick-controller/shallotwick-controller",
-    "services/shallotwick-admin/shallotwick-admin"};
+    "services/shallotwick-admin/shallotwick-admin",
+    "services/shallotwick-scheduler/shallotwick-scheduler"};
 
 }  // namespace
 
--- /dev/null
+++ b/tests/standin-cluster/row_table.cc
@@ -0,0 +1,122 @@
+#include "standin-cluster/row_table.h"
+
+#include <algorithm>
+#include <restinio/utils/base64.hpp>
+#include <vector>
+
+namespace shallotwick::standin {
+namespace {
+
+using nlohmann::json;
+
+std::tuple<std::string, std::string, std::string> ReadKey(const json& entry) {
+  return {entry.at("table").get<std::string>(), entry.value("part", ""),
+          entry.at("key").get<std::string>()};
+}
+
+}  // namespace
+
+json RowTable::Format(const Key& key, const Row& row) {
+  json object = {{"table", std::get<0>(key)},
+                 {"part", std::get<1>(key)},
+                 {"key", std::get<2>(key)},
+                 {"ver", row.version}};
+  if (row.is_removed) {
+    object["tombstone"] = true;
+  } else {
+    object["value"] = row.value;
+  }
+  return object;
+}
+
+std::pair<int, json> RowTable::Commit(const json& transaction) {
+  json current = json::array();
+  bool holds = true;
+  for (const json& entry : transaction.value("expectedRev", json::array())) {
+    const auto found = m_rows.find(ReadKey(entry));
+    const bool exists = found != m_rows.end() && !found->second.is_removed;
+    if (exists) {
+      current.push_back(Format(found->first, found->second));
+    }
+    holds = holds && entry.at("ver").get<uint64_t>() ==
+                         (exists ? found->second.version : 0);
+  }
+  if (!holds) {
+    return {412, {{"rows", current}, {"ver", m_version}, {"nowMs", 1}}};
+  }
+  ++m_version;
+  for (const json& entry : transaction.value("writes", json::array())) {
+    m_rows[ReadKey(entry)] =
+        Row{entry.at("value").get<std::string>(), m_version, false};
+  }
+  for (const json& entry : transaction.value("remove", json::array())) {
+    m_rows[ReadKey(entry)] = Row{"", m_version, true};
+  }
+  return {200, {{"ver", m_version}, {"nowMs", 1}}};
+}
+
+json RowTable::Read(const std::string& table, const std::string& part,
+                    const std::string& from, const std::string& until,
+                    size_t limit) const {
+  json rows = json::array();
+  bool is_truncated = false;
+  for (auto row = m_rows.lower_bound({table, part, from}); row != m_rows.end();
+       ++row) {
+    const auto& [row_table, row_part, key] = row->first;
+    if (row_table != table || row_part != part ||
+        (!until.empty() && key >= until)) {
+      break;
+    }
+    if (row->second.is_removed) {
+      continue;
+    }
+    if (rows.size() == limit) {
+      is_truncated = true;
+      break;
+    }
+    rows.push_back(Format(row->first, row->second));
+  }
+  return {{"rows", rows},
+          {"truncated", is_truncated},
+          {"ver", m_version},
+          {"nowMs", 1}};
+}
+
+json RowTable::ListChanges(const std::string& table, uint64_t after) const {
+  std::vector<std::pair<uint64_t, json>> changes;
+  for (const auto& [key, row] : m_rows) {
+    if (std::get<0>(key) == table && row.version > after) {
+      changes.emplace_back(row.version, Format(key, row));
+    }
+  }
+  std::sort(changes.begin(), changes.end(),
+            [](const auto& left, const auto& right) {
+              return left.first < right.first;
+            });
+  json rows = json::array();
+  for (const auto& [version, row] : changes) {
+    rows.push_back(row);
+  }
+  return {{"rows", rows}, {"ver", m_version}, {"nowMs", 1}};
+}
+
+void RowTable::Put(const std::string& table, const std::string& key,
+                   const std::string& value) {
+  m_rows[{table, "", key}] =
+      Row{restinio::utils::base64::encode(value), ++m_version, false};
+}
+
+void RowTable::Remove(const std::string& table, const std::string& key) {
+  m_rows[{table, "", key}] = Row{"", ++m_version, true};
+}
+
+std::string RowTable::Get(const std::string& table, const std::string& part,
+                          const std::string& key) const {
+  const auto found = m_rows.find({table, part, key});
+  if (found == m_rows.end() || found->second.is_removed) {
+    return "";
+  }
+  return restinio::utils::base64::decode(found->second.value);
+}
+
+}  // namespace shallotwick::standin
