--- a/libraries/hosts/tests/hosts_test.cc
+++ b/libraries/hosts/tests/hosts_test.cc
@@ -48,10 +48,9 @@
 TEST(Hosts, ForecastAfterALullIsNothing) {
   hosts::ArrivalForecast forecast;
   FeedRamp(forecast, 100, 100, 30);
-  DOUBLES_EQUAL(0,
-                forecast.ForecastCores(kMoveTime,
-                                       kStart + std::chrono::seconds(20)),
-                0.001);
+  DOUBLES_EQUAL(
+      0, forecast.ForecastCores(kMoveTime, kStart + std::chrono::seconds(20)),
+      0.001);
 }
 
 TEST(Hosts, WantsHostsForTheOpenWorkAndForWhatWillCome) {
