--- a/libraries/ownership/pool_assignment.cc
+++ b/libraries/ownership/pool_assignment.cc
@@ -1,23 +1,11 @@
 #include "ownership/pool_assignment.h"
 
 #include <algorithm>
-#include <cstdint>
 #include <tuple>
 
-namespace shallotwick::ownership {
-namespace {
-
-// FNV-1a; the same on every host, which std::hash does not promise.
-uint64_t Hash(const std::string& text) {
-  uint64_t hash = 14695981039346656037U;
-  for (char character : text) {
-    hash = (hash ^ static_cast<unsigned char>(character)) * 1099511628211U;
-  }
-  return hash;
-}
-
-}  // namespace
+#include "base/stable_hash.h"
 
+namespace shallotwick::ownership {
 std::map<std::string, std::vector<Incarnation>> RankCandidates(
     const std::set<std::string>& pools,
     const std::map<std::string, OwnerRecord>& owners,
@@ -39,8 +27,10 @@
     std::vector<Incarnation> hosts(live.begin(), live.end());
     std::sort(hosts.begin(), hosts.end(),
               [&](const Incarnation& left, const Incarnation& right) {
-                return std::make_tuple(owned[left], Hash(pool + left.host)) <
-                       std::make_tuple(owned[right], Hash(pool + right.host));
+                return std::make_tuple(owned[left],
+                                       base::StableHash(pool + left.host)) <
+                       std::make_tuple(owned[right],
+                                       base::StableHash(pool + right.host));
               });
     if (!hosts.empty()) {
       ++owned[hosts.front()];
--- a/libraries/scheduling/pool_decisions.cc
+++ b/libraries/scheduling/pool_decisions.cc
@@ -512,12 +512,4 @@
   }
 }
 
-int64_t PoolScheduler::CountQueuedJobs() const {
-  int64_t count = 0;
-  for (const auto& [id, job] : m_jobs) {
-    count += job.m_state == JobState::kQueued ? 1 : 0;
-  }
-  return count;
-}
-
 }  // namespace shallotwick::scheduling
--- a/libraries/scheduling/pool_reports.cc
+++ b/libraries/scheduling/pool_reports.cc
@@ -26,6 +26,7 @@
 constexpr auto kSickPause = std::chrono::milliseconds(1'500);
 constexpr int kLongestSickPauseFactor = 4;
 
+// Clocks of targets may run 2% slow; one more covers rounding.
 constexpr double kSlowestClockFactor = 1.03;
 
 bool HasUnsettledRun(const TargetLedger& target) {
--- a/libraries/scheduling/pool_scheduler.cc
+++ b/libraries/scheduling/pool_scheduler.cc
@@ -7,9 +7,6 @@
 namespace shallotwick::scheduling {
 namespace {
 
-// Clocks of targets may run 2% slow; one more covers rounding.
-constexpr double kSlowestClockFactor = 1.03;
-
 // A long-running task is at work once it reports this share.
 constexpr int kAtWorkPercent = 100;
 
@@ -19,11 +16,6 @@
   return std::max(1, step.disruption_budget);
 }
 
-base::Duration Scale(base::Duration duration, double factor) {
-  return base::Duration(
-      static_cast<int64_t>(static_cast<double>(duration.count()) * factor));
-}
-
 }  // namespace
 
 PoolScheduler::PoolScheduler(const PoolSchedulerOptions& options)
@@ -33,7 +25,7 @@
   m_routes = std::move(routes);
 }
 
-void PoolScheduler::AddJob(JobSpec spec, JobProgress progress,
+void PoolScheduler::AddJob(JobSpec spec, const JobProgress& progress,
                            bool predates_ownership) {
   const std::string id = spec.id;
   if (IsTerminal(progress.state) || HasJob(id)) {
@@ -64,8 +56,7 @@
   TargetLedger ledger(entry);
   ledger.m_is_registered = false;
   ledger.m_is_in_roster = true;
-  ledger.m_lease_bound = now + Scale(m_options.lease, kSlowestClockFactor) +
-                         m_options.longest_stop;
+  ExtendLeaseBound(ledger, now);
   m_targets.emplace(entry.id, std::move(ledger));
 }
 
@@ -415,9 +406,9 @@
   return found == m_targets.end() ? 0 : found->second.GetRuns().size();
 }
 
-PoolDemand PoolScheduler::EstimateDemand(int64_t wall_ms) const {
+hosts::PoolLoad PoolScheduler::EstimateLoad(int64_t wall_ms) const {
   constexpr double kMilliPerCore = 1'000;
-  PoolDemand demand;
+  hosts::PoolLoad load;
   for (const auto& [id, job] : m_jobs) {
     const JobSpec& spec = job.GetSpec();
     const int k = job.GetFirstOpenOccurrence();
@@ -433,33 +424,32 @@
       if (shape.long_running) {
         const int per_target =
             shape.most_per_target > 0 ? shape.most_per_target : shape.count;
-        demand.least_targets = std::max(
-            demand.least_targets, (shape.count + per_target - 1) / per_target);
+        load.least_hosts = std::max(
+            load.least_hosts, (shape.count + per_target - 1) / per_target);
       } else {
         const double work = open * cores *
                             static_cast<double>(shape.estimate_ms) /
                             kMilliPerCore;
-        demand.open_core_seconds += work;
-        demand.timely_core_seconds += is_timely ? work : 0;
+        load.open_core_seconds += work;
+        load.timely_core_seconds += is_timely ? work : 0;
       }
       if (job.IsStepReady(k, step)) {
-        demand.waiting_cores += open * cores;
-        demand.timely_waiting_cores += is_timely ? open * cores : 0;
+        load.waiting_cores += open * cores;
+        load.timely_waiting_cores += is_timely ? open * cores : 0;
       }
     }
   }
   for (const auto& [id, target] : m_targets) {
     for (const auto& [name, run] : target.GetRuns()) {
       if (!run.best_effort) {
-        demand.running_cores +=
+        load.running_cores +=
             static_cast<double>(run.demand.cpu_milli) / kMilliPerCore;
       }
     }
   }
   // Ready tasks that run already were counted among both.
-  demand.waiting_cores =
-      std::max(0.0, demand.waiting_cores - demand.running_cores);
-  return demand;
+  load.waiting_cores = std::max(0.0, load.waiting_cores - load.running_cores);
+  return load;
 }
 
 size_t PoolScheduler::CountShortRuns(const std::string& id) const {
--- a/libraries/scheduling/pool_scheduler.h
+++ b/libraries/scheduling/pool_scheduler.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "base/runtime_clock.h"
+#include "hosts/capacity_need.h"
 #include "scheduling/active_job.h"
 #include "scheduling/placement.h"
 #include "scheduling/target_ledger.h"
@@ -41,22 +42,6 @@
   auto operator<=>(const ProgressChange&) const = default;
 };
 
-// What a pool's jobs ask of its targets at this moment.
-struct PoolDemand {
-  double running_cores = 0;
-  // Of tasks that could start now.
-  double waiting_cores = 0;
-  // Estimated work of all that is not done.
-  double open_core_seconds = 0;
-  // The part of these that belongs to jobs which can still be in time.
-  double timely_waiting_cores = 0;
-  double timely_core_seconds = 0;
-  // Targets that the long-running steps need to be spread as they ask.
-  int least_targets = 0;
-
-  auto operator<=>(const PoolDemand&) const = default;
-};
-
 // A decision worth a log line: what was decided of which task, and why.
 struct SchedulingNote {
   std::string what;
@@ -82,7 +67,8 @@
   void SetRoutes(std::map<std::string, RoutePolicy> routes);
 
   // `predates_ownership`: an earlier owner may have started its tasks.
-  void AddJob(JobSpec spec, JobProgress progress, bool predates_ownership);
+  void AddJob(JobSpec spec, const JobProgress& progress,
+              bool predates_ownership);
   void CancelJob(const std::string& id);
   bool HasJob(const std::string& id) const { return m_jobs.count(id) > 0; }
   // Whether the job is held and has not ended.
@@ -143,8 +129,9 @@
   const std::map<std::string, TargetLedger>& GetTargets() const {
     return m_targets;
   }
-  int64_t CountQueuedJobs() const;
-  PoolDemand EstimateDemand(int64_t wall_ms) const;
+  // What the jobs ask of the pool; the forecast and the cores of a host are the
+  // caller's to add.
+  hosts::PoolLoad EstimateLoad(int64_t wall_ms) const;
 
  private:
   using Position = std::pair<int, int>;
--- a/libraries/scheduling/target_ledger.h
+++ b/libraries/scheduling/target_ledger.h
@@ -35,7 +35,7 @@
   int64_t load = 0;
   int paced_percent = 100;
   base::TimePoint started;
-  // When its state last changed, or `percent` last grew.
+  // When its state last changed.
   base::TimePoint changed;
   // When the percentage last grew.
   base::TimePoint progressed;
--- a/services/shallotwick-scheduler/capacity_broker.cc
+++ b/services/shallotwick-scheduler/capacity_broker.cc
@@ -1,12 +1,12 @@
 #include "capacity_broker.h"
 
 #include <algorithm>
-#include <functional>
 #include <stdexcept>
 #include <utility>
 
 #include "base/log.h"
 #include "base/log_catalogue.h"
+#include "base/stable_hash.h"
 
 namespace shallotwick::scheduler {
 namespace {
@@ -93,7 +93,7 @@
   }
   // Owners that call at the same time begin at different hosts.
   if (!called.empty()) {
-    const size_t first = std::hash<std::string>{}(pool) % called.size();
+    const size_t first = base::StableHash(pool) % called.size();
     std::rotate(called.begin(),
                 called.begin() + static_cast<std::ptrdiff_t>(first),
                 called.end());
@@ -139,16 +139,9 @@
   if (m_standby_pools.count(pool) > 0) {
     return view;
   }
-  const scheduling::PoolDemand demand =
-      runner.GetScheduler().EstimateDemand(base::WallClockMilliseconds());
-  hosts::PoolLoad load;
-  load.running_cores = demand.running_cores;
-  load.waiting_cores = demand.waiting_cores;
-  load.open_core_seconds = demand.open_core_seconds;
+  hosts::PoolLoad load =
+      runner.GetScheduler().EstimateLoad(base::WallClockMilliseconds());
   load.forecast_cores = runner.ForecastCores(m_move_time);
-  load.timely_waiting_cores = demand.timely_waiting_cores;
-  load.timely_core_seconds = demand.timely_core_seconds;
-  load.least_hosts = demand.least_targets;
   load.cores_per_host = view.cores_per_host;
   view.timely = hosts::EstimateTimelyHosts(load);
   view.wanted = std::max(view.timely, hosts::EstimateWantedHosts(load));
--- a/services/shallotwick-scheduler/job_tables.cc
+++ b/services/shallotwick-scheduler/job_tables.cc
@@ -1,19 +1,15 @@
 #include "job_tables.h"
 
-#include <cstdint>
+#include "base/stable_hash.h"
 
 namespace shallotwick::scheduler {
 namespace {
 
 // With two tables a bucket, well under the store's 100 tables.
-constexpr uint32_t kBuckets = 32;
+constexpr uint64_t kBuckets = 32;
 
 std::string GetBucket(const std::string& service) {
-  uint32_t hash = 2166136261U;
-  for (char character : service) {
-    hash = (hash ^ static_cast<unsigned char>(character)) * 16777619U;
-  }
-  return std::to_string(hash % kBuckets);
+  return std::to_string(base::StableHash(service) % kBuckets);
 }
 
 }  // namespace
