Free an abandoned host of work before asking for its maintenance again

Ruled out: evacuation of two hosts at once (one budget, one ledger), late stops. Change: such a host is cordoned and freed like any other first; whether it went down is read from a newer list, and then its runs have ended. Tests: AbandonedMaintenance.WaitsWhileABudgetForbidsIt (seen failing with the check taken out), EndsRunsOnceTheListShowsTheHostDown (seen failing before the list was newer), EndsNoRunsWhileTheListShowsTheSameTarget.

--- a/services/shallotwick-scheduler/wave_conductor.cc
+++ b/services/shallotwick-scheduler/wave_conductor.cc
@@ -52,6 +52,7 @@
   if (!m_ledger.IsLoaded()) {
     return;
   }
+  SettleAskedAgain();
   for (const auto& [number, wave] : m_waves) {
     const auto reported = m_reported.find(number);
     if (reported != m_reported.end() && reported->second) {
@@ -116,14 +117,9 @@
     }
     const auto taken = m_taken_down.find(name);
     if (taken == m_taken_down.end()) {
-      // Its holder may not have got to it: asked again, the platform says so
-      // if it is done.
       const bool is_abandoned =
           holder == m_options.holder || !m_is_holder_live(holder);
-      if (is_abandoned && m_find_pool(host->second.pool) != nullptr &&
-          m_ledger.IsFree(name, now) &&
-          host->second.state == hosts::HostState::kUp) {
-        TakeDown(wave, host->second, false, row, record);
+      if (is_abandoned && TakeOver(wave, host->second, row, record, now)) {
         return true;
       }
       continue;
@@ -160,6 +156,60 @@
   return has_changed;
 }
 
+// Its former holder may not have got to it: asked again, the platform says so
+// if it is done. It may do it only now, so the host is freed of work like any
+// other.
+bool WaveConductor::TakeOver(const hosts::MaintenanceWave& wave,
+                             const hosts::FleetHost& host,
+                             const storage::VersionedRow& row,
+                             const hosts::WaveRecord& record,
+                             base::TimePoint now) {
+  PoolRunner* pool = m_find_pool(host.pool);
+  if (pool == nullptr || host.state != hosts::HostState::kUp ||
+      !m_ledger.IsFree(host.name, now)) {
+    return false;
+  }
+  if (m_preparing.try_emplace(host.name, now).second) {
+    pool->GetScheduler().SetCordoned(host.target, true);
+  }
+  if (!IsFreeOfWork(host, now)) {
+    Evacuate(host, now);
+    return false;
+  }
+  TakeDown(wave, host, false, row, record);
+  return true;
+}
+
+// Once a newer list is there, it says whether a host that was asked for again
+// went down: then its target and all its runs have ended.
+void WaveConductor::SettleAskedAgain() {
+  std::vector<std::string> settled;
+  for (const auto& [name, asked] : m_asked_again) {
+    if (m_ledger.GetListTime() <= asked.at) {
+      continue;
+    }
+    settled.push_back(name);
+    const auto listed = m_ledger.GetHosts().find(name);
+    const bool is_unchanged = listed != m_ledger.GetHosts().end() &&
+                              listed->second.state == hosts::HostState::kUp &&
+                              listed->second.target == asked.host.target;
+    PoolRunner* pool = m_find_pool(asked.host.pool);
+    if (pool == nullptr) {
+      continue;
+    }
+    if (is_unchanged) {
+      pool->GetScheduler().SetLeaving(asked.host.target, false);
+      pool->GetScheduler().SetCordoned(asked.host.target, false);
+    } else {
+      pool->GetScheduler().OnTargetDead(asked.host.target);
+    }
+    pool->Wake();
+  }
+  for (const std::string& name : settled) {
+    m_asked_again.erase(name);
+  }
+}
+
 // Keeps new work off the next hosts, those with the least work first.
 void WaveConductor::Prepare(const hosts::MaintenanceWave& wave,
                             const hosts::WaveRecord& record,
@@ -214,7 +264,7 @@
                              const storage::VersionedRow& row,
                              hosts::WaveRecord record) {
   record.running[host.name] = m_options.holder;
-  SetLeaving(host, is_first);
+  SetLeaving(host, true);
   HostOperationRequest request;
   request.hosts = {host.name};
   request.shared_row = row;
@@ -263,7 +313,9 @@
     PoolRunner* pool = m_find_pool(host.pool);
     // Asked again, the platform may have done it before the present target
     // came; then that one runs on.
-    if (pool != nullptr && is_first) {
+    if (!is_first) {
+      m_asked_again[host.name] = {host, base::RuntimeClock::now()};
+    } else if (pool != nullptr) {
       pool->GetScheduler().OnTargetDead(host.target);
       pool->Wake();
     }
--- a/services/shallotwick-scheduler/wave_conductor.h
+++ b/services/shallotwick-scheduler/wave_conductor.h
@@ -45,6 +45,10 @@
   bool EnterReturned(const hosts::MaintenanceWave& wave,
                      const storage::VersionedRow& row, hosts::WaveRecord record,
                      base::TimePoint now);
+  bool TakeOver(const hosts::MaintenanceWave& wave,
+                const hosts::FleetHost& host, const storage::VersionedRow& row,
+                const hosts::WaveRecord& record, base::TimePoint now);
+  void SettleAskedAgain();
   void Prepare(const hosts::MaintenanceWave& wave,
                const hosts::WaveRecord& record, base::TimePoint now);
   bool IsFreeOfWork(const hosts::FleetHost& host, base::TimePoint now) const;
@@ -70,6 +74,12 @@
   std::map<std::string, base::TimePoint> m_preparing;
   // Hosts that were taken down here, and when.
   std::map<std::string, base::TimePoint> m_taken_down;
+  // Hosts of former holders that were asked for again, as they were then.
+  struct AskedAgain {
+    hosts::FleetHost host;
+    base::TimePoint at;
+  };
+  std::map<std::string, AskedAgain> m_asked_again;
   std::map<std::string, base::TimePoint> m_missing_since;
   base::Lifetime m_lifetime;
 };
