Drop ended targets from the roster within half a second

A roster was rewritten only when a target was added, so it named hosts that had been moved away; each new owner held all old jobs back until the lease of those was over, some 5 s a time. Change: the roster is also rewritten when a target has ended, at most each 0.5 s. Test: Scheduler.TargetsThatHaveEndedLeaveTheRoster waits for ever without the change.

--- a/services/shallotwick-scheduler/pool_records.cc
+++ b/services/shallotwick-scheduler/pool_records.cc
@@ -21,6 +21,8 @@
 // A job takes up to three entries of a transaction; one is the owner's row.
 constexpr size_t kMostChangesPerCommit =
     (storage::kMostTransactionEntries - 1) / 3;
+// Between writes of the roster that only leave targets out.
+constexpr auto kRosterShrinkPeriod = std::chrono::milliseconds(500);
 // Rows of ended jobs that are removed together.
 constexpr size_t kMostForgottenAtOnce = 50;
 
@@ -34,10 +36,20 @@
   for (const auto& [id, address] : roster) {
     has_new = has_new || m_stored_roster.count(id) == 0;
   }
-  if (!has_new || m_is_writing_roster || m_is_lost) {
+  // A successor waits for the lease of each target that it can't reach, so
+  // those that have ended must leave the roster soon.
+  bool has_gone = false;
+  for (const auto& [id, address] : m_stored_roster) {
+    has_gone = has_gone || roster.count(id) == 0;
+  }
+  const auto now = base::RuntimeClock::now();
+  const bool is_due =
+      has_new || (has_gone && now >= m_roster_written + kRosterShrinkPeriod);
+  if (!is_due || m_is_writing_roster || m_is_lost) {
     return;
   }
   m_is_writing_roster = true;
+  m_roster_written = now;
   storage::RowTransaction transaction;
   transaction.expected = {
       {MakeOwnerKey(m_options.service), m_options.owner_version},
--- a/services/shallotwick-scheduler/pool_runner.h
+++ b/services/shallotwick-scheduler/pool_runner.h
@@ -114,6 +114,7 @@
   bool m_is_forgetting = false;
   uint64_t m_roster_version = storage::kNoVersion;
   std::map<std::string, std::string> m_stored_roster;
+  base::TimePoint m_roster_written;
   bool m_is_roster_read = false;
   bool m_is_writing_roster = false;
   bool m_is_loaded = false;
--- a/services/shallotwick-scheduler/tests/scheduler_test.cc
+++ b/services/shallotwick-scheduler/tests/scheduler_test.cc
@@ -180,6 +180,28 @@
   LONGS_EQUAL(1, pool->GetScheduler().GetJobCount());
 }
 
+// A successor holds old jobs back for each target of the roster that it can't
+// reach; one that has surely ended must not be among them.
+TEST(Scheduler, TargetsThatHaveEndedLeaveTheRoster) {
+  const auto pool = StartPool();
+  for (const char* id : {"i-1", "i-2"}) {
+    scheduling::TargetEntry entry;
+    entry.id = id;
+    entry.service = kService;
+    pool->OnTargetChanged(entry);
+  }
+  const auto wait_for_roster = [this](const std::string& wanted) {
+    while (m_store.Get(scheduler::MakeRosterKey(kService)).value != wanted) {
+      m_loop.GetContext().restart();
+      m_loop.GetContext().run_one();
+    }
+  };
+  wait_for_roster(R"({"i-1":"","i-2":""})");
+  pool->OnTargetRemoved("i-1");
+  pool->GetScheduler().OnTargetDead("i-1");
+  wait_for_roster(R"({"i-2":""})");
+}
+
 TEST(Scheduler, HostRestsOnlyAfterALiveHolder) {
   m_store.Put({scheduler::kHostsTable, scheduler::kSinglePart, "lock/m-1"},
               "former/7");
