--- a/libraries/scheduling/serving_config.cc
+++ b/libraries/scheduling/serving_config.cc
@@ -1,13 +1,10 @@
 #include "scheduling/serving_config.h"
 
-#include <string_view>
-
 namespace shallotwick::scheduling {
 
 const Route* ServingConfig::FindRoute(const std::string& host,
                                       const std::string& path) const {
-  const std::string_view name =
-      std::string_view(host).substr(0, host.find(':'));
+  const std::string name = host.substr(0, host.find(':'));
   const Route* best = nullptr;
   for (const Route& route : routes) {
     const bool matches =
--- a/libraries/scheduling/tests/pool_model.cc
+++ b/libraries/scheduling/tests/pool_model.cc
@@ -86,7 +86,7 @@
                      " ms: " + what);
 }
 
-void PoolModel::Submit(JobSpec spec) {
+void PoolModel::Submit(const JobSpec& spec) {
   Stored stored{spec, MakeInitialProgress(spec)};
   m_store[spec.id] = stored;
   m_owner->AddJob(spec, stored.progress, false);
@@ -286,7 +286,7 @@
 template <typename Order>
 void PoolModel::Send(const Order& order,
                      std::function<OrderResult(const Order&)> apply,
-                     std::function<void(const OrderResult&)> answer) {
+                     const std::function<void(const OrderResult&)>& answer) {
   const int generation = m_generation;
   const auto is_answered = std::make_shared<bool>(false);
   const auto reply = [this, generation, answer,
--- a/libraries/scheduling/tests/pool_model.h
+++ b/libraries/scheduling/tests/pool_model.h
@@ -44,7 +44,7 @@
       m_on_event;
 
   // Hands in a job as it would come by the store.
-  void Submit(JobSpec spec);
+  void Submit(const JobSpec& spec);
   void RunFor(base::Duration duration);
   // No more faults; lets all that was lost come back.
   void Calm();
@@ -116,7 +116,7 @@
   void TraceSend(const ReportOrder& /*order*/, bool /*is_lost*/) {}
   template <typename Order>
   void Send(const Order& order, std::function<OrderResult(const Order&)> apply,
-            std::function<void(const OrderResult&)> answer);
+            const std::function<void(const OrderResult&)>& answer);
 
   PoolModelOptions m_options;
   std::mt19937 m_random;
