Derive the pauses between membership renewals from the membership limit

Cause of the red test process-cut-off-test: a gateway that is cut off from the store renews its membership through a peer, with up to 3 s between two tries whatever its limit is. The test sets a limit of 4 s, which leaves 1 s for everything else; under load one renewal was a second late.

Ruled out: a wake-up of the peer's task that is lost (PeriodicTask keeps it); a conflict of the peer's write (its rows are its own).

AbandonedMaintenance.EndsRunsOnceTheListShowsTheHostDown now starts from a roster, so that no lease ends the run: without SettleAskedAgain it fails.

--- a/services/shallotwick-gateway/gateway.cc
+++ b/services/shallotwick-gateway/gateway.cc
@@ -144,7 +144,9 @@
                                      {"incarnation", m_incarnation}});
   m_membership = std::make_unique<Membership>(
       m_platform, m_store_watch, m_views, *m_links,
-      [this] { return DescribeMember(); }, MembershipOptions{});
+      [this] { return DescribeMember(); },
+      MakeMembershipOptions(std::chrono::milliseconds(
+          settings.GetInteger("membership-limit-ms"))));
   GossipOptions gossip;
   gossip.first_peers = settings.GetList("peers");
   m_gossip = std::make_unique<PeerGossip>(m_name, *m_links, m_views, gossip);
--- a/services/shallotwick-gateway/membership.cc
+++ b/services/shallotwick-gateway/membership.cc
@@ -1,5 +1,6 @@
 #include "membership.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -12,6 +13,25 @@
 #include "records/keys.h"
 
 namespace shallotwick::gateway {
+namespace {
+
+// Two rounds of a delay and a wait for a peer fit into the membership limit.
+constexpr int kWaitsPerLimit = 4;
+
+}  // namespace
+
+MembershipOptions MakeMembershipOptions(base::Duration membership_limit) {
+  MembershipOptions options;
+  const base::Duration longest_wait = membership_limit / kWaitsPerLimit;
+  options.longest_retry_delay =
+      std::min(options.longest_retry_delay, longest_wait);
+  options.peer_timeout = std::min(
+      options.peer_timeout,
+      std::chrono::duration_cast<std::chrono::milliseconds>(longest_wait));
+  options.period =
+      std::min(options.period, longest_wait / options.periods_per_renewal);
+  return options;
+}
 
 Membership::Membership(storage::TableService& table, control::StoreWatch& watch,
                        ViewKeeper& views, control::LinkThread& links,
--- a/services/shallotwick-gateway/membership.h
+++ b/services/shallotwick-gateway/membership.h
@@ -27,6 +27,10 @@
   std::chrono::milliseconds peer_timeout{2'000};
 };
 
+// Returns options under which a renewal that is lost leaves time for another
+// one within the membership limit.
+MembershipOptions MakeMembershipOptions(base::Duration membership_limit);
+
 // Renews the gateway's membership row and looks for newer views in the table
 // service, on a thread of its own.
 class Membership {
--- a/services/shallotwick-scheduler/tests/scheduler_test.cc
+++ b/services/shallotwick-scheduler/tests/scheduler_test.cc
@@ -267,6 +267,10 @@
   void Start(int other_percent) {
     m_store.Put(m_wave_key,
                 R"({"running":{"m-1":"former/7"},"done":[],"gone":[]})");
+    // The former owner's leases bound the runs, so that only what the test does
+    // ends them.
+    m_store.Put(scheduler::MakeRosterKey(kService),
+                R"({"i-m-1":"","i-m-2":""})");
     scheduling::JobSpec job = MakeJob("job1");
     job.steps[0].count = 2;
     job.steps[0].long_running = true;
@@ -322,6 +326,7 @@
     m_loop.GetContext().restart();
     m_loop.GetContext().run_one();
   }
+  LONGS_EQUAL(1, m_pool->GetScheduler().CountRuns("i-m-1"));
   m_waves->Reconsider(base::RuntimeClock::now());
   LONGS_EQUAL(0, m_pool->GetScheduler().CountRuns("i-m-1"));
 }
