Give pools to the hosts with the most processor time

Ruled out: waves and moves as the cause (rules broke in the same way before the wave began); memory (47 MB at the peak).

Change: a session row says how many cores its host may use; a pool goes to the host that would have the most cores for each of its pools.

--- a/libraries/ownership/pool_assignment.cc
+++ b/libraries/ownership/pool_assignment.cc
@@ -6,10 +6,17 @@
 #include "base/stable_hash.h"
 
 namespace shallotwick::ownership {
+namespace {
+
+// A host that names fewer cores is taken to have these.
+constexpr double kLeastCores = 0.01;
+
+}  // namespace
+
 std::map<std::string, std::vector<Incarnation>> RankCandidates(
     const std::set<std::string>& pools,
     const std::map<std::string, OwnerRecord>& owners,
-    const std::set<Incarnation>& live) {
+    const std::map<Incarnation, double>& live) {
   std::map<Incarnation, int> owned;
   std::vector<std::string> orphans;
   for (const std::string& pool : pools) {
@@ -24,14 +31,16 @@
   }
   std::map<std::string, std::vector<Incarnation>> ranks;
   for (const std::string& pool : orphans) {
-    std::vector<Incarnation> hosts(live.begin(), live.end());
-    std::sort(hosts.begin(), hosts.end(),
-              [&](const Incarnation& left, const Incarnation& right) {
-                return std::make_tuple(owned[left],
-                                       base::StableHash(pool + left.host)) <
-                       std::make_tuple(owned[right],
-                                       base::StableHash(pool + right.host));
-              });
+    std::vector<std::tuple<double, uint64_t, Incarnation>> ranked;
+    for (const auto& [host, cores] : live) {
+      ranked.emplace_back((owned[host] + 1) / std::max(cores, kLeastCores),
+                          base::StableHash(pool + host.host), host);
+    }
+    std::sort(ranked.begin(), ranked.end());
+    std::vector<Incarnation> hosts;
+    for (const auto& [pools_per_core, hash, host] : ranked) {
+      hosts.push_back(host);
+    }
     if (!hosts.empty()) {
       ++owned[hosts.front()];
     }
--- a/libraries/ownership/pool_assignment.h
+++ b/libraries/ownership/pool_assignment.h
@@ -20,12 +20,13 @@
 };
 
 // Ranks the live hosts for each pool that has no live owner: the first should
-// take it, the others after it if it does not. Gives a pool to the host with
-// the fewest; hosts that see the same rows agree. Pools with a live owner stay
-// where they are, since each change costs a recovery.
+// take it, the others after it if it does not. Gives a pool to the host that
+// would have the most cores for each of its pools; hosts that see the same rows
+// agree. Pools with a live owner stay where they are, since each change costs a
+// recovery. `live` gives the cores that each host may use.
 std::map<std::string, std::vector<Incarnation>> RankCandidates(
     const std::set<std::string>& pools,
     const std::map<std::string, OwnerRecord>& owners,
-    const std::set<Incarnation>& live);
+    const std::map<Incarnation, double>& live);
 
 }  // namespace shallotwick::ownership
--- a/libraries/ownership/session_watch.cc
+++ b/libraries/ownership/session_watch.cc
@@ -32,11 +32,11 @@
   m_seen = std::move(seen);
 }
 
-std::set<Incarnation> SessionWatch::GetLive() const {
-  std::set<Incarnation> live;
+std::map<Incarnation, double> SessionWatch::GetLive() const {
+  std::map<Incarnation, double> live;
   for (const auto& [host, seen] : m_seen) {
     if (seen.still < m_time_to_live) {
-      live.insert(seen.row.holder);
+      live[seen.row.holder] = seen.row.cores;
     }
   }
   return live;
--- a/libraries/ownership/session_watch.h
+++ b/libraries/ownership/session_watch.h
@@ -2,7 +2,6 @@
 
 #include <compare>
 #include <map>
-#include <set>
 #include <string>
 
 #include "base/runtime_clock.h"
@@ -21,6 +20,8 @@
 struct SessionRow {
   Incarnation holder;
   uint64_t version = 0;
+  // Cores that the holder may use.
+  double cores = 1;
 
   auto operator<=>(const SessionRow&) const = default;
 };
@@ -36,7 +37,8 @@
   void Observe(const std::map<std::string, SessionRow>& rows,
                base::TimePoint now);
 
-  std::set<Incarnation> GetLive() const;
+  // The live hosts and the cores that each may use.
+  std::map<Incarnation, double> GetLive() const;
   bool IsLive(const Incarnation& incarnation) const;
   // Whether the rows were watched for long enough to tell a lapsed session.
   bool HasWatchedLongEnough() const;
--- a/services/shallotwick-scheduler/scheduler_process.cc
+++ b/services/shallotwick-scheduler/scheduler_process.cc
@@ -15,6 +15,7 @@
 namespace shallotwick::scheduler {
 namespace {
 
+constexpr int64_t kMostProcessors = 4'096;
 // Long polls of the tables and calls beside them.
 constexpr int kStoreConnections = 32;
 // One for the report that waits and a few for orders; each new connection to a
@@ -95,6 +96,11 @@
       {"retention-s", "SECONDS",
        "how long the state of an ended job can be read", "120",
        base::CheckNumber(1, 86'400)},
+      {"processor-share", "SHARE",
+       "the part of each processor that this host may use", "1",
+       base::CheckNumber(0, 1)},
+      {"processors", "COUNT", "processors of this host", "1",
+       base::CheckInteger(1, kMostProcessors)},
       {"stop-grace-s", "SECONDS", "time from SIGTERM to SIGKILL", "6",
        base::CheckNumber(1, 600)}};
   for (const base::SettingDeclaration& setting : base::GetLogSettings()) {
@@ -111,8 +117,10 @@
       m_orders(m_target_client, GetTimeout(settings, "order-timeout-ms")),
       m_host_operations(m_store_client, settings.GetString("hosts"),
                         GetTimeout(settings, "platform-timeout-ms")),
-      m_session(m_loop, m_store, settings.GetString("name"),
-                base::MakeRandomIdentifier()),
+      m_session(m_loop, m_store,
+                {settings.GetString("name"), base::MakeRandomIdentifier()},
+                settings.GetNumber("processor-share") *
+                    static_cast<double>(settings.GetInteger("processors"))),
       m_ownership(m_loop, m_store, m_session),
       m_host_ledger(
           m_loop, m_store, m_host_operations,
--- a/services/shallotwick-scheduler/session_keeper.cc
+++ b/services/shallotwick-scheduler/session_keeper.cc
@@ -28,6 +28,7 @@
   const auto object = nlohmann::json::parse(row.value, nullptr, false);
   if (object.is_object()) {
     session.holder.boot = object.value("boot", "");
+    session.cores = object.value("cores", 1.0);
   }
   return session;
 }
@@ -35,10 +36,11 @@
 }  // namespace
 
 SessionKeeper::SessionKeeper(base::EventLoop& loop, storage::RowStore& store,
-                             std::string host, std::string boot)
+                             ownership::Incarnation self, double cores)
     : m_loop(loop),
       m_store(store),
-      m_self{std::move(host), std::move(boot)},
+      m_self(std::move(self)),
+      m_cores(cores),
       m_watch(kTimeToLive) {}
 
 void SessionKeeper::Start() {
@@ -60,7 +62,10 @@
   }
   ++m_renewals;
   const std::string value =
-      nlohmann::json{{"boot", m_self.boot}, {"renewals", m_renewals}}.dump();
+      nlohmann::json{{"boot", m_self.boot},
+                     {"cores", m_cores},
+                     {"renewals", m_renewals}}
+          .dump();
   storage::RowTransaction transaction;
   const storage::RowKey key = MakeSessionKey(m_self.host);
   transaction.expected = {{key, m_version}};
--- a/services/shallotwick-scheduler/session_keeper.h
+++ b/services/shallotwick-scheduler/session_keeper.h
@@ -12,8 +12,9 @@
 // Renews this host's session in the store and watches those of the others.
 class SessionKeeper {
  public:
+  // `cores`: what this host may use of its processor, in cores.
   SessionKeeper(base::EventLoop& loop, storage::RowStore& store,
-                std::string host, std::string boot);
+                ownership::Incarnation self, double cores);
 
   // After each reading of the sessions.
   std::function<void()> m_on_reading;
@@ -40,6 +41,7 @@
   base::EventLoop& m_loop;
   storage::RowStore& m_store;
   ownership::Incarnation m_self;
+  double m_cores;
   ownership::SessionWatch m_watch;
   uint64_t m_version = storage::kNoVersion;
   int64_t m_renewals = 0;
--- a/services/shallotwick-scheduler/tests/scheduler_test.cc
+++ b/services/shallotwick-scheduler/tests/scheduler_test.cc
@@ -218,7 +218,7 @@
               R"({"host":"edge-1","boot":"old","term":4})");
   m_store.Put(scheduler::MakeOwnerKey("other"),
               R"({"host":"edge-2","boot":"old","term":1})");
-  scheduler::SessionKeeper session(m_loop, m_store, "edge-1", "new");
+  scheduler::SessionKeeper session(m_loop, m_store, {"edge-1", "new"}, 1);
   scheduler::OwnershipManager owners(m_loop, m_store, session);
   std::map<std::string, int64_t> gained;
   session.m_on_reading = [&owners] { owners.Reconsider(); };
--- /dev/null
+++ b/tests/bench/job_benches.cc
@@ -0,0 +1,123 @@
+#include "job_benches.h"
+
+#include <unistd.h>
+
+#include <algorithm>
+#include <chrono>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <sstream>
+#include <stdexcept>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "harness/process.h"
+#include "harness/wait.h"
+#include "http/blocking_client.h"
+#include "standin-cluster/cluster_standin.h"
+
+namespace shallotwick::bench {
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+constexpr int kTargets = 60;
+constexpr int64_t kRunMilliseconds = 500;
+constexpr int kTasksPerJob = 10;
+constexpr auto kLoadTime = std::chrono::seconds(5);
+constexpr auto kLongestWait = std::chrono::seconds(20);
+// Between the submissions of two jobs.
+constexpr std::chrono::milliseconds kPauses[] = {std::chrono::milliseconds(100),
+                                                 std::chrono::milliseconds(20)};
+
+// User and system time of a process so far, from the fields of its status that
+// follow its name.
+double ReadProcessorSeconds(pid_t process) {
+  constexpr int kUserTimeField = 11;
+  std::ifstream file("/proc/" + std::to_string(process) + "/stat");
+  std::string text((std::istreambuf_iterator<char>(file)), {});
+  std::istringstream fields(text.substr(text.rfind(')') + 2));
+  std::vector<std::string> values(std::istream_iterator<std::string>(fields),
+                                  {});
+  const double ticks = std::stod(values.at(kUserTimeField)) +
+                       std::stod(values.at(kUserTimeField + 1));
+  return ticks / static_cast<double>(sysconf(_SC_CLK_TCK));
+}
+
+size_t CountDone(const standin::ClusterStandin& cluster) {
+  const auto events = cluster.GetEvents();
+  return static_cast<size_t>(
+      std::count_if(events.begin(), events.end(),
+                    [](const auto& event) { return event.what == "done"; }));
+}
+
+void Submit(const std::string& address, int number) {
+  constexpr int kDigits = 16;
+  std::string id = std::to_string(number);
+  id.insert(0, kDigits - id.size(), '0');
+  http::Request request;
+  request.method = "POST";
+  request.target = "/quote/" + id;
+  request.headers = {{"Content-Type", "application/json"}};
+  request.body = R"({"spec":"text","steps":[{"count":)" +
+                 std::to_string(kTasksPerJob) +
+                 R"(,"cpu":100,"memMb":10,"estMs":500}]})";
+  const auto result =
+      http::SendAndWait("http://" + address + request.target, request);
+  if (result.response.status != 200) {
+    throw std::runtime_error("a job was not accepted");
+  }
+}
+
+void RunAtPause(BenchReport* report, std::chrono::milliseconds pause) {
+  std::string directory =
+      (std::filesystem::temp_directory_path() / "shallotwick-XXXXXX").string();
+  if (mkdtemp(directory.data()) == nullptr) {
+    throw std::runtime_error("no directory for logs");
+  }
+  standin::ClusterStandin cluster(kTargets, kRunMilliseconds);
+  harness::Process scheduler(
+      "services/shallotwick-scheduler/shallotwick-scheduler",
+      {"--name", "host", "--listen", "127.0.0.1:0", "--ready-listen",
+       "127.0.0.1:0", "--platform", cluster.GetAddress(), "--hosts",
+       cluster.GetAddress()},
+      directory + "/host.log");
+  const std::string address = scheduler.WaitForStarted("http");
+  harness::WaitFor(
+      [&] { return !scheduler.FindEvents("pool-loaded").empty(); });
+  const double before = ReadProcessorSeconds(scheduler.GetPid());
+  const auto began = Clock::now();
+  int jobs = 0;
+  for (auto next = began; next < began + kLoadTime; next += pause) {
+    std::this_thread::sleep_until(next);
+    Submit(address, jobs++);
+  }
+  const size_t tasks = static_cast<size_t>(jobs) * kTasksPerJob;
+  const bool are_done = harness::WaitFor(
+      [&] { return CountDone(cluster) >= tasks; }, kLongestWait);
+  if (!are_done) {
+    throw std::runtime_error("not all tasks have ended");
+  }
+  const double used = ReadProcessorSeconds(scheduler.GetPid()) - before;
+  const double seconds =
+      std::chrono::duration<double>(Clock::now() - began).count();
+  const double rate = static_cast<double>(tasks) / seconds;
+  report->Add("scheduler-task", "tasks_a_second", rate, "processor_time",
+              used * 1e6 / static_cast<double>(tasks), "us/task");
+  report->Add("scheduler-task", "tasks_a_second", rate, "processor_share",
+              used / seconds, "cores");
+  scheduler.Stop();
+  std::filesystem::remove_all(directory);
+}
+
+}  // namespace
+
+void RunJobBench(BenchReport* report) {
+  for (const auto pause : kPauses) {
+    RunAtPause(report, pause);
+  }
+}
+
+}  // namespace shallotwick::bench
--- a/tests/bench/main.cc
+++ b/tests/bench/main.cc
@@ -4,6 +4,7 @@
 
 #include "bench_report.h"
 #include "decision_benches.h"
+#include "job_benches.h"
 #include "process_benches.h"
 #include "sharing_simulation.h"
 
@@ -16,6 +17,7 @@
   try {
     bench::BenchReport report;
     bench::RunPathBench(&report);
+    bench::RunJobBench(&report);
     bench::RunControlBench(&report);
     bench::RunLendingBench(&report);
     bench::RunPlannerBench(&report);
