Send the scheduler's requests over kept connections of its own event loop

Cause: on the grown deployments a pool's owner ran out of processor time at the peaks. A profile of a scheduler under load had some two thirds of its time in libcurl: a handle made and freed for each request, its timer set again several times, and the socket watched through a second layer.

Ruled out: the scheduling decisions (a fifth of the profile); JSON (a tenth).

Change: http::ConnectionPool, Asio and http_parser (the parser that RESTinio uses): one write, one wait and one read a request, deadlines of all requests behind one timer. The scheduler uses it for the store, targets and hosts; the other programs keep libcurl behind the same interface.

libcurl is the house's client; it stays where its cost does not bind.

--- a/libraries/http/client.h
+++ b/libraries/http/client.h
@@ -3,7 +3,7 @@
 #include <memory>
 #include <string>
 
-#include "http/transfer.h"
+#include "http/request_sender.h"
 
 namespace asio {
 class io_context;
@@ -13,7 +13,7 @@
 
 // An asynchronous HTTP/1.1 client: libcurl's multi interface driven by Asio,
 // with its own pool of connections.
-class Client {
+class Client : public RequestSender {
  public:
   // `connections_per_host` bounds the open connections to one address.
   // Runs on a thread of its own, on which `on_end` is called.
@@ -21,13 +21,12 @@
   // Runs on the one thread that runs `context`; Send is called there too.
   // `context` must outlive the client.
   Client(asio::io_context& context, int connections_per_host);
-  ~Client();
+  ~Client() override;
   Client(const Client&) = delete;
   Client& operator=(const Client&) = delete;
 
-  // Starts a request to `url`. `on_end` is called once, never from within Send.
   void Send(const std::string& url, Request request,
-            const TransferOptions& options, OnTransferEnd on_end);
+            const TransferOptions& options, OnTransferEnd on_end) override;
 
  private:
   class Implementation;
--- a/libraries/http/easy_transfer.cc
+++ b/libraries/http/easy_transfer.cc
@@ -10,18 +10,6 @@
 constexpr int kNoContent = 204;
 constexpr int kNotModified = 304;
 
-// Header lines that belong to one connection, not to the message.
-bool IsHopByHop(std::string_view name) {
-  constexpr std::string_view kNames[] = {
-      "Connection",      "Keep-Alive", "Transfer-Encoding",
-      "Content-Length",  "Host",       "TE",
-      "Trailer",         "Upgrade",    "Expect",
-      "Proxy-Connection"};
-  return std::any_of(
-      std::begin(kNames), std::end(kNames),
-      [name](std::string_view hop) { return IsSameHeaderName(name, hop); });
-}
-
 std::string Trim(std::string_view text) {
   const size_t begin = text.find_first_not_of(" \t\r\n");
   if (begin == std::string_view::npos) {
@@ -95,7 +83,7 @@
 
 void EasyTransfer::SetHeaders() {
   for (const auto& [name, value] : m_request.headers) {
-    if (!IsHopByHop(name)) {
+    if (!IsHopByHopHeader(name)) {
       // libcurl takes a line without a value as an order to remove it.
       const std::string line = value.empty() ? name + ";" : name + ": " + value;
       m_header_list = curl_slist_append(m_header_list, line.c_str());
@@ -160,7 +148,7 @@
     transfer->m_has_framing = transfer->m_has_framing ||
                               IsSameHeaderName(name, "Content-Length") ||
                               IsSameHeaderName(name, "Transfer-Encoding");
-    if (!IsHopByHop(name)) {
+    if (!IsHopByHopHeader(name)) {
       transfer->m_response.headers.emplace_back(name,
                                                 Trim(line.substr(colon + 1)));
     }
--- a/libraries/http/message.cc
+++ b/libraries/http/message.cc
@@ -30,6 +30,17 @@
                     });
 }
 
+bool IsHopByHopHeader(std::string_view name) {
+  constexpr std::string_view kNames[] = {
+      "Connection",      "Keep-Alive", "Transfer-Encoding",
+      "Content-Length",  "Host",       "TE",
+      "Trailer",         "Upgrade",    "Expect",
+      "Proxy-Connection"};
+  return std::any_of(
+      std::begin(kNames), std::end(kNames),
+      [name](std::string_view hop) { return IsSameHeaderName(name, hop); });
+}
+
 std::optional<std::string> FindHeader(const Headers& headers,
                                       std::string_view name) {
   for (const auto& [header, value] : headers) {
--- a/libraries/http/message.h
+++ b/libraries/http/message.h
@@ -33,6 +33,9 @@
 // Compares header names without regard to case.
 bool IsSameHeaderName(std::string_view left, std::string_view right);
 
+// Whether a header belongs to one connection, not to the message.
+bool IsHopByHopHeader(std::string_view name);
+
 // Returns the value of the first header of that name.
 std::optional<std::string> FindHeader(const Headers& headers,
                                       std::string_view name);
--- a/libraries/ownership/tests/ownership_test.cc
+++ b/libraries/ownership/tests/ownership_test.cc
@@ -57,8 +57,8 @@
   const std::set<std::string> pools = {"p1", "p2", "p3", "p4", "p5"};
   const std::map<std::string, ownership::OwnerRecord> owners = {
       {"p1", {kAnna, 1}}, {"p2", {kAnna, 1}}, {"p3", {{"gone", "1"}, 4}}};
-  const auto ranks =
-      ownership::RankCandidates(pools, owners, {{kAnna, 1}, {kBert, 1}, {kCora, 1}});
+  const auto ranks = ownership::RankCandidates(
+      pools, owners, {{kAnna, 1}, {kBert, 1}, {kCora, 1}});
   LONGS_EQUAL(3, ranks.size());
   std::map<std::string, int> first;
   for (const auto& [pool, hosts] : ranks) {
@@ -72,7 +72,8 @@
 
 TEST(Ownership, PoolsOfLiveOwnersStayWhereTheyAre) {
   const auto ranks = ownership::RankCandidates(
-      {"p1", "p2"}, {{"p1", {kAnna, 1}}, {"p2", {kAnna, 1}}}, {{kAnna, 1}, {kBert, 1}});
+      {"p1", "p2"}, {{"p1", {kAnna, 1}}, {"p2", {kAnna, 1}}},
+      {{kAnna, 1}, {kBert, 1}});
   LONGS_EQUAL(0, ranks.size());
   LONGS_EQUAL(0, ownership::RankCandidates({"p1"}, {}, {}).at("p1").size());
 }
@@ -85,10 +86,11 @@
     CHECK_FALSE(hosts.at(0) == kAnna);
   }
   // A third and fourth pool of a large host still leave more than a small one.
-  const auto crowded = ownership::RankCandidates(
-      {"p1", "p2", "p3", "p4", "p5"},
-      {{"p1", {kBert, 1}}, {"p2", {kBert, 1}}, {"p3", {kBert, 1}},
-       {"p4", {kBert, 1}}},
-      {{kAnna, 0.12}, {kBert, 0.5}});
+  const auto crowded = ownership::RankCandidates({"p1", "p2", "p3", "p4", "p5"},
+                                                 {{"p1", {kBert, 1}},
+                                                  {"p2", {kBert, 1}},
+                                                  {"p3", {kBert, 1}},
+                                                  {"p4", {kBert, 1}}},
+                                                 {{kAnna, 0.12}, {kBert, 0.5}});
   CHECK_TRUE(crowded.at("p5").at(0) == kAnna);
 }
--- a/services/shallotwick-scheduler/scheduler_process.h
+++ b/services/shallotwick-scheduler/scheduler_process.h
@@ -11,7 +11,7 @@
 #include "base/settings.h"
 #include "capacity_broker.h"
 #include "host_ledger.h"
-#include "http/client.h"
+#include "http/connection_pool.h"
 #include "http/server.h"
 #include "job_api.h"
 #include "job_service.h"
@@ -58,8 +58,8 @@
 
   base::EventLoop m_loop;
   base::MetricRegistry m_metrics;
-  http::Client m_store_client;
-  http::Client m_target_client;
+  http::ConnectionPool m_store_client;
+  http::ConnectionPool m_target_client;
   platform::RowStoreClient m_store;
   platform::TargetOrdersClient m_orders;
   platform::HostOperationsClient m_host_operations;
--- a/services/shallotwick-scheduler/session_keeper.cc
+++ b/services/shallotwick-scheduler/session_keeper.cc
@@ -61,11 +61,10 @@
     return;
   }
   ++m_renewals;
-  const std::string value =
-      nlohmann::json{{"boot", m_self.boot},
-                     {"cores", m_cores},
-                     {"renewals", m_renewals}}
-          .dump();
+  const std::string value = nlohmann::json{
+      {"boot", m_self.boot},
+      {"cores", m_cores},
+      {"renewals", m_renewals}}.dump();
   storage::RowTransaction transaction;
   const storage::RowKey key = MakeSessionKey(m_self.host);
   transaction.expected = {{key, m_version}};
--- a/tests/bench/job_benches.cc
+++ b/tests/bench/job_benches.cc
@@ -28,9 +28,17 @@
 constexpr int kTasksPerJob = 10;
 constexpr auto kLoadTime = std::chrono::seconds(5);
 constexpr auto kLongestWait = std::chrono::seconds(20);
-// Between the submissions of two jobs.
-constexpr std::chrono::milliseconds kPauses[] = {std::chrono::milliseconds(100),
-                                                 std::chrono::milliseconds(20)};
+
+struct JobLoad {
+  // Between the submissions of two jobs.
+  std::chrono::milliseconds pause;
+  int cpu_milli;
+};
+
+// The last one asks about twice what the targets can run at a time.
+constexpr JobLoad kLoads[] = {{std::chrono::milliseconds(100), 100},
+                              {std::chrono::milliseconds(20), 100},
+                              {std::chrono::milliseconds(10), 1'000}};
 
 // User and system time of a process so far, from the fields of its status that
 // follow its name.
@@ -53,7 +61,7 @@
                     [](const auto& event) { return event.what == "done"; }));
 }
 
-void Submit(const std::string& address, int number) {
+void Submit(const std::string& address, int number, int cpu_milli) {
   constexpr int kDigits = 16;
   std::string id = std::to_string(number);
   id.insert(0, kDigits - id.size(), '0');
@@ -62,8 +70,8 @@
   request.target = "/quote/" + id;
   request.headers = {{"Content-Type", "application/json"}};
   request.body = R"({"spec":"text","steps":[{"count":)" +
-                 std::to_string(kTasksPerJob) +
-                 R"(,"cpu":100,"memMb":10,"estMs":500}]})";
+                 std::to_string(kTasksPerJob) + R"(,"cpu":)" +
+                 std::to_string(cpu_milli) + R"(,"memMb":10,"estMs":500}]})";
   const auto result =
       http::SendAndWait("http://" + address + request.target, request);
   if (result.response.status != 200) {
@@ -71,7 +79,7 @@
   }
 }
 
-void RunAtPause(BenchReport* report, std::chrono::milliseconds pause) {
+void RunLoad(BenchReport* report, const JobLoad& load) {
   std::string directory =
       (std::filesystem::temp_directory_path() / "shallotwick-XXXXXX").string();
   if (mkdtemp(directory.data()) == nullptr) {
@@ -90,9 +98,9 @@
   const double before = ReadProcessorSeconds(scheduler.GetPid());
   const auto began = Clock::now();
   int jobs = 0;
-  for (auto next = began; next < began + kLoadTime; next += pause) {
+  for (auto next = began; next < began + kLoadTime; next += load.pause) {
     std::this_thread::sleep_until(next);
-    Submit(address, jobs++);
+    Submit(address, jobs++, load.cpu_milli);
   }
   const size_t tasks = static_cast<size_t>(jobs) * kTasksPerJob;
   const bool are_done = harness::WaitFor(
@@ -115,8 +123,8 @@
 }  // namespace
 
 void RunJobBench(BenchReport* report) {
-  for (const auto pause : kPauses) {
-    RunAtPause(report, pause);
+  for (const JobLoad& load : kLoads) {
+    RunLoad(report, load);
   }
 }
 
--- a/tests/bench/main.cc
+++ b/tests/bench/main.cc
@@ -1,6 +1,8 @@
-// Measures what docs/CAPACITY.md is worked out from. Usage: bench JSON-FILE.
+// Measures what docs/CAPACITY.md is worked out from.
+// Usage: bench JSON-FILE, or bench jobs for the schedulers alone.
 #include <exception>
 #include <iostream>
+#include <string>
 
 #include "bench_report.h"
 #include "decision_benches.h"
@@ -11,11 +13,15 @@
 int main(int argc, char** argv) {
   namespace bench = shallotwick::bench;
   if (argc != 2) {
-    std::cerr << "usage: bench JSON-FILE\n";
+    std::cerr << "usage: bench JSON-FILE|jobs\n";
     return 2;
   }
   try {
     bench::BenchReport report;
+    if (std::string(argv[1]) == "jobs") {
+      bench::RunJobBench(&report);
+      return 0;
+    }
     bench::RunPathBench(&report);
     bench::RunJobBench(&report);
     bench::RunControlBench(&report);
