Call standby hosts together with the pool's need, and act on rows in batches

Cause: on the grown deployment a pool that wanted 250 hosts had 117 after 4 s, with 180 switched off. Each look wrote the pool's need and then called hosts under the condition that the same row was unchanged, so that nearly every call conflicted; a call took at most 20 hosts; and each row of a feed made the owner go through all its jobs again.

Ruled out: the platform's rate (215 operations a second are allowed, 191 was the most) and hosts that were not free.

Change: a call carries the need along, other writes of it keep 100 ms apart and wait for it; up to 49 hosts a call; changes of the hosts gather for 15 ms. Work of some milliseconds is acted on together (8, 25 and 50 ms instead of 4, 8 and 20): a job's objective leaves half a second at least.

--- a/services/shallotwick-scheduler/capacity_broker.cc
+++ b/services/shallotwick-scheduler/capacity_broker.cc
@@ -13,8 +13,10 @@
 
 constexpr char kNeedPrefix[] = "need/";
 constexpr char kStandbyPrefix[] = "standby/";
-// Hosts of one transaction; each takes two entries.
-constexpr size_t kMostMovesAtOnce = 20;
+// Hosts of one transaction; each takes two entries, as does the shared row.
+constexpr size_t kMostMovesAtOnce = storage::kMostTransactionEntries / 2 - 1;
+// Between two writes of a pool's need.
+constexpr auto kNeedWritePeriod = std::chrono::milliseconds(100);
 // A host stays at least so long after it became needless: a lull of that
 // length in a queue's demand is common.
 constexpr auto kSurplusHold = std::chrono::milliseconds(2'000);
@@ -50,11 +52,16 @@
   for (const auto& [pool, runner] : m_get_pools()) {
     const PoolView view = Look(pool, *runner);
     LogChange(pool, view);
-    WriteNeed(pool, view);
+    const hosts::NeedRecord need = UpdateNeed(pool, view);
+    // A call writes the need along.
+    const bool is_calling =
+        m_standby_pools.count(pool) == 0 && CallStandbyHosts(pool, need, now);
+    if (!is_calling) {
+      WriteNeed(pool, need, now);
+    }
     if (m_standby_pools.count(pool) > 0) {
       continue;
     }
-    CallStandbyHosts(pool, now);
     YieldHosts(pool, *runner, view);
     GiveSurplus(pool, *runner, view, now);
   }
@@ -62,10 +69,10 @@
 
 // Hosts that are switched off run nothing, so that any pool's owner may call
 // them; it needs no help of the owner of their pool.
-void CapacityBroker::CallStandbyHosts(const std::string& pool,
+bool CapacityBroker::CallStandbyHosts(const std::string& pool,
+                                      hosts::NeedRecord need,
                                       base::TimePoint now) {
   const storage::VersionedRow row = m_ledger.GetSharedRow(kNeedPrefix + pool);
-  hosts::NeedRecord need = ReadNeed(row);
   // Work that is late in any case waits while another pool lacks hosts for work
   // that can be in time.
   bool is_other_short = false;
@@ -75,8 +82,10 @@
   }
   const int unmet =
       is_other_short ? need.timely - need.CountCovered() : need.CountUnmet();
-  if (unmet <= 0 || m_calling.count(pool) > 0) {
-    return;
+  const bool is_row_busy =
+      m_calling.count(pool) > 0 || m_ledger.IsWriting(row.key.key);
+  if (unmet <= 0 || is_row_busy) {
+    return false;
   }
   std::vector<std::string> called;
   std::string from;
@@ -101,13 +110,14 @@
   called.resize(
       std::min({called.size(), static_cast<size_t>(unmet), kMostMovesAtOnce}));
   if (called.empty()) {
-    return;
+    return false;
   }
   for (const std::string& name : called) {
     need.offers[name] = from;
   }
   m_calling.insert(pool);
   Move(from, called, pool, row, hosts::EncodeNeedRecord(need));
+  return true;
 }
 
 void CapacityBroker::LogChange(const std::string& pool, const PoolView& view) {
@@ -148,21 +158,35 @@
   return view;
 }
 
-void CapacityBroker::WriteNeed(const std::string& pool, const PoolView& view) {
-  const storage::VersionedRow row = m_ledger.GetSharedRow(kNeedPrefix + pool);
-  const hosts::NeedRecord record = ReadNeed(row);
-  hosts::NeedRecord wanted = record;
-  std::erase_if(wanted.offers, [this, &pool](const auto& offer) {
+// What the pool's row should say by now.
+hosts::NeedRecord CapacityBroker::UpdateNeed(const std::string& pool,
+                                             const PoolView& view) const {
+  hosts::NeedRecord need = ReadNeed(m_ledger.GetSharedRow(kNeedPrefix + pool));
+  std::erase_if(need.offers, [this, &pool](const auto& offer) {
     const auto host = m_ledger.GetHosts().find(offer.first);
     // Arrived, or the offer came to nothing.
     return host == m_ledger.GetHosts().end() || host->second.pool == pool;
   });
   const bool is_standby = m_standby_pools.count(pool) > 0;
-  wanted.timely = is_standby ? 0 : view.timely;
-  wanted.wanted = is_standby ? 0 : view.wanted;
-  wanted.present = view.present;
-  if (wanted != record) {
-    m_ledger.WriteSharedRow(row, hosts::EncodeNeedRecord(wanted));
+  need.timely = is_standby ? 0 : view.timely;
+  need.wanted = is_standby ? 0 : view.wanted;
+  need.present = view.present;
+  return need;
+}
+
+// Each write would make a call that is under way conflict, so writes keep
+// apart.
+void CapacityBroker::WriteNeed(const std::string& pool,
+                               const hosts::NeedRecord& need,
+                               base::TimePoint now) {
+  const storage::VersionedRow row = m_ledger.GetSharedRow(kNeedPrefix + pool);
+  base::TimePoint& written = m_need_written[pool];
+  const bool is_due = m_calling.count(pool) == 0 &&
+                      now >= written + kNeedWritePeriod &&
+                      need != ReadNeed(row);
+  if (is_due) {
+    written = now;
+    m_ledger.WriteSharedRow(row, hosts::EncodeNeedRecord(need));
   }
 }
 
--- a/services/shallotwick-scheduler/capacity_broker.h
+++ b/services/shallotwick-scheduler/capacity_broker.h
@@ -41,8 +41,13 @@
 
   PoolView Look(const std::string& pool, PoolRunner& runner) const;
   void LogChange(const std::string& pool, const PoolView& view);
-  void WriteNeed(const std::string& pool, const PoolView& view);
-  void CallStandbyHosts(const std::string& pool, base::TimePoint now);
+  hosts::NeedRecord UpdateNeed(const std::string& pool,
+                               const PoolView& view) const;
+  void WriteNeed(const std::string& pool, const hosts::NeedRecord& need,
+                 base::TimePoint now);
+  // Returns whether a call was made.
+  bool CallStandbyHosts(const std::string& pool, hosts::NeedRecord need,
+                        base::TimePoint now);
   // Keeps new work off hosts that another pool should have.
   void YieldHosts(const std::string& pool, PoolRunner& runner,
                   const PoolView& view);
@@ -73,6 +78,7 @@
   std::map<std::string, std::set<std::string>> m_yielding;
   // Pools of this host that are calling standby hosts.
   std::set<std::string> m_calling;
+  std::map<std::string, base::TimePoint> m_need_written;
   // Hosts that were moved, until the list shows it.
   std::map<std::string, base::TimePoint> m_moved;
   base::Lifetime m_lifetime;
--- a/services/shallotwick-scheduler/host_ledger.cc
+++ b/services/shallotwick-scheduler/host_ledger.cc
@@ -11,7 +11,7 @@
 
 constexpr auto kListPeriod = std::chrono::milliseconds(400);
 // Changes of the shared rows gather so long.
-constexpr auto kRowsPause = std::chrono::milliseconds(20);
+constexpr auto kRowsPause = std::chrono::milliseconds(50);
 constexpr auto kRowsSilence = std::chrono::milliseconds(500);
 constexpr auto kRetryDelay = std::chrono::milliseconds(250);
 constexpr char kLockPrefix[] = "lock/";
--- a/services/shallotwick-scheduler/host_ledger.h
+++ b/services/shallotwick-scheduler/host_ledger.h
@@ -63,6 +63,10 @@
   storage::VersionedRow GetSharedRow(const std::string& key) const;
   std::vector<storage::VersionedRow> ListSharedRows(
       const std::string& prefix) const;
+  // Whether a write of WriteSharedRow is under way for the row.
+  bool IsWriting(const std::string& key) const {
+    return m_writing.count(key) > 0;
+  }
   // Writes a shared row that goes with no operation.
   void WriteSharedRow(const storage::VersionedRow& row,
                       const std::string& value);
--- a/services/shallotwick-scheduler/pool_records.cc
+++ b/services/shallotwick-scheduler/pool_records.cc
@@ -14,7 +14,7 @@
 namespace {
 
 // Ends and final states gather so long before they are stored together.
-constexpr auto kUrgentCommitDelay = std::chrono::milliseconds(8);
+constexpr auto kUrgentCommitDelay = std::chrono::milliseconds(25);
 // Marks that a job has begun; a reader may see them somewhat late.
 constexpr auto kLazyCommitDelay = std::chrono::milliseconds(250);
 constexpr auto kCommitRetryDelay = std::chrono::milliseconds(150);
--- a/services/shallotwick-scheduler/pool_runner.cc
+++ b/services/shallotwick-scheduler/pool_runner.cc
@@ -13,10 +13,10 @@
 namespace {
 
 // Jobs that come together are read together.
-constexpr auto kJobPause = std::chrono::milliseconds(8);
+constexpr auto kJobPause = std::chrono::milliseconds(25);
 constexpr auto kJobSilence = std::chrono::milliseconds(300);
-// Events of a few milliseconds are acted on together.
-constexpr auto kWakeDelay = std::chrono::milliseconds(4);
+// Events of some milliseconds are acted on together.
+constexpr auto kWakeDelay = std::chrono::milliseconds(8);
 constexpr auto kTickPeriod = std::chrono::milliseconds(100);
 constexpr auto kReadRetryDelay = std::chrono::milliseconds(200);
 // Run numbers of one ownership; the next one starts above.
--- a/services/shallotwick-scheduler/scheduler_process.cc
+++ b/services/shallotwick-scheduler/scheduler_process.cc
@@ -32,6 +32,8 @@
 // On top of the pause that the platform asks for between two holders.
 constexpr auto kHolderPauseMargin = std::chrono::milliseconds(400);
 constexpr auto kHostsPeriod = std::chrono::milliseconds(100);
+// Changes of the hosts gather so long before they are acted on.
+constexpr auto kReconsiderDelay = std::chrono::milliseconds(15);
 // States are kept longer than asked for, as clocks and questions may be late.
 constexpr auto kRetentionMargin = std::chrono::seconds(60);
 constexpr auto kStopCheckPeriod = std::chrono::milliseconds(50);
@@ -158,7 +160,7 @@
               {{"pool", pool}, {"reason", "another owner"}});
     RemovePool(pool);
   };
-  m_host_ledger.m_on_change = [this] { ReconsiderHosts(); };
+  m_host_ledger.m_on_change = [this] { ReconsiderHostsSoon(); };
   m_waves.m_find_pool = [this](const std::string& pool) {
     return FindPool(pool);
   };
@@ -294,6 +296,17 @@
   m_loop.RunAfter(kHostsPeriod, [this] { TickHosts(); });
 }
 
+// Changes come in batches of many rows; each look goes through all jobs.
+void SchedulerProcess::ReconsiderHostsSoon() {
+  if (std::exchange(m_is_reconsidering, true)) {
+    return;
+  }
+  m_loop.RunAfter(kReconsiderDelay, [this] {
+    m_is_reconsidering = false;
+    ReconsiderHosts();
+  });
+}
+
 void SchedulerProcess::ReconsiderHosts() {
   const auto now = base::RuntimeClock::now();
   const bool may_act =
--- a/services/shallotwick-scheduler/scheduler_process.h
+++ b/services/shallotwick-scheduler/scheduler_process.h
@@ -47,6 +47,7 @@
   void StartPool(const std::string& pool, uint64_t version, int64_t term);
   void TickHosts();
   void ReconsiderHosts();
+  void ReconsiderHostsSoon();
   PoolRunner* FindPool(const std::string& pool) const;
   void RemovePool(const std::string& pool);
   bool IsHolderLive(const std::string& holder) const;
@@ -80,6 +81,7 @@
   std::map<std::string, scheduling::TargetEntry> m_targets;
   std::map<std::string, std::unique_ptr<PoolRunner>> m_pools;
   size_t m_pools_to_release = 0;
+  bool m_is_reconsidering = false;
   bool m_is_stopping = false;
   base::TimePoint m_stop_began;
   asio::signal_set m_signals;
