Learn run times by route; keep hosts on while another pool's need rises

Cause: two queues' estimates are up to 90% off, and rank, forecast and needs went by them.

Change: RunTimeModel learns from ended tasks; where a route's estimates tell little its mean takes their place, else they are scaled. Chains, needs, forecasts and stalls go by it. A surplus is not switched off within 1.5 s of a rise of another pool's need. The queue leaves out jobs with nothing to start.

--- a/libraries/hosts/capacity_need.h
+++ b/libraries/hosts/capacity_need.h
@@ -38,6 +38,8 @@
   // Cores of the tasks that run, and of those that could start now.
   double running_cores = 0;
   double waiting_cores = 0;
+  // Cores of targets that take new tasks, in use or not.
+  double usable_cores = 0;
   // Work of all that is not done yet, in core-seconds.
   double open_core_seconds = 0;
   // What arriving work will keep busy once a host that is called now is there.
--- a/libraries/scheduling/active_job.cc
+++ b/libraries/scheduling/active_job.cc
@@ -30,7 +30,7 @@
   for (const StepSpec& step : m_spec.steps) {
     m_has_long_running_step = m_has_long_running_step || step.long_running;
   }
-  m_whole_chain_ms = EstimateChainMs(m_spec, {});
+  m_whole_chain = FindLongestChain(m_spec, {});
   RecomputeChain();
 }
 
@@ -126,7 +126,7 @@
   for (int open : m_open[static_cast<size_t>(GetFirstOpenOccurrence())]) {
     done.push_back(open == 0);
   }
-  m_remaining_chain_ms = EstimateChainMs(m_spec, done);
+  m_remaining_chain = FindLongestChain(m_spec, done);
 }
 
 JobProgress ActiveJob::MakeProgress() const {
--- a/libraries/scheduling/active_job.h
+++ b/libraries/scheduling/active_job.h
@@ -40,9 +40,9 @@
   bool IsDone() const;
   bool HasLongRunningStep() const { return m_has_long_running_step; }
   int64_t GetDueMs(int occurrence) const;
-  int64_t GetWholeChainMs() const { return m_whole_chain_ms; }
+  const Chain& GetWholeChain() const { return m_whole_chain; }
   // Of the earliest occurrence that has not ended.
-  int64_t GetRemainingChainMs() const { return m_remaining_chain_ms; }
+  const Chain& GetRemainingChain() const { return m_remaining_chain; }
   int GetFirstOpenOccurrence() const;
 
   // Tasks that are not done and have no run, those of later steps included.
@@ -66,8 +66,8 @@
   std::vector<std::vector<int>> m_open;
   int m_idle = 0;
   bool m_has_long_running_step = false;
-  int64_t m_whole_chain_ms = 0;
-  int64_t m_remaining_chain_ms = 0;
+  Chain m_whole_chain;
+  Chain m_remaining_chain;
 };
 
 }  // namespace shallotwick::scheduling
--- a/libraries/scheduling/job.cc
+++ b/libraries/scheduling/job.cc
@@ -74,7 +74,8 @@
   return JobChecker(job).Check();
 }
 
-double EstimateCoreSeconds(const JobSpec& job) {
+double EstimateCoreSeconds(const JobSpec& job,
+                           const RunTimeCorrection& correction) {
   constexpr double kMilliPerUnit = 1'000;
   double work = 0;
   for (const StepSpec& step : job.steps) {
@@ -83,23 +84,27 @@
     if (counts) {
       work += step.count *
               (static_cast<double>(step.demand.cpu_milli) / kMilliPerUnit) *
-              (static_cast<double>(step.estimate_ms) / kMilliPerUnit);
+              (correction.Apply(static_cast<double>(step.estimate_ms)) /
+               kMilliPerUnit);
     }
   }
   return work;
 }
 
-int64_t EstimateChainMs(const JobSpec& job, const std::vector<bool>& done) {
-  std::vector<int64_t> ends(job.steps.size(), 0);
-  int64_t longest = 0;
+Chain FindLongestChain(const JobSpec& job, const std::vector<bool>& done) {
+  std::vector<Chain> chains(job.steps.size());
+  Chain longest;
   for (size_t step = 0; step < job.steps.size(); ++step) {
-    int64_t begin = 0;
+    Chain& chain = chains[step];
     for (int earlier : job.steps[step].after) {
-      begin = std::max(begin, ends[static_cast<size_t>(earlier)]);
+      chain = std::max(chain, chains[static_cast<size_t>(earlier)]);
     }
     const bool is_done = step < done.size() && done[step];
-    ends[step] = begin + (is_done ? 0 : job.steps[step].estimate_ms);
-    longest = std::max(longest, ends[step]);
+    if (!is_done) {
+      chain.estimate_ms += job.steps[step].estimate_ms;
+      ++chain.tasks;
+    }
+    longest = std::max(longest, chain);
   }
   return longest;
 }
--- a/libraries/scheduling/job.h
+++ b/libraries/scheduling/job.h
@@ -7,6 +7,7 @@
 
 #include "base/finding.h"
 #include "scheduling/resources.h"
+#include "scheduling/run_time_model.h"
 
 namespace shallotwick::scheduling {
 
@@ -82,10 +83,19 @@
 
 // The estimated work of a job's short tasks that are due now or have no due
 // time, in core-seconds.
-double EstimateCoreSeconds(const JobSpec& job);
+double EstimateCoreSeconds(const JobSpec& job,
+                           const RunTimeCorrection& correction);
 
-// The longest chain of estimated run times through the steps that are not in
-// `done`, in milliseconds.
-int64_t EstimateChainMs(const JobSpec& job, const std::vector<bool>& done);
+// A chain of tasks that wait for each other.
+struct Chain {
+  // The sum of the estimates.
+  int64_t estimate_ms = 0;
+  int tasks = 0;
+
+  auto operator<=>(const Chain&) const = default;
+};
+
+// The longest chain by estimates through the steps that are not in `done`.
+Chain FindLongestChain(const JobSpec& job, const std::vector<bool>& done);
 
 }  // namespace shallotwick::scheduling
--- a/libraries/scheduling/pool_decisions.cc
+++ b/libraries/scheduling/pool_decisions.cc
@@ -22,8 +22,6 @@
 // Steps in a row that found no place, after which the pool counts as full.
 constexpr int kMostFutileSteps = 40;
 constexpr auto kStallCheckPeriod = std::chrono::milliseconds(200);
-// The weight of the newest run time in the mean of its route.
-constexpr int64_t kLearnDivisor = 16;
 constexpr auto kPlacementPeriod = std::chrono::milliseconds(50);
 // Reports of the load are half a second old.
 constexpr auto kPacePeriod = std::chrono::milliseconds(500);
@@ -98,8 +96,8 @@
   }
   input.long_running = job.HasLongRunningStep();
   input.due_since_ms = job.GetDueMs(job.GetFirstOpenOccurrence());
-  input.whole_chain_ms = job.GetWholeChainMs();
-  input.remaining_chain_ms = job.GetRemainingChainMs();
+  input.whole_chain_ms = PredictChainMs(job, job.GetWholeChain());
+  input.remaining_chain_ms = PredictChainMs(job, job.GetRemainingChain());
   return RankJob(input, wall_ms);
 }
 
@@ -108,7 +106,7 @@
   const bool may_run_elsewhere = IsAnyUnfenced(now);
   std::vector<std::pair<QueueRank, ActiveJob*>> ranked;
   for (auto& [id, job] : m_jobs) {
-    const bool is_held_back = IsTerminal(job.m_state) ||
+    const bool is_held_back = IsTerminal(job.m_state) || job.CountIdle() == 0 ||
                               now < job.m_not_before ||
                               (job.m_predates_ownership && may_run_elsewhere);
     if (is_held_back) {
@@ -252,6 +250,7 @@
   entry.image = step.image;
   entry.latency_target_ms = step.latency_target_ms;
   entry.checkpoint = task.progress.checkpoint;
+  entry.is_resumed = !task.progress.checkpoint.empty();
   entry.started = now;
   entry.changed = now;
   entry.progressed = now;
@@ -350,21 +349,33 @@
   }
 }
 
+// At least the estimate: a stop that comes too early loses work.
 base::Duration PoolScheduler::GetExpectedTime(const ActiveJob& job,
                                               int step) const {
-  const base::Duration estimate = std::chrono::milliseconds(
+  const auto estimate = static_cast<double>(
       job.GetSpec().steps[static_cast<size_t>(step)].estimate_ms);
-  const auto typical = m_typical_times.find(job.GetSpec().route);
-  return typical == m_typical_times.end() ? estimate
-                                          : std::max(estimate, typical->second);
+  return std::chrono::duration_cast<base::Duration>(
+      std::chrono::duration<double, std::milli>(
+          std::max(estimate, m_run_times.GetMeanMs(job.GetSpec().route))));
 }
 
-void PoolScheduler::LearnRunTime(const ActiveJob& job, base::Duration took) {
-  const auto [typical, is_first] =
-      m_typical_times.try_emplace(job.GetSpec().route, took);
-  if (!is_first) {
-    typical->second += (took - typical->second) / kLearnDivisor;
+int64_t PoolScheduler::PredictChainMs(const ActiveJob& job,
+                                      const Chain& chain) const {
+  return static_cast<int64_t>(
+      m_run_times.GetCorrection(job.GetSpec().route)
+          .Apply(static_cast<double>(chain.estimate_ms), chain.tasks));
+}
+
+void PoolScheduler::LearnRunTime(const ActiveJob& job, int step, const Run& run,
+                                 base::TimePoint now) {
+  if (run.is_resumed) {
+    return;
   }
+  const double took_ms =
+      std::chrono::duration<double, std::milli>(now - run.started).count();
+  const auto estimate = static_cast<double>(
+      job.GetSpec().steps[static_cast<size_t>(step)].estimate_ms);
+  m_run_times.Learn(job.GetSpec().route, estimate, took_ms);
 }
 
 // A target can look sound while what runs there stands still; its tasks are
--- a/libraries/scheduling/pool_reports.cc
+++ b/libraries/scheduling/pool_reports.cc
@@ -174,7 +174,7 @@
   if (run != target.GetRuns().end() && run->second.number == end.run) {
     const ActiveJob* ended = FindJob(end.task.job);
     if (ended != nullptr && end.how == RunEnd::kDone) {
-      LearnRunTime(*ended, now - run->second.started);
+      LearnRunTime(*ended, end.task.step, run->second, now);
     }
     run->second.checkpoint.clear();
     DropRun(target, end.task);
@@ -266,6 +266,7 @@
   run.number = reported.run;
   run.state = RunState::kPresent;
   run.checkpoint = reported.checkpoint;
+  run.is_resumed = true;
   run.percent = reported.percent;
   run.load = reported.load;
   run.started = now;
--- a/libraries/scheduling/pool_scheduler.cc
+++ b/libraries/scheduling/pool_scheduler.cc
@@ -406,13 +406,15 @@
   return found == m_targets.end() ? 0 : found->second.GetRuns().size();
 }
 
-hosts::PoolLoad PoolScheduler::EstimateLoad(int64_t wall_ms) const {
+hosts::PoolLoad PoolScheduler::EstimateLoad(base::TimePoint now,
+                                            int64_t wall_ms) const {
   constexpr double kMilliPerCore = 1'000;
   hosts::PoolLoad load;
   for (const auto& [id, job] : m_jobs) {
     const JobSpec& spec = job.GetSpec();
     const int k = job.GetFirstOpenOccurrence();
     const bool is_timely = Rank(job, wall_ms).IsTimely();
+    const RunTimeCorrection correction = m_run_times.GetCorrection(spec.route);
     for (int step = 0; step < static_cast<int>(spec.steps.size()); ++step) {
       const StepSpec& shape = spec.steps[static_cast<size_t>(step)];
       const int open = IsTerminal(job.m_state) ? 0 : job.CountOpen(k, step);
@@ -427,9 +429,10 @@
         load.least_hosts = std::max(
             load.least_hosts, (shape.count + per_target - 1) / per_target);
       } else {
-        const double work = open * cores *
-                            static_cast<double>(shape.estimate_ms) /
-                            kMilliPerCore;
+        const double work =
+            open * cores *
+            correction.Apply(static_cast<double>(shape.estimate_ms)) /
+            kMilliPerCore;
         load.open_core_seconds += work;
         load.timely_core_seconds += is_timely ? work : 0;
       }
@@ -440,6 +443,11 @@
     }
   }
   for (const auto& [id, target] : m_targets) {
+    if (IsUsable(target, now)) {
+      load.usable_cores +=
+          static_cast<double>(target.GetEntry().capacity.cpu_milli) /
+          kMilliPerCore;
+    }
     for (const auto& [name, run] : target.GetRuns()) {
       if (!run.best_effort) {
         load.running_cores +=
--- a/libraries/scheduling/pool_scheduler.h
+++ b/libraries/scheduling/pool_scheduler.h
@@ -131,7 +131,11 @@
   }
   // What the jobs ask of the pool; the forecast and the cores of a host are the
   // caller's to add.
-  hosts::PoolLoad EstimateLoad(int64_t wall_ms) const;
+  hosts::PoolLoad EstimateLoad(base::TimePoint now, int64_t wall_ms) const;
+  // The work that a job brings, by what is known of its route.
+  double PredictCoreSeconds(const JobSpec& job) const {
+    return EstimateCoreSeconds(job, m_run_times.GetCorrection(job.route));
+  }
 
  private:
   using Position = std::pair<int, int>;
@@ -170,7 +174,9 @@
   void RequestStop(TargetLedger& target, const TaskName& name);
   void StopStalledRuns(base::TimePoint now);
   base::Duration GetExpectedTime(const ActiveJob& job, int step) const;
-  void LearnRunTime(const ActiveJob& job, base::Duration took);
+  int64_t PredictChainMs(const ActiveJob& job, const Chain& chain) const;
+  void LearnRunTime(const ActiveJob& job, int step, const Run& run,
+                    base::TimePoint now);
   void MarkDirty(ActiveJob& job, bool urgent);
 
   bool IsUsable(const TargetLedger& target, base::TimePoint now) const;
@@ -203,8 +209,7 @@
   std::set<std::string> m_committing;
   // Ends that may be acknowledged once the batch under way is stored.
   std::map<std::string, int64_t> m_ends_in_batch;
-  // How long short tasks of each route took lately.
-  std::map<std::string, base::Duration> m_typical_times;
+  RunTimeModel m_run_times;
   base::TimePoint m_last_stall_check;
   // Something has changed that may let a task start.
   bool m_may_start_more = true;
--- a/libraries/scheduling/target_ledger.h
+++ b/libraries/scheduling/target_ledger.h
@@ -31,6 +31,8 @@
   std::string image;
   int64_t latency_target_ms = 0;
   std::string checkpoint;
+  // It did not begin at its task's beginning, or nobody knows where.
+  bool is_resumed = false;
   int percent = 0;
   int64_t load = 0;
   int paced_percent = 100;
--- a/libraries/scheduling/tests/policy_test.cc
+++ b/libraries/scheduling/tests/policy_test.cc
@@ -87,12 +87,14 @@
 
 TEST(Policy, ChainOfWorkFollowsTheOrderOfSteps) {
   const scheduling::JobSpec job = MakeJob();
-  LONGS_EQUAL(1'500, scheduling::EstimateChainMs(job, {}));
-  LONGS_EQUAL(1'000, scheduling::EstimateChainMs(job, {true, false, false}));
+  LONGS_EQUAL(1'500, scheduling::FindLongestChain(job, {}).estimate_ms);
+  LONGS_EQUAL(
+      1'000,
+      scheduling::FindLongestChain(job, {true, false, false}).estimate_ms);
   scheduling::JobSpec wide = job;
   wide.steps[1].after.clear();
   wide.steps[2].after.clear();
-  LONGS_EQUAL(500, scheduling::EstimateChainMs(wide, {}));
+  LONGS_EQUAL(500, scheduling::FindLongestChain(wide, {}).estimate_ms);
 }
 
 TEST(Policy, StoredRecordsComeBackAsTheyWere) {
--- a/services/shallotwick-scheduler/capacity_broker.cc
+++ b/services/shallotwick-scheduler/capacity_broker.cc
@@ -1,5 +1,7 @@
 #include "capacity_broker.h"
 
+#include <fmt/core.h>
+
 #include <algorithm>
 #include <stdexcept>
 #include <utility>
@@ -20,6 +22,10 @@
 // A host stays at least so long after it became needless: a lull of that
 // length in a queue's demand is common.
 constexpr auto kSurplusHold = std::chrono::milliseconds(2'000);
+// A need that grows by so many hosts between two looks is rising; it counts as
+// such until a host that is called at its end would be there.
+constexpr int kLeastRise = 2;
+constexpr auto kRiseHold = std::chrono::milliseconds(1'500);
 // Before it goes to a pool that lacks hosts at this moment.
 constexpr auto kShortSurplusHold = std::chrono::milliseconds(200);
 
@@ -49,6 +55,7 @@
   std::erase_if(m_moved, [this](const auto& entry) {
     return m_ledger.GetListTime() > entry.second;
   });
+  WatchNeeds(now);
   for (const auto& [pool, runner] : m_get_pools()) {
     const PoolView view = Look(pool, *runner);
     LogChange(pool, view);
@@ -129,7 +136,10 @@
   base::Log(base::events::kPoolCapacity,
             {{"pool", pool},
              {"wanted", std::to_string(view.wanted)},
-             {"present", std::to_string(view.present)}});
+             {"present", std::to_string(view.present)},
+             {"running_cores", fmt::format("{:.0f}", view.running_cores)},
+             {"waiting_cores", fmt::format("{:.0f}", view.waiting_cores)},
+             {"usable_cores", fmt::format("{:.0f}", view.usable_cores)}});
 }
 
 CapacityBroker::PoolView CapacityBroker::Look(const std::string& pool,
@@ -149,10 +159,13 @@
   if (m_standby_pools.count(pool) > 0) {
     return view;
   }
-  hosts::PoolLoad load =
-      runner.GetScheduler().EstimateLoad(base::WallClockMilliseconds());
+  hosts::PoolLoad load = runner.GetScheduler().EstimateLoad(
+      base::RuntimeClock::now(), base::WallClockMilliseconds());
   load.forecast_cores = runner.ForecastCores(m_move_time);
   load.cores_per_host = view.cores_per_host;
+  view.running_cores = load.running_cores;
+  view.waiting_cores = load.waiting_cores;
+  view.usable_cores = load.usable_cores;
   view.timely = hosts::EstimateTimelyHosts(load);
   view.wanted = std::max(view.timely, hosts::EstimateWantedHosts(load));
   return view;
@@ -272,10 +285,32 @@
     return;
   }
   const bool may_switch_off = view.present > view.wanted && yielding == 0 &&
-                              now >= since + kSurplusHold;
+                              now >= since + kSurplusHold &&
+                              !IsAnyNeedRising(pool, now);
   Give(pool, std::move(idle), may_switch_off);
 }
 
+void CapacityBroker::WatchNeeds(base::TimePoint now) {
+  for (const auto& [pool, need] : ReadNeeds()) {
+    SeenNeed& seen = m_seen_needs[pool];
+    if (need.wanted >= seen.wanted + kLeastRise) {
+      seen.rose = now;
+    }
+    seen.wanted = need.wanted;
+  }
+}
+
+// A host that is being switched off is lost to a queue whose turn has just
+// begun for the time of two moves.
+bool CapacityBroker::IsAnyNeedRising(const std::string& pool,
+                                     base::TimePoint now) const {
+  return std::any_of(m_seen_needs.begin(), m_seen_needs.end(),
+                     [&pool, now](const auto& entry) {
+                       return entry.first != pool &&
+                              now < entry.second.rose + kRiseHold;
+                     });
+}
+
 std::vector<std::string> CapacityBroker::FindIdleHosts(
     const std::string& pool, const PoolRunner& runner,
     base::TimePoint now) const {
--- a/services/shallotwick-scheduler/capacity_broker.h
+++ b/services/shallotwick-scheduler/capacity_broker.h
@@ -37,6 +37,11 @@
     int wanted = 0;
     int present = 0;
     double cores_per_host = 0;
+    // Cores in use, and cores that ready tasks wait for.
+    double running_cores = 0;
+    double waiting_cores = 0;
+    // The pool's cores on targets that take new tasks.
+    double usable_cores = 0;
   };
 
   PoolView Look(const std::string& pool, PoolRunner& runner) const;
@@ -52,6 +57,9 @@
   void YieldHosts(const std::string& pool, PoolRunner& runner,
                   const PoolView& view);
   std::map<std::string, hosts::NeedRecord> ReadNeeds() const;
+  // Notes which pools' needs grow.
+  void WatchNeeds(base::TimePoint now);
+  bool IsAnyNeedRising(const std::string& pool, base::TimePoint now) const;
   void GiveSurplus(const std::string& pool, PoolRunner& runner,
                    const PoolView& view, base::TimePoint now);
   std::vector<std::string> FindIdleHosts(const std::string& pool,
@@ -78,6 +86,12 @@
   std::map<std::string, std::set<std::string>> m_yielding;
   // Pools of this host that are calling standby hosts.
   std::set<std::string> m_calling;
+  struct SeenNeed {
+    int wanted = 0;
+    base::TimePoint rose;
+  };
+
+  std::map<std::string, SeenNeed> m_seen_needs;
   std::map<std::string, base::TimePoint> m_need_written;
   // Hosts that were moved, until the list shows it.
   std::map<std::string, base::TimePoint> m_moved;
--- a/services/shallotwick-scheduler/pool_runner.cc
+++ b/services/shallotwick-scheduler/pool_runner.cc
@@ -219,7 +219,7 @@
     m_progress_versions[id] = version;
     // What a predecessor left is a backlog, not a sign of what will come.
     if (!predates_ownership) {
-      m_arrivals.Add(scheduling::EstimateCoreSeconds(spec),
+      m_arrivals.Add(m_scheduler.PredictCoreSeconds(spec),
                      base::RuntimeClock::now());
     }
     m_scheduler.AddJob(std::move(spec), progress, predates_ownership);
