--- a/libraries/base/log_catalogue.h
+++ b/libraries/base/log_catalogue.h
@@ -118,6 +118,9 @@
 inline constexpr LogEvent kTaskDecision{
     520, "task-decision", Severity::kInfo,
     "A decision on one run of a task; what, where and why are named."};
+inline constexpr LogEvent kTargetGone{
+    521, "target-gone", Severity::kInfo,
+    "A silent target has certainly ended; its tasks may start elsewhere."};
 inline constexpr LogEvent kHostOperation{
     530, "host-operation", Severity::kInfo,
     "A move or an upkeep of a host was asked of the platform."};
@@ -164,6 +167,7 @@
                                     kJobOutcomeUnknown,
                                     kJobCancelled,
                                     kTaskDecision,
+                                    kTargetGone,
                                     kHostOperation,
                                     kPoolCapacity,
                                     kWaveProgress};
--- a/libraries/hosts/maintenance_wave.cc
+++ b/libraries/hosts/maintenance_wave.cc
@@ -1,14 +1,23 @@
 #include "hosts/maintenance_wave.h"
 
 #include <algorithm>
+#include <cmath>
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 
 namespace shallotwick::hosts {
+namespace {
+
+// Of the time that a wave has; the rest is for hosts that hold it up.
+constexpr double kPlannedShare = 0.7;
+
+}  // namespace
 
 std::string EncodeWaveRecord(const WaveRecord& record) {
-  return nlohmann::json{
-      {"running", record.running}, {"done", record.done}, {"gone", record.gone}}
+  return nlohmann::json{{"running", record.running},
+                        {"done", record.done},
+                        {"gone", record.gone},
+                        {"began_ms", record.began_ms}}
       .dump();
 }
 
@@ -19,6 +28,7 @@
     object.at("running").get_to(record.running);
     object.at("done").get_to(record.done);
     object.at("gone").get_to(record.gone);
+    record.began_ms = object.value("began_ms", int64_t{0});
     return record;
   } catch (const nlohmann::json::exception& error) {
     throw std::runtime_error(error.what());
@@ -48,4 +58,27 @@
                   wave.most_at_once - static_cast<int>(record.running.size()));
 }
 
+int CountFreePlacesAtPace(const MaintenanceWave& wave, const WaveRecord& record,
+                          const WavePace& pace) {
+  const int free = CountFreePlaces(wave, record);
+  if (!pace.are_hosts_short || wave.complete_within <= base::Duration(0)) {
+    return free;
+  }
+  const auto within = std::chrono::duration_cast<std::chrono::milliseconds>(
+      wave.complete_within * kPlannedShare);
+  const int64_t began_ms = record.began_ms > 0 ? record.began_ms : pace.now_ms;
+  const auto left = std::chrono::milliseconds(began_ms - pace.now_ms) + within;
+  const double rounds =
+      std::floor(std::chrono::duration<double>(left) /
+                 std::chrono::duration<double>(pace.host_time));
+  if (rounds < 1) {
+    return free;
+  }
+  const auto running = static_cast<double>(record.running.size());
+  const auto waiting =
+      static_cast<double>(ListWaitingHosts(wave, record).size());
+  const int planned = static_cast<int>(std::ceil((running + waiting) / rounds));
+  return std::clamp(planned - static_cast<int>(record.running.size()), 0, free);
+}
+
 }  // namespace shallotwick::hosts
--- a/libraries/hosts/maintenance_wave.h
+++ b/libraries/hosts/maintenance_wave.h
@@ -7,6 +7,8 @@
 #include <string>
 #include <vector>
 
+#include "base/runtime_clock.h"
+
 namespace shallotwick::hosts {
 
 // The operator's request to maintain some hosts.
@@ -15,6 +17,8 @@
   std::vector<std::string> hosts;
   // Hosts that may be down for it at a time.
   int most_at_once = 1;
+  // From the request on; zero if it names no time.
+  base::Duration complete_within{0};
 
   auto operator<=>(const MaintenanceWave&) const = default;
 };
@@ -26,6 +30,8 @@
   std::set<std::string> done;
   // Hosts that left the fleet before their turn.
   std::set<std::string> gone;
+  // When the first host was taken, in milliseconds since the Unix epoch.
+  int64_t began_ms = 0;
 
   auto operator<=>(const WaveRecord&) const = default;
 };
@@ -41,4 +47,17 @@
 // How many more hosts may go down now.
 int CountFreePlaces(const MaintenanceWave& wave, const WaveRecord& record);
 
+// What decides how fast a wave goes on while pools lack hosts.
+struct WavePace {
+  // How long a host is away, until its place can be given to the next one.
+  base::Duration host_time{0};
+  int64_t now_ms = 0;
+  bool are_hosts_short = false;
+};
+
+// The same, but while pools lack hosts no more than the wave needs to end in
+// time: its hosts are worth more at work until the demand has passed.
+int CountFreePlacesAtPace(const MaintenanceWave& wave, const WaveRecord& record,
+                          const WavePace& pace);
+
 }  // namespace shallotwick::hosts
--- a/libraries/hosts/tests/hosts_test.cc
+++ b/libraries/hosts/tests/hosts_test.cc
@@ -1,6 +1,7 @@
 #include <CppUTest/TestHarness.h>
 
 #include <stdexcept>
+#include <string>
 
 #include "hosts/arrival_forecast.h"
 #include "hosts/capacity_need.h"
@@ -86,6 +87,43 @@
              record);
 }
 
+TEST(Hosts, WaveTakesNoMoreThanItNeedsToEndInTimeWhilePoolsLackHosts) {
+  hosts::MaintenanceWave wave;
+  wave.most_at_once = 20;
+  wave.complete_within = std::chrono::seconds(30);
+  for (int i = 0; i < 40; ++i) {
+    wave.hosts.push_back("host-" + std::to_string(i));
+  }
+  hosts::WaveRecord record;
+  record.began_ms = 1'000'000;
+  hosts::WavePace pace;
+  pace.host_time = std::chrono::seconds(3);
+  pace.now_ms = record.began_ms;
+  LONGS_EQUAL(20, hosts::CountFreePlacesAtPace(wave, record, pace));
+  pace.are_hosts_short = true;
+  // Seven rounds of three seconds fit into seven tenths of the time.
+  LONGS_EQUAL(6, hosts::CountFreePlacesAtPace(wave, record, pace));
+  // Played on: it ends in time though hosts are short all the while.
+  while (!hosts::IsWaveCompleted(wave, record)) {
+    CHECK_TRUE(pace.now_ms < record.began_ms + 30'000);
+    const int places = hosts::CountFreePlacesAtPace(wave, record, pace);
+    const auto waiting = hosts::ListWaitingHosts(wave, record);
+    for (size_t i = 0; i < waiting.size() && static_cast<int>(i) < places;
+         ++i) {
+      record.running[waiting[i]] = "holder";
+    }
+    pace.now_ms += 3'000;
+    for (const auto& [host, holder] : record.running) {
+      record.done.insert(host);
+    }
+    record.running.clear();
+  }
+  // Close to the end it goes as fast as it may.
+  record.done.clear();
+  pace.now_ms = record.began_ms + 25'000;
+  LONGS_EQUAL(20, hosts::CountFreePlacesAtPace(wave, record, pace));
+}
+
 TEST(Hosts, RecordsOfAnotherFormAreRefused) {
   CHECK_THROWS(std::runtime_error, hosts::DecodeWaveRecord("[1"));
   CHECK_THROWS(std::runtime_error, hosts::DecodeWaveRecord("{\"running\":3}"));
--- a/libraries/scheduling/pool_reports.cc
+++ b/libraries/scheduling/pool_reports.cc
@@ -146,6 +146,7 @@
   target->m_missed_reports = 0;
   target->m_is_fenced = true;
   target->m_last_report = now;
+  target->m_last_heard = now;
   target->ObserveClock(report.clock_ms, now);
   ApplyEnds(*target, report, now);
   for (const ReportedRun& reported : report.running) {
--- a/libraries/scheduling/pool_scheduler.cc
+++ b/libraries/scheduling/pool_scheduler.cc
@@ -107,6 +107,20 @@
   }
 }
 
+std::vector<std::string> PoolScheduler::ListSilentTargets(
+    base::TimePoint since) const {
+  std::vector<std::string> silent;
+  for (const auto& [id, target] : m_targets) {
+    const bool is_silent = !target.m_is_fenced || !target.m_is_responsive;
+    const bool may_run_something =
+        !target.GetRuns().empty() || target.m_lease_bound > since;
+    if (is_silent && may_run_something && target.m_last_heard < since) {
+      silent.push_back(id);
+    }
+  }
+  return silent;
+}
+
 std::map<std::string, std::string> PoolScheduler::GetRoster() const {
   std::map<std::string, std::string> roster;
   for (const auto& [id, target] : m_targets) {
--- a/libraries/scheduling/pool_scheduler.h
+++ b/libraries/scheduling/pool_scheduler.h
@@ -83,6 +83,8 @@
   void RemoveTarget(const std::string& id, base::TimePoint now);
   // The target has certainly ended, and all its runs with it.
   void OnTargetDead(const std::string& id);
+  // Targets that have given no report since `since`, and may run something.
+  std::vector<std::string> ListSilentTargets(base::TimePoint since) const;
   // The targets that may be running something; to be stored before the first
   // start on any of them.
   std::map<std::string, std::string> GetRoster() const;
--- a/libraries/scheduling/target_ledger.h
+++ b/libraries/scheduling/target_ledger.h
@@ -93,7 +93,10 @@
   base::TimePoint m_suspended_until;
   // Runs that failed here since the last one that succeeded.
   int m_failure_streak = 0;
+  // When a report last came, or was given up.
   base::TimePoint m_last_report;
+  // When a report last came.
+  base::TimePoint m_last_heard;
   base::TimePoint m_last_paced;
 
  private:
--- a/services/shallotwick-scheduler/capacity_broker.cc
+++ b/services/shallotwick-scheduler/capacity_broker.cc
@@ -300,6 +300,14 @@
   }
 }
 
+bool CapacityBroker::IsAnyPoolShort(base::TimePoint now) const {
+  const auto needs = ReadNeeds();
+  return IsAnyNeedRising("", now) ||
+         std::any_of(needs.begin(), needs.end(), [](const auto& entry) {
+           return entry.second.CountUnmet() > 0;
+         });
+}
+
 // A host that is being switched off is lost to a queue whose turn has just
 // begun for the time of two moves.
 bool CapacityBroker::IsAnyNeedRising(const std::string& pool,
--- a/services/shallotwick-scheduler/capacity_broker.h
+++ b/services/shallotwick-scheduler/capacity_broker.h
@@ -30,6 +30,8 @@
     m_standby_pools = std::move(pools);
   }
   void Reconsider(base::TimePoint now);
+  // Whether a pool lacks hosts, or its need has just grown.
+  bool IsAnyPoolShort(base::TimePoint now) const;
 
  private:
   struct PoolView {
--- a/services/shallotwick-scheduler/pool_runner.cc
+++ b/services/shallotwick-scheduler/pool_runner.cc
@@ -19,6 +19,8 @@
 constexpr auto kWakeDelay = std::chrono::milliseconds(8);
 constexpr auto kTickPeriod = std::chrono::milliseconds(100);
 constexpr auto kReadRetryDelay = std::chrono::milliseconds(200);
+// By then a target that has started is in the platform's list of hosts.
+constexpr auto kListedAfter = std::chrono::milliseconds(3'000);
 // Run numbers of one ownership; the next one starts above.
 constexpr int64_t kRunsPerTerm = 1'000;
 // A predecessor may have started jobs that reach this owner by the feed.
@@ -261,6 +263,39 @@
   Wake();
 }
 
+// Without this the tasks of a target that crashed wait for the end of its
+// lease, and after a takeover all tasks of the pool do. A target that has just
+// started may be missing in the list; and as the list is read in pages, a host
+// that moves meanwhile may be missing once.
+void PoolRunner::SettleByHostList(const std::set<std::string>& live,
+                                  base::TimePoint asked) {
+  if (!m_is_loaded || m_is_lost || asked < m_started) {
+    return;
+  }
+  std::set<std::string> missing;
+  const int64_t youngest_ms =
+      base::WallClockMilliseconds() - kListedAfter.count();
+  for (const std::string& id : m_scheduler.ListSilentTargets(asked)) {
+    const scheduling::TargetEntry& entry =
+        m_scheduler.GetTargets().at(id).GetEntry();
+    if (live.count(id) > 0 || entry.born_ms > youngest_ms) {
+      continue;
+    }
+    if (m_missing_targets.count(id) == 0) {
+      missing.insert(id);
+      continue;
+    }
+    base::Log(base::events::kTargetGone,
+              {{"pool", m_options.service},
+               {"target", id},
+               {"runs", std::to_string(m_scheduler.CountRuns(id))},
+               {"reason", "no host that is up has it"}});
+    m_scheduler.OnTargetDead(id);
+    Wake();
+  }
+  m_missing_targets = std::move(missing);
+}
+
 void PoolRunner::OnTargetRemoved(const std::string& id) {
   if (!m_is_roster_read) {
     m_targets_at_start.erase(id);
--- a/services/shallotwick-scheduler/pool_runner.h
+++ b/services/shallotwick-scheduler/pool_runner.h
@@ -53,6 +53,11 @@
       const std::map<std::string, scheduling::TargetEntry>& targets);
   void OnTargetChanged(const scheduling::TargetEntry& entry);
   void OnTargetRemoved(const std::string& id);
+  // `live`: the targets of all hosts that are up, by a list of the platform
+  // that was asked for at `asked`. A silent target that is not among them has
+  // ended.
+  void SettleByHostList(const std::set<std::string>& live,
+                        base::TimePoint asked);
   // No orders from now on. Calls back once none is without its answer.
   void Quiesce(std::function<void()> on_quiet);
 
@@ -111,6 +116,8 @@
   std::set<std::string> m_ended_jobs;
   // The same in the order of their ends.
   std::deque<std::pair<base::TimePoint, std::string>> m_ended_order;
+  // Silent targets that the last list of hosts lacked.
+  std::set<std::string> m_missing_targets;
   bool m_is_forgetting = false;
   uint64_t m_roster_version = storage::kNoVersion;
   std::map<std::string, std::string> m_stored_roster;
--- a/services/shallotwick-scheduler/scheduler_process.cc
+++ b/services/shallotwick-scheduler/scheduler_process.cc
@@ -168,6 +168,9 @@
     return IsHolderLive(holder);
   };
   m_waves.m_is_holder_live = m_host_ledger.m_is_holder_live;
+  m_waves.m_are_hosts_short = [this] {
+    return m_capacity.IsAnyPoolShort(base::RuntimeClock::now());
+  };
   m_capacity.m_get_pools = [this] {
     std::map<std::string, PoolRunner*> pools;
     for (const auto& [pool, runner] : m_pools) {
@@ -307,11 +310,29 @@
   });
 }
 
+void SchedulerProcess::SettleByHostList() {
+  const auto asked = m_host_ledger.GetListTime();
+  if (!m_host_ledger.IsLoaded() || asked == m_settled_list) {
+    return;
+  }
+  m_settled_list = asked;
+  std::set<std::string> live;
+  for (const auto& [name, host] : m_host_ledger.GetHosts()) {
+    if (host.state == hosts::HostState::kUp) {
+      live.insert(host.target);
+    }
+  }
+  for (const auto& [pool, runner] : m_pools) {
+    runner->SettleByHostList(live, asked);
+  }
+}
+
 void SchedulerProcess::ReconsiderHosts() {
   const auto now = base::RuntimeClock::now();
   const bool may_act =
       !m_is_stopping && !m_pools.empty() && m_session.IsSafe(now);
   if (may_act) {
+    SettleByHostList();
     m_waves.Reconsider(now);
     m_capacity.Reconsider(now);
   }
--- a/services/shallotwick-scheduler/scheduler_process.h
+++ b/services/shallotwick-scheduler/scheduler_process.h
@@ -46,6 +46,7 @@
   void OnRegistryRow(const storage::VersionedRow& row);
   void StartPool(const std::string& pool, uint64_t version, int64_t term);
   void TickHosts();
+  void SettleByHostList();
   void ReconsiderHosts();
   void ReconsiderHostsSoon();
   PoolRunner* FindPool(const std::string& pool) const;
@@ -81,6 +82,8 @@
   std::map<std::string, scheduling::TargetEntry> m_targets;
   std::map<std::string, std::unique_ptr<PoolRunner>> m_pools;
   size_t m_pools_to_release = 0;
+  // The list of hosts by which silent targets were last settled.
+  base::TimePoint m_settled_list;
   bool m_is_reconsidering = false;
   bool m_is_stopping = false;
   base::TimePoint m_stop_began;
--- a/services/shallotwick-scheduler/tests/scheduler_test.cc
+++ b/services/shallotwick-scheduler/tests/scheduler_test.cc
@@ -202,6 +202,46 @@
   wait_for_roster(R"({"i-2":""})");
 }
 
+// Its tasks would else wait for the lease that a former owner may have granted.
+TEST(Scheduler, ASilentTargetThatTwoListsOfHostsLackHasEnded) {
+  m_store.Put(scheduler::MakeRosterKey(kService), R"({"i-1":"","i-2":""})");
+  const auto pool = StartPool();
+  LONGS_EQUAL(2, pool->GetScheduler().GetTargets().size());
+  const auto now = base::RuntimeClock::now();
+  const std::set<std::string> live = {"i-2"};
+  // A list that was asked for before this ownership tells nothing.
+  pool->SettleByHostList(live, now - std::chrono::seconds(10));
+  pool->SettleByHostList(live, now - std::chrono::seconds(10));
+  LONGS_EQUAL(2, pool->GetScheduler().GetTargets().size());
+  pool->SettleByHostList(live, now);
+  LONGS_EQUAL(2, pool->GetScheduler().GetTargets().size());
+  pool->SettleByHostList(live, now + std::chrono::milliseconds(400));
+  LONGS_EQUAL(1, pool->GetScheduler().GetTargets().size());
+  CHECK_TRUE(pool->GetScheduler().GetTargets().count("i-2") == 1);
+}
+
+TEST(Scheduler, ATargetThatReportsOrHasJustStartedIsNoneThatHasEnded) {
+  const auto pool = StartPool();
+  scheduling::TargetEntry entry;
+  entry.service = kService;
+  entry.id = "i-reports";
+  pool->OnTargetChanged(entry);
+  scheduling::ReportOrder order;
+  order.target = entry.id;
+  const auto now = base::RuntimeClock::now();
+  scheduling::TargetReport report;
+  report.running = {{{"job1", 0, 0, 0}, 1, "", 10, 0}};
+  pool->GetScheduler().OnReport(order, now, now, report);
+  entry.id = "i-new";
+  entry.born_ms = base::WallClockMilliseconds();
+  pool->OnTargetChanged(entry);
+  for (int list = 1; list <= 3; ++list) {
+    pool->SettleByHostList({}, now + std::chrono::milliseconds(400) * list);
+  }
+  LONGS_EQUAL(1, pool->GetScheduler().CountRuns("i-reports"));
+  LONGS_EQUAL(2, pool->GetScheduler().GetTargets().size());
+}
+
 TEST(Scheduler, HostRestsOnlyAfterALiveHolder) {
   m_store.Put({scheduler::kHostsTable, scheduler::kSinglePart, "lock/m-1"},
               "former/7");
--- a/services/shallotwick-scheduler/wave_conductor.cc
+++ b/services/shallotwick-scheduler/wave_conductor.cc
@@ -19,6 +19,9 @@
 constexpr int kMostBusyPrepared = 2;
 // A host that the list lacks for so long has left the fleet.
 constexpr auto kMissingForGood = std::chrono::milliseconds(3'000);
+// From a host's return until the next one is down: the list that shows it, and
+// the work of the next one.
+constexpr auto kTurnaround = std::chrono::milliseconds(1'500);
 // The list may be a little older than the answer that the host is down.
 constexpr auto kListMargin = std::chrono::milliseconds(300);
 
@@ -81,7 +84,7 @@
     return;
   }
   Prepare(wave, record, now);
-  if (hosts::CountFreePlaces(wave, record) == 0) {
+  if (CountPlaces(wave, record) == 0) {
     return;
   }
   // One at a time: each host that goes changes what the next would interrupt.
@@ -102,6 +105,15 @@
   }
 }
 
+int WaveConductor::CountPlaces(const hosts::MaintenanceWave& wave,
+                               const hosts::WaveRecord& record) const {
+  hosts::WavePace pace;
+  pace.host_time = m_options.maintenance_time + kTurnaround;
+  pace.now_ms = base::WallClockMilliseconds();
+  pace.are_hosts_short = m_are_hosts_short();
+  return hosts::CountFreePlacesAtPace(wave, record, pace);
+}
+
 // Enters the hosts of this host's pools that are up again, and those that have
 // left the fleet.
 bool WaveConductor::EnterReturned(const hosts::MaintenanceWave& wave,
@@ -231,7 +243,7 @@
     }
   }
   std::sort(candidates.begin(), candidates.end());
-  const int places = hosts::CountFreePlaces(wave, record);
+  const int places = CountPlaces(wave, record);
   for (const auto& [runs, name] : candidates) {
     const int most = runs == 0 ? places : kMostBusyPrepared;
     if (static_cast<int>(m_preparing.size()) >= most) {
@@ -264,6 +276,9 @@
                              const storage::VersionedRow& row,
                              hosts::WaveRecord record) {
   record.running[host.name] = m_options.holder;
+  if (record.began_ms == 0) {
+    record.began_ms = base::WallClockMilliseconds();
+  }
   SetLeaving(host, true);
   HostOperationRequest request;
   request.hosts = {host.name};
--- a/services/shallotwick-scheduler/wave_conductor.h
+++ b/services/shallotwick-scheduler/wave_conductor.h
@@ -32,6 +32,9 @@
   // Whether that holder still acts.
   std::function<bool(const std::string& holder)> m_is_holder_live;
 
+  // Whether a pool lacks hosts at this moment.
+  std::function<bool()> m_are_hosts_short = [] { return false; };
+
   void SetWave(const hosts::MaintenanceWave& wave);
   void Reconsider(base::TimePoint now);
   // Whether the host is about to be maintained, so that it must not be moved.
@@ -41,6 +44,8 @@
 
  private:
   void Advance(const hosts::MaintenanceWave& wave, base::TimePoint now);
+  int CountPlaces(const hosts::MaintenanceWave& wave,
+                  const hosts::WaveRecord& record) const;
   // Returns whether it has changed the record or asks for a change.
   bool EnterReturned(const hosts::MaintenanceWave& wave,
                      const storage::VersionedRow& row, hosts::WaveRecord record,
