--- a/libraries/scheduling/active_job.cc
+++ b/libraries/scheduling/active_job.cc
@@ -19,7 +19,8 @@
       for (const TaskProgress& stored : stored_tasks) {
         ActiveTask task;
         task.progress = stored;
-        task.last_run = stored.last_failed_run;
+        task.last_run =
+            stored.failed_runs.empty() ? 0 : stored.failed_runs.back();
         open_count += stored.done ? 0 : 1;
         tasks.push_back(std::move(task));
       }
--- a/libraries/scheduling/pool_reports.cc
+++ b/libraries/scheduling/pool_reports.cc
@@ -219,18 +219,24 @@
 void PoolScheduler::ApplyFailure(TargetLedger& target, const ReportedEnd& end,
                                  ActiveJob& job, ActiveTask& task) {
   task.avoided_target = target.m_entry.id;
-  if (end.run <= task.progress.last_failed_run) {
+  const StepSpec& step =
+      job.GetSpec().steps[static_cast<size_t>(end.task.step)];
+  if (step.long_running) {
+    return;
+  }
+  // After a takeover the ends of a task come from several targets, in any
+  // order.
+  std::vector<int64_t>& failed = task.progress.failed_runs;
+  const auto place = std::lower_bound(failed.begin(), failed.end(), end.run);
+  if (place != failed.end() && *place == end.run) {
     return;
   }
-  ++task.progress.failures;
-  task.progress.last_failed_run = end.run;
+  failed.insert(place, end.run);
   MarkDirty(job, true);
-  const StepSpec& step =
-      job.GetSpec().steps[static_cast<size_t>(end.task.step)];
   const auto route = m_routes.find(job.GetSpec().route);
   const int most =
       route == m_routes.end() ? 1 : std::max(1, route->second.most_attempts);
-  if (!step.long_running && task.progress.failures >= most) {
+  if (static_cast<int>(failed.size()) >= most) {
     EndJob(job, JobState::kFailed);
   }
 }
--- a/libraries/scheduling/progress.cc
+++ b/libraries/scheduling/progress.cc
@@ -31,9 +31,8 @@
   if (task.done) {
     json["done"] = true;
   }
-  if (task.failures > 0) {
-    json["failures"] = task.failures;
-    json["failed_run"] = task.last_failed_run;
+  if (!task.failed_runs.empty()) {
+    json["failed_runs"] = task.failed_runs;
   }
   if (!task.done && !task.checkpoint.empty()) {
     json["checkpoint"] = task.checkpoint;
@@ -44,8 +43,7 @@
 TaskProgress DecodeTask(const nlohmann::json& json) {
   TaskProgress task;
   task.done = json.value("done", false);
-  task.failures = json.value("failures", 0);
-  task.last_failed_run = json.value("failed_run", int64_t{0});
+  task.failed_runs = json.value("failed_runs", std::vector<int64_t>{});
   task.checkpoint = json.value("checkpoint", "");
   return task;
 }
--- a/libraries/scheduling/progress.h
+++ b/libraries/scheduling/progress.h
@@ -16,10 +16,9 @@
 // What is kept of one task.
 struct TaskProgress {
   bool done = false;
-  // Runs that ended in failure.
-  int failures = 0;
-  // The last of them; a failure that is reported again is not counted again.
-  int64_t last_failed_run = 0;
+  // Runs that ended in failure, rising; a failure that is reported again is not
+  // counted again. Not kept for tasks that are restarted however they end.
+  std::vector<int64_t> failed_runs;
   // Where the next run resumes; empty for the beginning.
   std::string checkpoint;
 
--- a/libraries/scheduling/tests/policy_test.cc
+++ b/libraries/scheduling/tests/policy_test.cc
@@ -6,11 +6,13 @@
 #include "scheduling/job.h"
 #include "scheduling/job_record.h"
 #include "scheduling/placement.h"
+#include "scheduling/pool_scheduler.h"
 #include "scheduling/progress.h"
 #include "scheduling/queue_order.h"
 #include "scheduling/serving_config.h"
 #include "scheduling/stall_detection.h"
 
+namespace base = shallotwick::base;
 namespace scheduling = shallotwick::scheduling;
 using std::chrono::milliseconds;
 
@@ -111,8 +113,7 @@
   scheduling::JobProgress progress = scheduling::MakeInitialProgress(job);
   progress.state = scheduling::JobState::kRunning;
   progress.tasks[2][1][1].done = true;
-  progress.tasks[0][0][1].failures = 1;
-  progress.tasks[0][0][1].last_failed_run = 1'002;
+  progress.tasks[0][0][1].failed_runs = {1'002, 1'004};
   progress.tasks[1][2][0].checkpoint = "00000bb8";
   const std::string text = scheduling::EncodeProgress(progress);
   CHECK_TRUE(scheduling::DecodeProgress(job, text) == progress);
@@ -216,3 +217,33 @@
   POINTERS_EQUAL(nullptr, config.FindRoute("c.example", "/q/x"));
   POINTERS_EQUAL(nullptr, config.FindRoute("a.example", "/p"));
 }
+
+// After a takeover the ends of one task come from several targets in any order.
+TEST(Policy, FailuresCountInWhateverOrderTheyAreReported) {
+  const auto now = base::TimePoint(std::chrono::seconds(100));
+  scheduling::PoolScheduler pool({});
+  pool.SetRoutes({{"quote", {0, 2, 1.0, 0}}});
+  scheduling::JobSpec job;
+  job.id = "job1";
+  job.route = "quote";
+  job.steps.emplace_back();
+  pool.AddJob(job, scheduling::MakeInitialProgress(job), true);
+  const auto report_failure = [&](const char* target, int64_t run) {
+    scheduling::TargetEntry entry;
+    entry.id = target;
+    pool.ExpectTarget(entry, now);
+    scheduling::ReportOrder order;
+    order.target = target;
+    scheduling::TargetReport report;
+    report.ended = {
+        {1, {"job1", 0, 0, 0}, run, scheduling::RunEnd::kFailed, ""}};
+    pool.OnReport(order, now, now, report);
+  };
+  report_failure("i-2", 2);
+  CHECK_TRUE(pool.IsActive("job1"));
+  // The same end, reported again elsewhere, is no second failure.
+  report_failure("i-3", 2);
+  CHECK_TRUE(pool.IsActive("job1"));
+  report_failure("i-1", 1);
+  CHECK_FALSE(pool.IsActive("job1"));
+}
--- a/services/shallotwick-scheduler/table_follower.cc
+++ b/services/shallotwick-scheduler/table_follower.cc
@@ -6,16 +6,6 @@
 #include "base/random_identifier.h"
 
 namespace shallotwick::scheduler {
-namespace {
-
-// One question waits so long for a change; the store takes up to 30 s. Shorter
-// ones notice a silent connection sooner.
-constexpr auto kFeedWait = std::chrono::milliseconds(3'000);
-// After a failure; spread, so that hosts do not come back together.
-constexpr auto kRetryAfter = std::chrono::milliseconds(200);
-
-}  // namespace
-
 TableFollower::TableFollower(base::EventLoop& loop, storage::RowStore& store,
                              TableFollowerOptions options)
     : m_loop(loop), m_store(store), m_options(std::move(options)) {}
@@ -70,7 +60,7 @@
 }
 
 void TableFollower::Follow() {
-  m_store.Follow(m_options.table, m_version, kFeedWait,
+  m_store.Follow(m_options.table, m_version, m_options.feed_wait,
                  m_lifetime.Guard([this, generation = m_generation](
                                       const storage::RowFeedResult& result) {
                    if (generation == m_generation) {
@@ -156,7 +146,7 @@
 
 void TableFollower::RetryAfterPause(void (TableFollower::*step)()) {
   const auto delay = base::Duration(static_cast<int64_t>(
-      static_cast<double>(base::Duration(kRetryAfter).count()) *
+      static_cast<double>(base::Duration(kFeedRetryDelay).count()) *
       (0.5 + base::MakeRandomFraction())));
   m_loop.RunAfter(delay,
                   m_lifetime.Guard([this, step, generation = m_generation] {
--- a/services/shallotwick-scheduler/table_follower.h
+++ b/services/shallotwick-scheduler/table_follower.h
@@ -9,6 +9,15 @@
 
 namespace shallotwick::scheduler {
 
+// How long the store may wait for changes before it answers a feed.
+inline constexpr auto kUsualFeedWait = std::chrono::milliseconds(3'000);
+// For tables whose changes must be acted on within seconds. A question that is
+// lost, as the store goes away or its connection falls silent, shows only when
+// this and the store's timeout are over.
+inline constexpr auto kPromptFeedWait = std::chrono::milliseconds(600);
+// Before a feed that failed is asked again, half of it more or less.
+inline constexpr auto kFeedRetryDelay = std::chrono::milliseconds(200);
+
 struct TableFollowerOptions {
   std::string table;
   // The parts that are read at the start and after a loss of history.
@@ -18,6 +27,7 @@
   // A feed that was silent for so long is checked by reading the parts; zero
   // for never. Feeds may fall silent while changes are made.
   base::Duration silence{0};
+  std::chrono::milliseconds feed_wait = kUsualFeedWait;
 };
 
 // Keeps up with a table: reads its parts, then follows its changes, and reads
--- a/services/shallotwick-scheduler/tests/scheduler_test.cc
+++ b/services/shallotwick-scheduler/tests/scheduler_test.cc
@@ -8,7 +8,9 @@
 #include "../job_tables.h"
 #include "../ownership_manager.h"
 #include "../pool_runner.h"
+#include "../scheduler_process.h"
 #include "../session_keeper.h"
+#include "../table_follower.h"
 #include "../wave_conductor.h"
 #include "fakes/fake_row_store.h"
 #include "scheduling/job_record.h"
@@ -172,6 +174,23 @@
               m_store.Get(scheduler::MakeJobKey(kService, "job1")).version);
 }
 
+// A configuration must be in force two seconds after the platform took it, also
+// if the question for it was lost just before.
+TEST(Scheduler, ALostQuestionForTheConfigurationCostsLessThanItsBound) {
+  constexpr auto kConfigurationBound = std::chrono::milliseconds(2'000);
+  int64_t store_timeout_ms = 0;
+  for (const base::SettingDeclaration& setting : scheduler::GetSettings()) {
+    if (setting.name == "platform-timeout-ms") {
+      store_timeout_ms = std::stoll(setting.default_value.value());
+    }
+  }
+  CHECK_TRUE(store_timeout_ms > 0);
+  CHECK_TRUE(scheduler::kPromptFeedWait +
+                 std::chrono::milliseconds(store_timeout_ms) +
+                 scheduler::kFeedRetryDelay * 3 / 2 <
+             kConfigurationBound);
+}
+
 TEST(Scheduler, RowsOfAnotherFormEndNoPool) {
   m_store.Put(scheduler::MakeJobKey(kService, "bad"), "\xff{");
   m_store.Put(scheduler::MakeProgressKey(kService, "bad"), "7");
