--- a/libraries/http/client_connection.cc
+++ b/libraries/http/client_connection.cc
@@ -145,7 +145,7 @@
 void ClientConnection::Fail(const std::string& error) {
   if (!m_parser) {
     Close();
-    const auto on_idle_close = std::move(m_on_idle_close);
+    const auto on_idle_close = std::exchange(m_on_idle_close, nullptr);
     on_idle_close();
     return;
   }
@@ -155,7 +155,7 @@
 void ClientConnection::End(TransferResult result) {
   m_parser.reset();
   // The connection may be given another request from within the call.
-  const auto on_end = std::move(m_on_end);
+  const auto on_end = std::exchange(m_on_end, nullptr);
   on_end(std::move(result));
 }
 
--- a/services/shallotwick-scheduler/job_api.cc
+++ b/services/shallotwick-scheduler/job_api.cc
@@ -66,6 +66,15 @@
     respond(http::MakeProblem(404, "no-such-queue", "No queue has this path."));
     return;
   }
+  // Nothing can be stored or looked up; another host may do better.
+  if (!m_is_store_reachable()) {
+    base::Log(base::events::kJobRefused, {{"route", route->name},
+                                          {"call", request.method},
+                                          {"path", path},
+                                          {"reason", "store"}});
+    respond(Refuse("store-unreachable"));
+    return;
+  }
   const std::string id = path.substr(route->prefix.size());
   const bool is_read = request.method == "GET" || request.method == "HEAD";
   if (id.empty() && is_read) {
@@ -96,12 +105,6 @@
     respond(http::MakeProblem(413, "body-too-large", "The body is too long."));
     return;
   }
-  if (!m_is_store_reachable()) {
-    base::Log(base::events::kJobRefused,
-              {{"job", id}, {"route", route.name}, {"reason", "store"}});
-    respond(Refuse("store-unreachable"));
-    return;
-  }
   scheduling::JobSpec job;
   try {
     job = platform::DecodeJob(request.body);
--- a/services/shallotwick-scheduler/tests/scheduler_test.cc
+++ b/services/shallotwick-scheduler/tests/scheduler_test.cc
@@ -4,6 +4,7 @@
 #include <optional>
 
 #include "../host_ledger.h"
+#include "../job_api.h"
 #include "../job_service.h"
 #include "../job_tables.h"
 #include "../ownership_manager.h"
@@ -18,6 +19,7 @@
 namespace base = shallotwick::base;
 namespace fakes = shallotwick::fakes;
 namespace hosts = shallotwick::hosts;
+namespace http = shallotwick::http;
 namespace scheduler = shallotwick::scheduler;
 namespace scheduling = shallotwick::scheduling;
 namespace storage = shallotwick::storage;
@@ -294,6 +296,34 @@
   LONGS_EQUAL(5, gained[kService]);
 }
 
+// A caller that waits in vain could have asked another host meanwhile.
+TEST(Scheduler, CallsAreRefusedAtOnceWhileTheStoreIsKnownToBeOutOfReach) {
+  scheduler::JobService jobs(m_loop, m_store);
+  scheduler::JobApi api(jobs, m_metrics);
+  scheduling::ServingConfig config;
+  scheduling::Route route;
+  route.name = "quote";
+  route.host = "quotes.example";
+  route.prefix = "/quote/";
+  route.service = kService;
+  config.routes = {route};
+  api.m_get_config = [&config] { return &config; };
+  api.m_is_store_reachable = [] { return false; };
+  for (const char* method : {"GET", "POST", "DELETE"}) {
+    http::Request request;
+    request.method = method;
+    request.target = "/quote/5c0e7a21d94b36f8";
+    request.headers = {{"Host", "quotes.example"}};
+    std::optional<http::Response> answer;
+    api.Handle(request, [&answer](const http::Response& response) {
+      answer = response;
+    });
+    CHECK_TRUE(answer.has_value());
+    LONGS_EQUAL(503, answer->status);
+    CHECK_TRUE(http::FindHeader(answer->headers, "Retry-After").has_value());
+  }
+}
+
 TEST(Scheduler, SubmittingSaysOnlyWhatIsTrue) {
   using Fault = fakes::FakeRowStore::Fault;
   const Fault refused{RowCommitStatus::kRefused, false};
