--- a/tests/bench/job_benches.h
+++ b/tests/bench/job_benches.h
@@ -4,8 +4,8 @@
 
 namespace shallotwick::bench {
 
-// Processor time of a scheduler process for each task that it runs on targets of
-// the platform's stand-in.
+// Processor time of a scheduler process for each task that it runs on targets
+// of the platform's stand-in.
 void RunJobBench(BenchReport* report);
 
 }  // namespace shallotwick::bench
