Know an old lock of a host by its time

Cause: a new owner of a pool kept the pause between two holders from the moment it first read a host's lock, for each host that a live holder had moved last.

Ruled out: busy hosts, the platform's rate, the registry.

Change: a lock names its time; older than the pause and 4 s, the most that two clocks differ by, it has rested.

--- a/services/shallotwick-scheduler/host_ledger.cc
+++ b/services/shallotwick-scheduler/host_ledger.cc
@@ -1,5 +1,6 @@
 #include "host_ledger.h"
 
+#include <nlohmann/json.hpp>
 #include <utility>
 
 #include "base/log.h"
@@ -16,6 +17,13 @@
 constexpr auto kRetryDelay = std::chrono::milliseconds(250);
 constexpr char kLockPrefix[] = "lock/";
 
+// The clocks of two hosts differ by less than this; each may be off by half.
+constexpr auto kLongestClockDifference = std::chrono::milliseconds(4'000);
+
+std::string EncodeLock(const std::string& holder, int64_t taken_ms) {
+  return nlohmann::json{{"holder", holder}, {"taken_ms", taken_ms}}.dump();
+}
+
 storage::RowKey MakeHostsKey(const std::string& key) {
   return {kHostsTable, kSinglePart, key};
 }
@@ -88,7 +96,7 @@
   if (key.compare(0, prefix.size(), prefix) == 0) {
     Lock& lock = m_locks[key.substr(prefix.size())];
     if (row.version > lock.version) {
-      lock = Lock{row.version, row.value, base::RuntimeClock::now()};
+      lock = DecodeLock(row);
     }
     return;
   }
@@ -98,6 +106,30 @@
   }
 }
 
+HostLedger::Lock HostLedger::DecodeLock(const storage::VersionedRow& row) {
+  Lock lock;
+  lock.version = row.version;
+  lock.observed = base::RuntimeClock::now();
+  const auto object = nlohmann::json::parse(row.value, nullptr, false);
+  if (object.is_object()) {
+    lock.holder = object.value("holder", "");
+    lock.taken_ms = object.value("taken_ms", int64_t{0});
+  } else {
+    lock.holder = row.value;
+  }
+  return lock;
+}
+
+// A holder that has just begun to watch can't tell by its own watching how long
+// ago a lock was taken, but for one that is surely old.
+bool HostLedger::HasRested(const Lock& lock, base::TimePoint now) const {
+  const auto age =
+      std::chrono::milliseconds(base::WallClockMilliseconds() - lock.taken_ms);
+  const bool is_surely_old =
+      lock.taken_ms > 0 && age >= m_holder_pause + kLongestClockDifference;
+  return is_surely_old || now >= lock.observed + m_holder_pause;
+}
+
 void HostLedger::RefreshList() {
   m_is_listing = m_is_started;
   if (!m_is_started) {
@@ -129,8 +161,7 @@
   }
   const auto lock = m_locks.find(host);
   return lock == m_locks.end() || lock->second.holder == m_holder ||
-         !m_is_holder_live(lock->second.holder) ||
-         now >= lock->second.observed + m_holder_pause;
+         !m_is_holder_live(lock->second.holder) || HasRested(lock->second, now);
 }
 
 storage::VersionedRow HostLedger::GetSharedRow(const std::string& key) const {
@@ -179,15 +210,16 @@
   storage::RowTransaction transaction;
   transaction.expected = {{request.shared_row.key, request.shared_row.version}};
   transaction.writes = {{request.shared_row.key, request.new_value}};
+  const std::string lock = EncodeLock(m_holder, base::WallClockMilliseconds());
   for (const std::string& host : request.hosts) {
     m_operating.insert(host);
     const storage::RowKey key = MakeHostsKey(kLockPrefix + host);
     transaction.expected.push_back({key, m_locks[host].version});
-    transaction.writes.push_back({key, m_holder});
+    transaction.writes.push_back({key, lock});
   }
   m_store.Commit(
       std::move(transaction),
-      m_lifetime.Guard([this, request = std::move(request)](
+      m_lifetime.Guard([this, lock, request = std::move(request)](
                            const storage::RowCommitResult& result) {
         for (const storage::VersionedRow& current : result.current) {
           OnRow(current);
@@ -202,8 +234,8 @@
         OnRow(
             {request.shared_row.key, request.new_value, result.version, false});
         for (const std::string& host : request.hosts) {
-          OnRow({MakeHostsKey(kLockPrefix + host), m_holder, result.version,
-                 false});
+          OnRow(
+              {MakeHostsKey(kLockPrefix + host), lock, result.version, false});
           Call(request, host, hosts::HostFence{m_holder, result.version});
         }
       }));
--- a/services/shallotwick-scheduler/host_ledger.h
+++ b/services/shallotwick-scheduler/host_ledger.h
@@ -76,8 +76,14 @@
     uint64_t version = storage::kNoVersion;
     std::string holder;
     base::TimePoint observed;
+    // By the holder's clock, in milliseconds since the Unix epoch; 0 if it is
+    // not known.
+    int64_t taken_ms = 0;
   };
 
+  static Lock DecodeLock(const storage::VersionedRow& row);
+  bool HasRested(const Lock& lock, base::TimePoint now) const;
+
   void OnRow(const storage::VersionedRow& row);
   void RefreshList();
   void Call(const HostOperationRequest& request, const std::string& host,
--- a/services/shallotwick-scheduler/tests/scheduler_test.cc
+++ b/services/shallotwick-scheduler/tests/scheduler_test.cc
@@ -274,6 +274,28 @@
   CHECK_TRUE(StartLedger(true)->IsFree("m-1", now + std::chrono::seconds(4)));
 }
 
+// After a takeover the new owner has watched no lock for long.
+TEST(Scheduler, AnOldLockOfALiveHolderIsKnownByItsTime) {
+  const auto put_lock = [this](const char* host, int64_t age_ms) {
+    m_store.Put({scheduler::kHostsTable, scheduler::kSinglePart,
+                 std::string("lock/") + host},
+                R"({"holder":"former/7","taken_ms":)" +
+                    std::to_string(base::WallClockMilliseconds() - age_ms) +
+                    "}");
+  };
+  // The pause is 3 s; the clocks of two hosts may differ by 4 s.
+  put_lock("m-1", 7'100);
+  put_lock("m-2", 6'900);
+  const auto ledger = StartLedger(true);
+  const auto now = base::RuntimeClock::now();
+  CHECK_TRUE(ledger->IsFree("m-1", now));
+  CHECK_FALSE(ledger->IsFree("m-2", now));
+  // A clock that is ahead makes no lock old.
+  put_lock("m-1", -60'000);
+  Settle();
+  CHECK_FALSE(StartLedger(true)->IsFree("m-1", base::RuntimeClock::now()));
+}
+
 TEST(Scheduler, ARestartedHostTakesItsPoolsBackAtOnce) {
   m_store.Put(scheduler::MakeOwnerKey(kService),
               R"({"host":"edge-1","boot":"old","term":4})");
