--- /dev/null
+++ b/libraries/scheduling/pool_planned_work.cc
@@ -0,0 +1,207 @@
+// What planned work on hosts needs to know of a pool: whether a target may be
+// freed of its runs, and what the pool's jobs ask for.
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+#include "scheduling/pool_scheduler.h"
+
+namespace shallotwick::scheduling {
+namespace {
+
+// A long-running task is at work once it reports this share.
+constexpr int kAtWorkPercent = 100;
+
+// A step that names no budget is treated with the same care as one that allows
+// a single task to be away.
+int GetBudget(const StepSpec& step) {
+  return std::max(1, step.disruption_budget);
+}
+
+}  // namespace
+
+void PoolScheduler::SetCordoned(const std::string& id, bool cordoned) {
+  TargetLedger* target = FindTarget(id);
+  if (target != nullptr) {
+    target->m_is_cordoned = cordoned;
+    m_may_start_more = true;
+  }
+}
+
+void PoolScheduler::SetLeaving(const std::string& id, bool leaving) {
+  TargetLedger* target = FindTarget(id);
+  if (target != nullptr) {
+    target->m_is_leaving = leaving;
+  }
+}
+
+int PoolScheduler::CountAway(const ActiveJob& job, int occurrence, int step,
+                             const std::string& id) const {
+  const JobSpec& spec = job.GetSpec();
+  int present = 0;
+  for (int i = 0; i < spec.steps[static_cast<size_t>(step)].count; ++i) {
+    const TaskName name{spec.id, occurrence, step, i};
+    for (const auto& [target_id, target] : m_targets) {
+      const auto run = target.GetRuns().find(name);
+      if (run == target.GetRuns().end()) {
+        continue;
+      }
+      const bool is_at_work = run->second.state == RunState::kPresent &&
+                              run->second.percent >= kAtWorkPercent &&
+                              target.m_is_responsive && !target.m_is_leaving;
+      if (target_id == id || is_at_work) {
+        ++present;
+        break;
+      }
+    }
+  }
+  return spec.steps[static_cast<size_t>(step)].count - present;
+}
+
+bool PoolScheduler::IsAccountedFor(const std::string& id) const {
+  const auto found = m_targets.find(id);
+  return found != m_targets.end() && found->second.m_is_fenced &&
+         found->second.m_is_responsive;
+}
+
+bool PoolScheduler::CanInterrupt(const std::string& id) const {
+  for (const auto& [key, names] : GroupLongRuns(id)) {
+    const ActiveJob& job = m_jobs.at(std::get<0>(key));
+    const auto step = std::get<2>(key);
+    const int away = CountAway(job, std::get<1>(key), step, id);
+    if (away + static_cast<int>(names.size()) >
+        GetBudget(job.GetSpec().steps[static_cast<size_t>(step)])) {
+      return false;
+    }
+  }
+  return true;
+}
+
+void PoolScheduler::Evacuate(const std::string& id) {
+  TargetLedger* target = FindTarget(id);
+  if (target == nullptr) {
+    return;
+  }
+  for (const auto& [key, names] : GroupLongRuns(id)) {
+    const ActiveJob& job = m_jobs.at(std::get<0>(key));
+    const auto step = std::get<2>(key);
+    int stopping = 0;
+    for (const TaskName& name : names) {
+      const Run& run = target->GetRuns().at(name);
+      stopping +=
+          run.state != RunState::kPresent || run.percent < kAtWorkPercent ? 1
+                                                                          : 0;
+    }
+    int left = GetBudget(job.GetSpec().steps[static_cast<size_t>(step)]) -
+               CountAway(job, std::get<1>(key), step, id) - stopping;
+    for (const TaskName& name : names) {
+      const bool is_at_work =
+          target->GetRuns().at(name).state == RunState::kPresent;
+      if (left > 0 && is_at_work) {
+        Note("run-moved", name, target->GetRuns().at(name).number, id,
+             "maintenance of the host");
+        RequestStop(*target, name);
+        --left;
+      }
+    }
+  }
+}
+
+std::map<std::tuple<std::string, int, int>, std::vector<TaskName>>
+PoolScheduler::GroupLongRuns(const std::string& id) const {
+  std::map<std::tuple<std::string, int, int>, std::vector<TaskName>> groups;
+  const auto found = m_targets.find(id);
+  if (found == m_targets.end()) {
+    return groups;
+  }
+  for (const auto& [name, run] : found->second.GetRuns()) {
+    const auto job = m_jobs.find(name.job);
+    const bool is_long =
+        job != m_jobs.end() && job->second.GetSpec()
+                                   .steps[static_cast<size_t>(name.step)]
+                                   .long_running;
+    if (is_long) {
+      groups[{name.job, name.occurrence, name.step}].push_back(name);
+    }
+  }
+  return groups;
+}
+
+size_t PoolScheduler::CountRuns(const std::string& id) const {
+  const auto found = m_targets.find(id);
+  return found == m_targets.end() ? 0 : found->second.GetRuns().size();
+}
+
+hosts::PoolLoad PoolScheduler::EstimateLoad(base::TimePoint now,
+                                            int64_t wall_ms) const {
+  constexpr double kMilliPerCore = 1'000;
+  hosts::PoolLoad load;
+  for (const auto& [id, job] : m_jobs) {
+    const JobSpec& spec = job.GetSpec();
+    const int k = job.GetFirstOpenOccurrence();
+    const bool is_timely = Rank(job, wall_ms).IsTimely();
+    const RunTimeCorrection correction = m_run_times.GetCorrection(spec.route);
+    for (int step = 0; step < static_cast<int>(spec.steps.size()); ++step) {
+      const StepSpec& shape = spec.steps[static_cast<size_t>(step)];
+      const int open = IsTerminal(job.m_state) ? 0 : job.CountOpen(k, step);
+      if (open == 0 || shape.best_effort) {
+        continue;
+      }
+      const double cores =
+          static_cast<double>(shape.demand.cpu_milli) / kMilliPerCore;
+      if (shape.long_running) {
+        const int per_target =
+            shape.most_per_target > 0 ? shape.most_per_target : shape.count;
+        load.least_hosts = std::max(
+            load.least_hosts, (shape.count + per_target - 1) / per_target);
+      } else {
+        const double work =
+            open * cores *
+            correction.Apply(static_cast<double>(shape.estimate_ms)) /
+            kMilliPerCore;
+        load.open_core_seconds += work;
+        load.timely_core_seconds += is_timely ? work : 0;
+      }
+      if (job.IsStepReady(k, step)) {
+        load.waiting_cores += open * cores;
+        load.timely_waiting_cores += is_timely ? open * cores : 0;
+      }
+    }
+  }
+  for (const auto& [id, target] : m_targets) {
+    if (IsUsable(target, now)) {
+      load.usable_cores +=
+          static_cast<double>(target.GetEntry().capacity.cpu_milli) /
+          kMilliPerCore;
+    }
+    for (const auto& [name, run] : target.GetRuns()) {
+      if (!run.best_effort) {
+        load.running_cores +=
+            static_cast<double>(run.demand.cpu_milli) / kMilliPerCore;
+      }
+    }
+  }
+  // Ready tasks that run already were counted among both.
+  load.waiting_cores = std::max(0.0, load.waiting_cores - load.running_cores);
+  return load;
+}
+
+size_t PoolScheduler::CountShortRuns(const std::string& id) const {
+  const auto found = m_targets.find(id);
+  if (found == m_targets.end()) {
+    return 0;
+  }
+  size_t count = 0;
+  for (const auto& [name, run] : found->second.GetRuns()) {
+    const auto job = m_jobs.find(name.job);
+    const bool is_long =
+        job != m_jobs.end() && job->second.GetSpec()
+                                   .steps[static_cast<size_t>(name.step)]
+                                   .long_running;
+    count += is_long ? 0 : 1;
+  }
+  return count;
+}
+
+}  // namespace shallotwick::scheduling
--- a/services/shallotwick-scheduler/main/main.cc
+++ b/services/shallotwick-scheduler/main/main.cc
@@ -1,4 +1,5 @@
 #include "../scheduler_process.h"
+#include "../scheduler_settings.h"
 #include "base/program.h"
 
 int main(int argc, char** argv) {
--- a/services/shallotwick-scheduler/scheduler_process.cc
+++ b/services/shallotwick-scheduler/scheduler_process.cc
@@ -15,7 +15,6 @@
 namespace shallotwick::scheduler {
 namespace {
 
-constexpr int64_t kMostProcessors = 4'096;
 // Long polls of the tables and calls beside them.
 constexpr int kStoreConnections = 32;
 // One for the report that waits and a few for orders; each new connection to a
@@ -67,50 +66,6 @@
 
 }  // namespace
 
-std::vector<base::SettingDeclaration> GetSettings() {
-  const auto milliseconds = base::CheckNumber(1, 600'000);
-  std::vector<base::SettingDeclaration> settings = {
-      {"name", "NAME", "name of this host", std::nullopt, base::CheckNotEmpty},
-      {"listen", "IP:PORT", "where callers hand in jobs", std::nullopt,
-       base::CheckAddress},
-      {"ready-listen", "IP:PORT", "where the balancer asks for readiness",
-       std::nullopt, base::CheckAddress},
-      {"platform", "IP:PORT", "address of the platform's store", std::nullopt,
-       base::CheckAddress},
-      {"platform-timeout-ms", "MILLISECONDS", "wait for an answer of the store",
-       "900", milliseconds},
-      {"hosts", "IP:PORT", "address of the platform's host operations",
-       std::nullopt, base::CheckAddress},
-      {"maintenance-s", "SECONDS", "how long a host is away for maintenance",
-       "2", base::CheckNumber(0, 86'400)},
-      {"move-s", "SECONDS", "how long the move of a host takes", "1.5",
-       base::CheckNumber(0, 86'400)},
-      {"holder-pause-ms", "MILLISECONDS",
-       "pause between operations of two holders on one host", "3000",
-       milliseconds},
-      {"order-timeout-ms", "MILLISECONDS",
-       "wait for a target's answer to an order", "400", milliseconds},
-      {"longest-lease-ms", "MILLISECONDS",
-       "the longest lease that targets grant", "10000", milliseconds},
-      {"longest-stop-ms", "MILLISECONDS",
-       "the longest time that a target takes to stop a run", "1000",
-       milliseconds},
-      {"retention-s", "SECONDS",
-       "how long the state of an ended job can be read", "120",
-       base::CheckNumber(1, 86'400)},
-      {"processor-share", "SHARE",
-       "the part of each processor that this host may use", "1",
-       base::CheckNumber(0, 1)},
-      {"processors", "COUNT", "processors of this host", "1",
-       base::CheckInteger(1, kMostProcessors)},
-      {"stop-grace-s", "SECONDS", "time from SIGTERM to SIGKILL", "6",
-       base::CheckNumber(1, 600)}};
-  for (const base::SettingDeclaration& setting : base::GetLogSettings()) {
-    settings.push_back(setting);
-  }
-  return settings;
-}
-
 SchedulerProcess::SchedulerProcess(const base::Settings& settings)
     : m_store_client(m_loop.GetContext(), kStoreConnections),
       m_target_client(m_loop.GetContext(), kConnectionsPerTarget),
--- a/services/shallotwick-scheduler/scheduler_process.h
+++ b/services/shallotwick-scheduler/scheduler_process.h
@@ -26,8 +26,6 @@
 
 namespace shallotwick::scheduler {
 
-std::vector<base::SettingDeclaration> GetSettings();
-
 // One host's process: callers' interface to jobs, and the pools that this host
 // owns.
 class SchedulerProcess {
--- a/services/shallotwick-scheduler/tests/scheduler_test.cc
+++ b/services/shallotwick-scheduler/tests/scheduler_test.cc
@@ -9,7 +9,7 @@
 #include "../job_tables.h"
 #include "../ownership_manager.h"
 #include "../pool_runner.h"
-#include "../scheduler_process.h"
+#include "../scheduler_settings.h"
 #include "../session_keeper.h"
 #include "../table_follower.h"
 #include "../wave_conductor.h"
