--- a/libraries/base/backoff.cc
+++ b/libraries/base/backoff.cc
@@ -17,9 +17,8 @@
 
 void Backoff::Reset() { m_next = m_first; }
 
-Duration SpreadPeriod(Duration period, double jitter) {
-  constexpr double kSpread = 0.2;
-  const double factor = 1 - kSpread / 2 + kSpread * jitter;
+Duration SpreadPeriod(Duration period, double jitter, double spread) {
+  const double factor = 1 - spread / 2 + spread * jitter;
   return std::chrono::duration_cast<Duration>(period * factor);
 }
 
--- a/libraries/base/backoff.h
+++ b/libraries/base/backoff.h
@@ -19,8 +19,8 @@
   Duration m_next;
 };
 
-// Returns a period changed by up to a tenth either way, `jitter` in [0, 1), so
-// that processes don't act in step.
-Duration SpreadPeriod(Duration period, double jitter);
+// Returns a period changed by up to half of `spread` either way, a tenth unless
+// told otherwise, `jitter` in [0, 1), so that processes don't act in step.
+Duration SpreadPeriod(Duration period, double jitter, double spread = 0.2);
 
 }  // namespace shallotwick::base
--- a/libraries/hosts/capacity_need.h
+++ b/libraries/hosts/capacity_need.h
@@ -58,7 +58,8 @@
 int EstimateTimelyHosts(const PoolLoad& load);
 
 // How many hosts a pool should have: enough to work off what is open within
-// the time that jobs can wait, and no more than its tasks can use at once.
+// the time that jobs can wait, to run all that could run now, and to take what
+// is about to come.
 int EstimateWantedHosts(const PoolLoad& load);
 
 }  // namespace shallotwick::hosts
--- a/libraries/http/client.cc
+++ b/libraries/http/client.cc
@@ -4,7 +4,6 @@
 
 #include <asio.hpp>
 #include <map>
-#include <optional>
 #include <thread>
 #include <utility>
 
@@ -23,9 +22,8 @@
 
 class Client::Implementation {
  public:
-  // Without an outer context the client runs one on a thread of its own.
-  Implementation(asio::io_context* outer_context, int connections_per_host)
-      : m_context(outer_context != nullptr ? *outer_context : m_own_context),
+  explicit Implementation(int connections_per_host)
+      : m_work(asio::make_work_guard(m_context)),
         m_timer(m_context),
         m_check_timer(m_context),
         m_multi(curl_multi_init()) {
@@ -36,28 +34,17 @@
     curl_multi_setopt(m_multi, CURLMOPT_MAX_HOST_CONNECTIONS,
                       static_cast<long>(connections_per_host));
     curl_multi_setopt(m_multi, CURLMOPT_MAXCONNECTS, kIdleConnections);
-    if (outer_context == nullptr) {
-      m_work.emplace(asio::make_work_guard(m_context));
-      m_thread = std::thread([this] { m_context.run(); });
-    }
+    m_thread = std::thread([this] { m_context.run(); });
   }
 
   ~Implementation() {
-    if (m_thread.joinable()) {
-      asio::post(m_context, [this] { Close(); });
-      m_thread.join();
-    } else {
-      Close();
-    }
+    asio::post(m_context, [this] { Close(); });
+    m_thread.join();
     curl_multi_cleanup(m_multi);
   }
 
   void Send(const std::string& url, Request request,
             const TransferOptions& options, OnTransferEnd on_end) {
-    if (!m_thread.joinable()) {
-      Start(url, std::move(request), options, std::move(on_end));
-      return;
-    }
     asio::post(m_context, [this, url, request = std::move(request), options,
                            on_end = std::move(on_end)]() mutable {
       Start(url, std::move(request), options, std::move(on_end));
@@ -108,10 +95,8 @@
       watched->descriptor.release();
     }
     m_watched.clear();
-    if (m_thread.joinable()) {
-      m_work.reset();
-      m_context.stop();
-    }
+    m_work.reset();
+    m_context.stop();
   }
 
   static int OnSocketChange(CURL* /*handle*/, curl_socket_t socket, int wanted,
@@ -258,11 +243,8 @@
     running.on_end(std::move(result));
   }
 
-  using WorkGuard = asio::executor_work_guard<asio::io_context::executor_type>;
-
-  asio::io_context m_own_context{1};
-  asio::io_context& m_context;
-  std::optional<WorkGuard> m_work;
+  asio::io_context m_context{1};
+  asio::executor_work_guard<asio::io_context::executor_type> m_work;
   asio::steady_timer m_timer;
   asio::steady_timer m_check_timer;
   CURLM* m_multi;
@@ -274,12 +256,8 @@
 };
 
 Client::Client(int connections_per_host)
-    : m_implementation(
-          std::make_unique<Implementation>(nullptr, connections_per_host)) {}
-
-Client::Client(asio::io_context& context, int connections_per_host)
-    : m_implementation(
-          std::make_unique<Implementation>(&context, connections_per_host)) {}
+    : m_implementation(std::make_unique<Implementation>(connections_per_host)) {
+}
 
 Client::~Client() = default;
 
--- a/libraries/http/connection_pool.cc
+++ b/libraries/http/connection_pool.cc
@@ -62,13 +62,10 @@
   if (server == nullptr) {
     TransferResult result;
     result.error = "'" + name + "' is not an IP address and port";
-    asio::post(m_context,
-               [token = std::weak_ptr<int>(m_token), on_end = std::move(on_end),
-                result = std::move(result)] {
-                 if (!token.expired()) {
-                   on_end(result);
-                 }
-               });
+    asio::post(m_context, m_lifetime.Guard([on_end = std::move(on_end),
+                                            result = std::move(result)] {
+      on_end(result);
+    }));
     return;
   }
   const uint64_t id = m_next++;
@@ -219,14 +216,13 @@
   }
   m_armed_for = m_deadlines.begin()->first;
   m_timer.expires_at(m_armed_for);
-  m_timer.async_wait([this, token = std::weak_ptr<int>(m_token)](
-                         const std::error_code& error) {
-    if (!error && !token.expired()) {
+  m_timer.async_wait(m_lifetime.Guard([this](const std::error_code& error) {
+    if (!error) {
       m_armed_for = Clock::time_point::max();
       EndLate();
       ArmTimer();
     }
-  });
+  }));
 }
 
 void ConnectionPool::EndLate() {
--- a/libraries/http/connection_pool.h
+++ b/libraries/http/connection_pool.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "base/event_loop.h"
 #include "http/client_connection.h"
 #include "http/request_sender.h"
 
@@ -74,7 +75,7 @@
   Deadlines m_deadlines;
   asio::steady_timer m_timer;
   Clock::time_point m_armed_for = Clock::time_point::max();
-  std::shared_ptr<int> m_token = std::make_shared<int>(0);
+  base::Lifetime m_lifetime;
 };
 
 }  // namespace shallotwick::http
--- a/libraries/http/transfer.h
+++ b/libraries/http/transfer.h
@@ -31,6 +31,17 @@
 };
 
 struct TransferOptions {
+  // For a call to which the server may wait `wait` on purpose with its answer.
+  static TransferOptions WithTimeout(
+      std::chrono::milliseconds timeout,
+      std::chrono::milliseconds wait = std::chrono::milliseconds(0)) {
+    TransferOptions options;
+    options.connect_timeout = timeout;
+    options.first_byte_timeout = timeout + wait;
+    options.total_timeout = timeout + wait;
+    return options;
+  }
+
   std::chrono::milliseconds connect_timeout{1'000};
   std::chrono::milliseconds first_byte_timeout{5'000};
   std::chrono::milliseconds total_timeout{10'000};
--- a/libraries/ownership/session_watch.cc
+++ b/libraries/ownership/session_watch.cc
@@ -9,6 +9,18 @@
 
 }  // namespace
 
+std::string FormatHolder(const Incarnation& incarnation) {
+  return incarnation.host + "/" + incarnation.boot;
+}
+
+std::optional<Incarnation> ParseHolder(const std::string& text) {
+  const size_t slash = text.find('/');
+  if (slash == std::string::npos) {
+    return std::nullopt;
+  }
+  return Incarnation{text.substr(0, slash), text.substr(slash + 1)};
+}
+
 SessionWatch::SessionWatch(base::Duration time_to_live)
     : m_time_to_live(time_to_live) {}
 
--- a/libraries/ownership/session_watch.h
+++ b/libraries/ownership/session_watch.h
@@ -2,6 +2,7 @@
 
 #include <compare>
 #include <map>
+#include <optional>
 #include <string>
 
 #include "base/runtime_clock.h"
@@ -16,6 +17,12 @@
   auto operator<=>(const Incarnation&) const = default;
 };
 
+// The name under which it holds locks: its host and its boot, with a slash
+// between them.
+std::string FormatHolder(const Incarnation& incarnation);
+// Nothing if the text is no such name.
+std::optional<Incarnation> ParseHolder(const std::string& text);
+
 // A session row as it was read: `version` changes with each renewal.
 struct SessionRow {
   Incarnation holder;
--- a/libraries/scheduling/placement.cc
+++ b/libraries/scheduling/placement.cc
@@ -8,10 +8,7 @@
 
 bool IsAllowed(const PlacementRequest& request, const Candidate& candidate) {
   const StepSpec& step = *request.step;
-  Resources demand = step.demand;
-  if (step.best_effort) {
-    demand.cpu_milli = 0;
-  }
+  const Resources demand = GetReserved(step.demand, step.best_effort);
   if (!demand.Fits(candidate.room) ||
       request.excluded.count(candidate.id) > 0) {
     return false;
--- a/libraries/scheduling/pool_decisions.cc
+++ b/libraries/scheduling/pool_decisions.cc
@@ -20,6 +20,12 @@
 // Schedules start no earlier than this before the host's clock says so.
 constexpr int64_t kClockMarginMs = 20;
 
+int64_t PredictChainMs(const RunTimeCorrection& correction,
+                       const Chain& chain) {
+  return static_cast<int64_t>(
+      correction.Apply(static_cast<double>(chain.estimate_ms), chain.tasks));
+}
+
 }  // namespace
 
 PoolOrders PoolScheduler::Decide(base::TimePoint now, int64_t wall_ms) {
@@ -80,7 +86,9 @@
   return candidates;
 }
 
-QueueRank PoolScheduler::Rank(const ActiveJob& job, int64_t wall_ms) const {
+QueueRank PoolScheduler::Rank(const ActiveJob& job,
+                              const RunTimeCorrection& correction,
+                              int64_t wall_ms) const {
   QueueInput input;
   const auto route = m_routes.find(job.GetSpec().route);
   if (route != m_routes.end()) {
@@ -88,8 +96,9 @@
   }
   input.long_running = job.HasLongRunningStep();
   input.due_since_ms = job.GetDueMs(job.GetFirstOpenOccurrence());
-  input.whole_chain_ms = PredictChainMs(job, job.GetWholeChain());
-  input.remaining_chain_ms = PredictChainMs(job, job.GetRemainingChain());
+  input.whole_chain_ms = PredictChainMs(correction, job.GetWholeChain());
+  input.remaining_chain_ms =
+      PredictChainMs(correction, job.GetRemainingChain());
   return RankJob(input, wall_ms);
 }
 
@@ -104,7 +113,9 @@
     if (is_held_back) {
       continue;
     }
-    ranked.emplace_back(Rank(job, wall_ms), &job);
+    const RunTimeCorrection correction =
+        m_run_times.GetCorrection(job.GetSpec().route);
+    ranked.emplace_back(Rank(job, correction, wall_ms), &job);
   }
   std::sort(
       ranked.begin(), ranked.end(), [](const auto& left, const auto& right) {
@@ -177,10 +188,7 @@
   if (step.gang && waiting.size() < tasks.size()) {
     return true;
   }
-  Resources demand = step.demand;
-  if (step.best_effort) {
-    demand.cpu_milli = 0;
-  }
+  const Resources demand = GetReserved(step.demand, step.best_effort);
   std::vector<std::pair<int, size_t>> placed;
   for (int i : waiting) {
     const ActiveTask& task = tasks[static_cast<size_t>(i)];
@@ -235,19 +243,10 @@
   const StepSpec& step = job.GetSpec().steps[static_cast<size_t>(name.step)];
   ActiveTask& task = *job.FindTask(name);
   job.AssignRun(task, target.m_entry.id, run);
-  Run entry;
-  entry.number = run;
-  entry.demand = step.demand;
-  entry.best_effort = step.best_effort;
-  entry.image = step.image;
-  entry.latency_target_ms = step.latency_target_ms;
+  Run entry = MakeRun(run, &step, now);
   entry.checkpoint = task.progress.checkpoint;
   entry.is_resumed = !task.progress.checkpoint.empty();
-  entry.started = now;
-  entry.changed = now;
-  entry.progressed = now;
   target.GetRuns()[name] = entry;
-  ExtendLeaseBound(target, now);
   StartOrder order;
   order.target = target.m_entry.id;
   order.address = target.m_entry.address;
@@ -256,10 +255,7 @@
   order.payload = job.GetSpec().payload;
   order.checkpoint = task.progress.checkpoint;
   order.fence = m_options.fence;
-  order.lease_until_ms =
-      target.EstimateClockMs(now) +
-      std::chrono::duration_cast<std::chrono::milliseconds>(m_options.lease)
-          .count();
+  order.lease_until_ms = GrantLease(target, now);
   return order;
 }
 
--- a/libraries/scheduling/pool_interventions.cc
+++ b/libraries/scheduling/pool_interventions.cc
@@ -30,13 +30,6 @@
           std::max(estimate, m_run_times.GetMeanMs(job.GetSpec().route))));
 }
 
-int64_t PoolScheduler::PredictChainMs(const ActiveJob& job,
-                                      const Chain& chain) const {
-  return static_cast<int64_t>(
-      m_run_times.GetCorrection(job.GetSpec().route)
-          .Apply(static_cast<double>(chain.estimate_ms), chain.tasks));
-}
-
 void PoolScheduler::LearnRunTime(const ActiveJob& job, int step, const Run& run,
                                  base::TimePoint now) {
   if (run.is_resumed) {
--- a/libraries/scheduling/pool_planned_work.cc
+++ b/libraries/scheduling/pool_planned_work.cc
@@ -108,6 +108,14 @@
   }
 }
 
+// A run of an unknown job counts as a short one.
+bool PoolScheduler::IsLongRunning(const TaskName& name) const {
+  const auto job = m_jobs.find(name.job);
+  return job != m_jobs.end() && job->second.GetSpec()
+                                    .steps[static_cast<size_t>(name.step)]
+                                    .long_running;
+}
+
 std::map<std::tuple<std::string, int, int>, std::vector<TaskName>>
 PoolScheduler::GroupLongRuns(const std::string& id) const {
   std::map<std::tuple<std::string, int, int>, std::vector<TaskName>> groups;
@@ -116,12 +124,7 @@
     return groups;
   }
   for (const auto& [name, run] : found->second.GetRuns()) {
-    const auto job = m_jobs.find(name.job);
-    const bool is_long =
-        job != m_jobs.end() && job->second.GetSpec()
-                                   .steps[static_cast<size_t>(name.step)]
-                                   .long_running;
-    if (is_long) {
+    if (IsLongRunning(name)) {
       groups[{name.job, name.occurrence, name.step}].push_back(name);
     }
   }
@@ -140,8 +143,8 @@
   for (const auto& [id, job] : m_jobs) {
     const JobSpec& spec = job.GetSpec();
     const int k = job.GetFirstOpenOccurrence();
-    const bool is_timely = Rank(job, wall_ms).IsTimely();
     const RunTimeCorrection correction = m_run_times.GetCorrection(spec.route);
+    const bool is_timely = Rank(job, correction, wall_ms).IsTimely();
     for (int step = 0; step < static_cast<int>(spec.steps.size()); ++step) {
       const StepSpec& shape = spec.steps[static_cast<size_t>(step)];
       const int open = IsTerminal(job.m_state) ? 0 : job.CountOpen(k, step);
@@ -194,12 +197,7 @@
   }
   size_t count = 0;
   for (const auto& [name, run] : found->second.GetRuns()) {
-    const auto job = m_jobs.find(name.job);
-    const bool is_long =
-        job != m_jobs.end() && job->second.GetSpec()
-                                   .steps[static_cast<size_t>(name.step)]
-                                   .long_running;
-    count += is_long ? 0 : 1;
+    count += IsLongRunning(name) ? 0 : 1;
   }
   return count;
 }
--- a/libraries/scheduling/pool_reports.cc
+++ b/libraries/scheduling/pool_reports.cc
@@ -76,10 +76,7 @@
     // An unreachable target's lease has to end, so that its tasks can run
     // elsewhere.
     if (is_known && target.HasClock() && !target.GetRuns().empty()) {
-      const auto lease = std::chrono::duration_cast<std::chrono::milliseconds>(
-          m_options.lease);
-      order.lease_until_ms = target.EstimateClockMs(now) + lease.count();
-      ExtendLeaseBound(target, now);
+      order.lease_until_ms = GrantLease(target, now);
     }
     target.m_has_unsent_acknowledgement = false;
     m_reporting.insert(id);
@@ -96,6 +93,13 @@
       std::max(target.m_lease_bound, now + lease + m_options.longest_stop);
 }
 
+int64_t PoolScheduler::GrantLease(TargetLedger& target, base::TimePoint now) {
+  ExtendLeaseBound(target, now);
+  const auto lease =
+      std::chrono::duration_cast<std::chrono::milliseconds>(m_options.lease);
+  return target.EstimateClockMs(now) + lease.count();
+}
+
 void PoolScheduler::OnReportFailed(const ReportOrder& order,
                                    OrderOutcome outcome, base::TimePoint now) {
   m_reporting.erase(order.target);
@@ -269,28 +273,20 @@
 
 void PoolScheduler::AdoptRun(TargetLedger& target, const ReportedRun& reported,
                              base::TimePoint now) {
-  Run run;
-  run.number = reported.run;
+  ActiveJob* job = FindJob(reported.task.job);
+  ActiveTask* task = FindTask(reported.task);
+  const StepSpec* step =
+      task == nullptr
+          ? nullptr
+          : &job->GetSpec().steps[static_cast<size_t>(reported.task.step)];
+  Run run = MakeRun(reported.run, step, now);
   run.state = RunState::kPresent;
   run.checkpoint = reported.checkpoint;
   run.is_resumed = true;
   run.percent = reported.percent;
   run.load = reported.load;
-  run.started = now;
-  run.changed = now;
-  run.progressed = now;
-  ActiveJob* job = FindJob(reported.task.job);
-  ActiveTask* task = FindTask(reported.task);
   bool is_wanted = false;
-  if (task == nullptr) {
-    run.is_demand_known = false;
-  } else {
-    const StepSpec& step =
-        job->GetSpec().steps[static_cast<size_t>(reported.task.step)];
-    run.demand = step.demand;
-    run.best_effort = step.best_effort;
-    run.image = step.image;
-    run.latency_target_ms = step.latency_target_ms;
+  if (task != nullptr) {
     is_wanted = !IsTerminal(job->m_state) && !task->progress.done &&
                 (task->target.empty() || task->target == target.m_entry.id);
     task->last_run = std::max(task->last_run, reported.run);
--- a/libraries/scheduling/pool_scheduler.cc
+++ b/libraries/scheduling/pool_scheduler.cc
@@ -1,10 +1,10 @@
 #include "scheduling/pool_scheduler.h"
 
 #include <algorithm>
-#include <tuple>
 #include <utility>
 
 namespace shallotwick::scheduling {
+
 PoolScheduler::PoolScheduler(const PoolSchedulerOptions& options)
     : m_options(options) {}
 
--- a/libraries/scheduling/pool_scheduler.h
+++ b/libraries/scheduling/pool_scheduler.h
@@ -145,6 +145,7 @@
   // How many tasks of a step are not at work, those on `id` left aside.
   int CountAway(const ActiveJob& job, int occurrence, int step,
                 const std::string& id) const;
+  bool IsLongRunning(const TaskName& name) const;
   // The long-running runs on a target by job, occurrence and step.
   std::map<std::tuple<std::string, int, int>, std::vector<TaskName>>
   GroupLongRuns(const std::string& id) const;
@@ -168,6 +169,8 @@
   void SettleMissingRuns(TargetLedger& target, const TargetReport& report,
                          base::TimePoint sent);
   void ExtendLeaseBound(TargetLedger& target, base::TimePoint now);
+  // Returns the end of a new lease by the target's clock.
+  int64_t GrantLease(TargetLedger& target, base::TimePoint now);
   void MarkDone(ActiveJob& job, const TaskName& name);
   void EndJob(ActiveJob& job, JobState state);
   void ReleaseTask(const TaskName& name, const std::string& target,
@@ -176,7 +179,6 @@
   void RequestStop(TargetLedger& target, const TaskName& name);
   void StopStalledRuns(base::TimePoint now);
   base::Duration GetExpectedTime(const ActiveJob& job, int step) const;
-  int64_t PredictChainMs(const ActiveJob& job, const Chain& chain) const;
   void LearnRunTime(const ActiveJob& job, int step, const Run& run,
                     base::TimePoint now);
   void MarkDirty(ActiveJob& job, bool urgent);
@@ -185,7 +187,8 @@
   bool IsAnyUnfenced(base::TimePoint now) const;
   bool NeedsReport(const TargetLedger& target, base::TimePoint now) const;
   std::vector<Candidate> MakeCandidates(base::TimePoint now) const;
-  QueueRank Rank(const ActiveJob& job, int64_t wall_ms) const;
+  QueueRank Rank(const ActiveJob& job, const RunTimeCorrection& correction,
+                 int64_t wall_ms) const;
   std::vector<ActiveJob*> RankWaitingJobs(base::TimePoint now, int64_t wall_ms);
   void StartWaitingTasks(base::TimePoint now, int64_t wall_ms,
                          PoolOrders& orders);
--- a/libraries/scheduling/queue_order.h
+++ b/libraries/scheduling/queue_order.h
@@ -27,7 +27,6 @@
   int64_t due_since_ms = 0;
   int64_t whole_chain_ms = 0;
   int64_t remaining_chain_ms = 0;
-  bool has_started = false;
 };
 
 // A place in the queue; smaller goes first.
--- a/libraries/scheduling/resources.h
+++ b/libraries/scheduling/resources.h
@@ -28,4 +28,13 @@
   auto operator<=>(const Resources&) const = default;
 };
 
+// What a task takes of its target's room. One that runs best-effort lives on
+// processor time that others leave.
+inline Resources GetReserved(Resources demand, bool best_effort) {
+  if (best_effort) {
+    demand.cpu_milli = 0;
+  }
+  return demand;
+}
+
 }  // namespace shallotwick::scheduling
--- a/libraries/scheduling/run_time_model.h
+++ b/libraries/scheduling/run_time_model.h
@@ -4,8 +4,6 @@
 #include <map>
 #include <string>
 
-#include "base/runtime_clock.h"
-
 namespace shallotwick::scheduling {
 
 // How to correct a submitter's estimate: `scale` times it, and `offset` more
--- a/libraries/scheduling/target_ledger.cc
+++ b/libraries/scheduling/target_ledger.cc
@@ -4,16 +4,27 @@
 
 namespace shallotwick::scheduling {
 
+Run MakeRun(int64_t number, const StepSpec* step, base::TimePoint now) {
+  Run run;
+  run.number = number;
+  run.started = now;
+  run.changed = now;
+  run.progressed = now;
+  run.is_demand_known = step != nullptr;
+  if (step != nullptr) {
+    run.demand = step->demand;
+    run.best_effort = step->best_effort;
+    run.latency_target_ms = step->latency_target_ms;
+  }
+  return run;
+}
+
 TargetLedger::TargetLedger(TargetEntry entry) : m_entry(std::move(entry)) {}
 
 Resources TargetLedger::GetRoom() const {
   Resources used;
   for (const auto& [task, run] : m_runs) {
-    Resources demand = run.demand;
-    if (run.best_effort) {
-      demand.cpu_milli = 0;
-    }
-    used = used + demand;
+    used = used + GetReserved(run.demand, run.best_effort);
   }
   return m_entry.capacity - used;
 }
--- a/libraries/scheduling/target_ledger.h
+++ b/libraries/scheduling/target_ledger.h
@@ -28,7 +28,6 @@
   // Whether `demand` is known; the job of an adopted run may be unknown.
   bool is_demand_known = true;
   bool best_effort = false;
-  std::string image;
   int64_t latency_target_ms = 0;
   std::string checkpoint;
   // It did not begin at its task's beginning, or nobody knows where.
@@ -48,6 +47,9 @@
   auto operator<=>(const Run&) const = default;
 };
 
+// A run that is first known of now. `step` is null if nobody knows its job.
+Run MakeRun(int64_t number, const StepSpec* step, base::TimePoint now);
+
 // What the owner of a pool believes of one target: what may run there, what it
 // offers, and until when its lease may last.
 class TargetLedger {
--- a/services/shallotwick-scheduler/capacity_broker.cc
+++ b/services/shallotwick-scheduler/capacity_broker.cc
@@ -55,22 +55,24 @@
   std::erase_if(m_moved, [this](const auto& entry) {
     return m_ledger.GetListTime() > entry.second;
   });
-  WatchNeeds(now);
+  // What is written below shows in the rows only later.
+  const Needs needs = ReadNeeds();
+  WatchNeeds(needs, now);
   for (const auto& [pool, runner] : m_get_pools()) {
     const PoolView view = Look(pool, *runner);
     LogChange(pool, view);
     const hosts::NeedRecord need = UpdateNeed(pool, view);
     // A call writes the need along.
-    const bool is_calling =
-        m_standby_pools.count(pool) == 0 && CallStandbyHosts(pool, need, now);
+    const bool is_calling = m_standby_pools.count(pool) == 0 &&
+                            CallStandbyHosts(pool, need, needs, now);
     if (!is_calling) {
       WriteNeed(pool, need, now);
     }
     if (m_standby_pools.count(pool) > 0) {
       continue;
     }
-    YieldHosts(pool, *runner, view);
-    GiveSurplus(pool, *runner, view, now);
+    YieldHosts(pool, *runner, view, needs);
+    GiveSurplus(pool, *runner, view, needs, now);
   }
 }
 
@@ -78,12 +80,12 @@
 // them; it needs no help of the owner of their pool.
 bool CapacityBroker::CallStandbyHosts(const std::string& pool,
                                       hosts::NeedRecord need,
-                                      base::TimePoint now) {
+                                      const Needs& needs, base::TimePoint now) {
   const storage::VersionedRow row = m_ledger.GetSharedRow(kNeedPrefix + pool);
   // Work that is late in any case waits while another pool lacks hosts for work
   // that can be in time.
   bool is_other_short = false;
-  for (const auto& [name, other] : ReadNeeds()) {
+  for (const auto& [name, other] : needs) {
     is_other_short =
         is_other_short || (name != pool && other.timely > other.CountCovered());
   }
@@ -203,9 +205,9 @@
   }
 }
 
-std::map<std::string, hosts::NeedRecord> CapacityBroker::ReadNeeds() const {
+CapacityBroker::Needs CapacityBroker::ReadNeeds() const {
   const std::string prefix = kNeedPrefix;
-  std::map<std::string, hosts::NeedRecord> needs;
+  Needs needs;
   for (const storage::VersionedRow& row : m_ledger.ListSharedRows(prefix)) {
     const std::string pool = row.key.key.substr(prefix.size());
     if (m_standby_pools.count(pool) == 0) {
@@ -218,8 +220,7 @@
 // A turn of one queue begins while another still works off its own; hosts that
 // serve only late work there are worth more here.
 void CapacityBroker::YieldHosts(const std::string& pool, PoolRunner& runner,
-                                const PoolView& view) {
-  const auto needs = ReadNeeds();
+                                const PoolView& view, const Needs& needs) {
   const auto shares =
       hosts::ShareHosts(needs, static_cast<int>(m_ledger.GetHosts().size()));
   int lacking = 0;
@@ -265,7 +266,8 @@
 }
 
 void CapacityBroker::GiveSurplus(const std::string& pool, PoolRunner& runner,
-                                 const PoolView& view, base::TimePoint now) {
+                                 const PoolView& view, const Needs& needs,
+                                 base::TimePoint now) {
   const size_t yielding = m_yielding[pool].size();
   if (view.present <= view.wanted && yielding == 0) {
     m_surplus_since.erase(pool);
@@ -287,11 +289,11 @@
   const bool may_switch_off = view.present > view.wanted && yielding == 0 &&
                               now >= since + kSurplusHold &&
                               !IsAnyNeedRising(pool, now);
-  Give(pool, std::move(idle), may_switch_off);
+  Give(pool, std::move(idle), needs, may_switch_off);
 }
 
-void CapacityBroker::WatchNeeds(base::TimePoint now) {
-  for (const auto& [pool, need] : ReadNeeds()) {
+void CapacityBroker::WatchNeeds(const Needs& needs, base::TimePoint now) {
+  for (const auto& [pool, need] : needs) {
     SeenNeed& seen = m_seen_needs[pool];
     if (need.wanted >= seen.wanted + kLeastRise) {
       seen.rose = now;
@@ -339,11 +341,11 @@
 
 // To the pool that lacks most, or to one that is switched off.
 void CapacityBroker::Give(const std::string& pool,
-                          std::vector<std::string> idle, bool may_switch_off) {
+                          std::vector<std::string> idle, const Needs& needs,
+                          bool may_switch_off) {
   storage::VersionedRow neediest;
   hosts::NeedRecord need;
   int most = 0;
-  const auto needs = ReadNeeds();
   const auto shares =
       hosts::ShareHosts(needs, static_cast<int>(m_ledger.GetHosts().size()));
   const auto consider = [&](const std::string& name, int lacking) {
--- a/services/shallotwick-scheduler/capacity_broker.h
+++ b/services/shallotwick-scheduler/capacity_broker.h
@@ -46,6 +46,9 @@
     double usable_cores = 0;
   };
 
+  // Of the pools that are not switched off.
+  using Needs = std::map<std::string, hosts::NeedRecord>;
+
   PoolView Look(const std::string& pool, PoolRunner& runner) const;
   void LogChange(const std::string& pool, const PoolView& view);
   hosts::NeedRecord UpdateNeed(const std::string& pool,
@@ -54,21 +57,22 @@
                  base::TimePoint now);
   // Returns whether a call was made.
   bool CallStandbyHosts(const std::string& pool, hosts::NeedRecord need,
-                        base::TimePoint now);
+                        const Needs& needs, base::TimePoint now);
   // Keeps new work off hosts that another pool should have.
   void YieldHosts(const std::string& pool, PoolRunner& runner,
-                  const PoolView& view);
-  std::map<std::string, hosts::NeedRecord> ReadNeeds() const;
+                  const PoolView& view, const Needs& needs);
+  Needs ReadNeeds() const;
   // Notes which pools' needs grow.
-  void WatchNeeds(base::TimePoint now);
+  void WatchNeeds(const Needs& needs, base::TimePoint now);
   bool IsAnyNeedRising(const std::string& pool, base::TimePoint now) const;
   void GiveSurplus(const std::string& pool, PoolRunner& runner,
-                   const PoolView& view, base::TimePoint now);
+                   const PoolView& view, const Needs& needs,
+                   base::TimePoint now);
   std::vector<std::string> FindIdleHosts(const std::string& pool,
                                          const PoolRunner& runner,
                                          base::TimePoint now) const;
   void Give(const std::string& pool, std::vector<std::string> idle,
-            bool may_switch_off);
+            const Needs& needs, bool may_switch_off);
   void Move(const std::string& from, const std::vector<std::string>& names,
             const std::string& to, const storage::VersionedRow& row,
             const std::string& new_value);
--- a/services/shallotwick-scheduler/job_service.cc
+++ b/services/shallotwick-scheduler/job_service.cc
@@ -1,10 +1,7 @@
 #include "job_service.h"
 
-#include <stdexcept>
 #include <utility>
 
-#include "base/log.h"
-#include "base/log_catalogue.h"
 #include "job_tables.h"
 #include "scheduling/job_record.h"
 
@@ -85,40 +82,37 @@
   range.from = id;
   range.until = id + '0';
   range.limit = 1;
-  m_store.Read(
-      range,
-      m_lifetime.Guard([this, services = std::move(services), service, id,
-                        attempt, on_end = std::move(on_end)](
-                           const storage::RowReadResult& result) mutable {
-        if (!result.is_read) {
-          if (attempt >= kMostAttempts) {
-            on_end(JobCallOutcome::kRefused, Found{});
-            return;
-          }
-          m_loop.RunAfter(
-              kRetryDelay,
-              m_lifetime.Guard([this, services = std::move(services), id,
-                                attempt, on_end = std::move(on_end)]() mutable {
-                Find(std::move(services), id, attempt + 1, std::move(on_end));
-              }));
-          return;
-        }
-        if (result.rows.empty()) {
-          services.erase(services.begin());
-          Find(std::move(services), id, attempt, std::move(on_end));
-          return;
-        }
-        try {
-          const storage::VersionedRow& row = result.rows.front();
-          on_end(JobCallOutcome::kDone,
-                 Found{service, row.version,
-                       scheduling::DecodeSummary(row.value).state});
-        } catch (const std::runtime_error& error) {
-          base::Log(base::events::kStoreContentInvalid,
-                    {{"pool", service}, {"job", id}, {"fault", error.what()}});
-          on_end(JobCallOutcome::kRefused, Found{});
-        }
-      }));
+  m_store.Read(range, m_lifetime.Guard([this, services = std::move(services),
+                                        service, id, attempt,
+                                        on_end = std::move(on_end)](
+                                           const storage::RowReadResult&
+                                               result) mutable {
+    if (!result.is_read) {
+      if (attempt >= kMostAttempts) {
+        on_end(JobCallOutcome::kRefused, Found{});
+        return;
+      }
+      m_loop.RunAfter(
+          kRetryDelay,
+          m_lifetime.Guard([this, services = std::move(services), id, attempt,
+                            on_end = std::move(on_end)]() mutable {
+            Find(std::move(services), id, attempt + 1, std::move(on_end));
+          }));
+      return;
+    }
+    if (result.rows.empty()) {
+      services.erase(services.begin());
+      Find(std::move(services), id, attempt, std::move(on_end));
+      return;
+    }
+    const storage::VersionedRow& row = result.rows.front();
+    const auto summary = ReadSummary(row);
+    if (!summary) {
+      on_end(JobCallOutcome::kRefused, Found{});
+      return;
+    }
+    on_end(JobCallOutcome::kDone, Found{service, row.version, summary->state});
+  }));
 }
 
 void JobService::FindState(const std::vector<std::string>& services,
@@ -188,7 +182,7 @@
                              const std::string& route, OnCount on_end) {
   storage::ReadWholePart(
       m_store, GetProgressTable(service), service,
-      [service, route,
+      [route,
        on_end = std::move(on_end)](const storage::RowReadResult& result) {
         if (!result.is_read) {
           on_end(JobCallOutcome::kRefused, 0);
@@ -196,18 +190,11 @@
         }
         int64_t count = 0;
         for (const storage::VersionedRow& row : result.rows) {
-          try {
-            const auto summary = scheduling::DecodeSummary(row.value);
-            const bool is_queued =
-                summary.state == scheduling::JobState::kQueued &&
-                summary.route == route;
-            count += is_queued ? 1 : 0;
-          } catch (const std::runtime_error& error) {
-            base::Log(base::events::kStoreContentInvalid,
-                      {{"pool", service},
-                       {"job", row.key.key},
-                       {"fault", error.what()}});
-          }
+          const auto summary = ReadSummary(row);
+          const bool is_queued =
+              summary && summary->state == scheduling::JobState::kQueued &&
+              summary->route == route;
+          count += is_queued ? 1 : 0;
         }
         on_end(JobCallOutcome::kDone, count);
       });
--- a/services/shallotwick-scheduler/job_service.h
+++ b/services/shallotwick-scheduler/job_service.h
@@ -6,10 +6,7 @@
 #include <vector>
 
 #include "base/event_loop.h"
-#include "base/metrics.h"
-#include "http/message.h"
 #include "scheduling/progress.h"
-#include "scheduling/serving_config.h"
 #include "storage/row_store.h"
 
 namespace shallotwick::scheduler {
--- a/services/shallotwick-scheduler/job_tables.cc
+++ b/services/shallotwick-scheduler/job_tables.cc
@@ -1,5 +1,9 @@
 #include "job_tables.h"
 
+#include <stdexcept>
+
+#include "base/log.h"
+#include "base/log_catalogue.h"
 #include "base/stable_hash.h"
 
 namespace shallotwick::scheduler {
@@ -43,4 +47,16 @@
   return {kSessionTable, kSinglePart, host};
 }
 
+std::optional<scheduling::ProgressSummary> ReadSummary(
+    const storage::VersionedRow& row) {
+  try {
+    return scheduling::DecodeSummary(row.value);
+  } catch (const std::runtime_error& error) {
+    base::Log(base::events::kStoreContentInvalid, {{"pool", row.key.part},
+                                                   {"job", row.key.key},
+                                                   {"fault", error.what()}});
+    return std::nullopt;
+  }
+}
+
 }  // namespace shallotwick::scheduler
--- a/services/shallotwick-scheduler/job_tables.h
+++ b/services/shallotwick-scheduler/job_tables.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include <optional>
 #include <string>
 
+#include "scheduling/progress.h"
 #include "storage/row_store.h"
 
 // Where this system keeps its own rows. All rows of one pool are in the part
@@ -29,4 +31,9 @@
 storage::RowKey MakeRosterKey(const std::string& service);
 storage::RowKey MakeSessionKey(const std::string& host);
 
+// What a row of progress says. Nothing, and a log line, if it is of another
+// form.
+std::optional<scheduling::ProgressSummary> ReadSummary(
+    const storage::VersionedRow& row);
+
 }  // namespace shallotwick::scheduler
--- a/services/shallotwick-scheduler/ownership_manager.cc
+++ b/services/shallotwick-scheduler/ownership_manager.cc
@@ -38,8 +38,7 @@
 OwnershipManager::OwnershipManager(base::EventLoop& loop,
                                    storage::RowStore& store,
                                    SessionKeeper& session)
-    : m_loop(loop),
-      m_store(store),
+    : m_store(store),
       m_session(session),
       m_owners_table(loop, store, {kOwnerTable, {}}) {
   m_owners_table.m_on_reset =
--- a/services/shallotwick-scheduler/ownership_manager.h
+++ b/services/shallotwick-scheduler/ownership_manager.h
@@ -46,7 +46,6 @@
                  const storage::RowCommitResult& result);
   void Gain(const std::string& pool, const Owner& owner);
 
-  base::EventLoop& m_loop;
   storage::RowStore& m_store;
   SessionKeeper& m_session;
   TableFollower m_owners_table;
--- a/services/shallotwick-scheduler/pool_records.cc
+++ b/services/shallotwick-scheduler/pool_records.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <stdexcept>
 #include <utility>
 
@@ -90,6 +91,12 @@
                   m_lifetime.Guard([this] { WriteRoster(); }));
 }
 
+void PoolRunner::DropCancelled(const std::string& job) {
+  m_scheduler.CancelJob(job);
+  m_progress_versions.erase(job);
+  NoteEnded(job);
+}
+
 void PoolRunner::NoteEnded(const std::string& job) {
   if (m_ended_jobs.insert(job).second) {
     m_ended_order.emplace_back(base::RuntimeClock::now(), job);
@@ -97,14 +104,9 @@
 }
 
 void PoolRunner::NoteIfEnded(const storage::VersionedRow& row) {
-  try {
-    if (scheduling::IsTerminal(scheduling::DecodeSummary(row.value).state)) {
-      NoteEnded(row.key.key);
-    }
-  } catch (const std::runtime_error& error) {
-    base::Log(base::events::kStoreContentInvalid, {{"pool", m_options.service},
-                                                   {"job", row.key.key},
-                                                   {"fault", error.what()}});
+  const auto summary = ReadSummary(row);
+  if (summary && scheduling::IsTerminal(summary->state)) {
+    NoteEnded(row.key.key);
   }
 }
 
@@ -260,21 +262,9 @@
     }
     const bool is_own =
         row->second.value == scheduling::EncodeProgress(change.progress);
-    bool is_cancelled = false;
-    try {
-      is_cancelled =
-          !is_own && scheduling::DecodeSummary(row->second.value).state ==
-                         scheduling::JobState::kCancelled;
-    } catch (const std::runtime_error& error) {
-      base::Log(base::events::kStoreContentInvalid,
-                {{"pool", m_options.service},
-                 {"job", change.job},
-                 {"fault", error.what()}});
-    }
-    if (is_cancelled) {
-      m_scheduler.CancelJob(change.job);
-      m_progress_versions.erase(change.job);
-      NoteEnded(change.job);
+    const auto summary = is_own ? std::nullopt : ReadSummary(row->second);
+    if (summary && summary->state == scheduling::JobState::kCancelled) {
+      DropCancelled(change.job);
     } else {
       m_progress_versions[change.job] = row->second.version;
     }
--- a/services/shallotwick-scheduler/pool_runner.cc
+++ b/services/shallotwick-scheduler/pool_runner.cc
@@ -166,9 +166,7 @@
       }
     }
     for (const std::string& id : gone) {
-      m_scheduler.CancelJob(id);
-      m_progress_versions.erase(id);
-      NoteEnded(id);
+      DropCancelled(id);
     }
   }
   m_loaded_progress.clear();
@@ -192,9 +190,7 @@
     AddJob(row, base::RuntimeClock::now() < m_started + kPredecessorWindow);
   } else if (m_scheduler.IsActive(row.key.key)) {
     // The owner removes the row only of a job that has ended.
-    m_scheduler.CancelJob(row.key.key);
-    m_progress_versions.erase(row.key.key);
-    NoteEnded(row.key.key);
+    DropCancelled(row.key.key);
   }
   Wake();
 }
@@ -360,39 +356,38 @@
   }
 }
 
+std::function<void(scheduling::OrderResult)> PoolRunner::Track(
+    const char* order,
+    std::function<void(const scheduling::OrderResult&)> on_result) {
+  ++m_orders_in_flight;
+  return m_lifetime.Guard([this, order, on_result = std::move(on_result)](
+                              const scheduling::OrderResult& result) {
+    --m_orders_in_flight;
+    CountOutcome(order, result.outcome);
+    on_result(result);
+    Wake();
+  });
+}
+
 void PoolRunner::SendOrders(const scheduling::PoolOrders& orders) {
+  using scheduling::OrderResult;
   for (const scheduling::StartOrder& order : orders.starts) {
-    ++m_orders_in_flight;
     m_orders.Start(
-        order,
-        m_lifetime.Guard([this, order](const scheduling::OrderResult& result) {
-          --m_orders_in_flight;
-          CountOutcome("start", result.outcome);
+        order, Track("start", [this, order](const OrderResult& result) {
           m_scheduler.OnStartResult(order, result, base::RuntimeClock::now());
-          Wake();
         }));
   }
   for (const scheduling::StopOrder& order : orders.stops) {
-    ++m_orders_in_flight;
     m_orders.Stop(
-        order,
-        m_lifetime.Guard([this, order](const scheduling::OrderResult& result) {
-          --m_orders_in_flight;
-          CountOutcome("stop", result.outcome);
+        order, Track("stop", [this, order](const OrderResult& result) {
           m_scheduler.OnStopResult(order, result, base::RuntimeClock::now());
-          Wake();
         }));
   }
   for (const scheduling::PaceOrder& order : orders.paces) {
-    ++m_orders_in_flight;
-    m_orders.Pace(
-        order,
-        m_lifetime.Guard([this, order](const scheduling::OrderResult& result) {
-          --m_orders_in_flight;
-          CountOutcome("pace", result.outcome);
-          m_scheduler.OnPaceResult(order, result);
-          Wake();
-        }));
+    m_orders.Pace(order,
+                  Track("pace", [this, order](const OrderResult& result) {
+                    m_scheduler.OnPaceResult(order, result);
+                  }));
   }
 }
 
--- a/services/shallotwick-scheduler/pool_runner.h
+++ b/services/shallotwick-scheduler/pool_runner.h
@@ -64,7 +64,6 @@
   scheduling::PoolScheduler& GetScheduler() { return m_scheduler; }
   const scheduling::PoolScheduler& GetScheduler() const { return m_scheduler; }
   bool IsLoaded() const { return m_is_loaded; }
-  const PoolRunnerOptions& GetOptions() const { return m_options; }
   double ForecastCores(base::Duration ahead) {
     return m_arrivals.ForecastCores(ahead, base::RuntimeClock::now());
   }
@@ -81,6 +80,8 @@
   void OnRosterWritten(const storage::RowCommitResult& result,
                        const std::map<std::string, std::string>& roster);
 
+  // Someone else has stored the job as cancelled.
+  void DropCancelled(const std::string& job);
   void NoteEnded(const std::string& job);
   void NoteIfEnded(const storage::VersionedRow& row);
   void ForgetOldJobs();
@@ -88,6 +89,10 @@
   void Act();
   void SendReports(base::TimePoint now);
   void SendOrders(const scheduling::PoolOrders& orders);
+  // Counts an order as under way until it has ended with a result.
+  std::function<void(scheduling::OrderResult)> Track(
+      const char* order,
+      std::function<void(const scheduling::OrderResult&)> on_result);
   void CommitSoon();
   void Commit();
   void OnCommitted(const storage::RowCommitResult& result,
--- a/services/shallotwick-scheduler/scheduler_process.cc
+++ b/services/shallotwick-scheduler/scheduler_process.cc
@@ -81,10 +81,10 @@
       m_ownership(m_loop, m_store, m_session),
       m_host_ledger(
           m_loop, m_store, m_host_operations,
-          m_session.GetSelf().host + "/" + m_session.GetSelf().boot,
+          ownership::FormatHolder(m_session.GetSelf()),
           GetMilliseconds(settings, "holder-pause-ms") + kHolderPauseMargin),
       m_waves(m_store, m_host_operations, m_host_ledger,
-              {m_session.GetSelf().host + "/" + m_session.GetSelf().boot,
+              {ownership::FormatHolder(m_session.GetSelf()),
                GetSeconds(settings, "maintenance-s")}),
       m_capacity(m_host_operations, m_host_ledger,
                  GetSeconds(settings, "move-s")),
@@ -224,12 +224,9 @@
   });
 }
 
-// A holder is named by its host and its boot, with a slash between them.
 bool SchedulerProcess::IsHolderLive(const std::string& holder) const {
-  const size_t slash = holder.find('/');
-  return slash != std::string::npos &&
-         m_session.GetWatch().IsLive(
-             {holder.substr(0, slash), holder.substr(slash + 1)});
+  const auto incarnation = ownership::ParseHolder(holder);
+  return incarnation && m_session.GetWatch().IsLive(*incarnation);
 }
 
 bool SchedulerProcess::IsReady() const {
@@ -338,14 +335,19 @@
     }
   }
   for (const auto& [pool, runner] : m_pools) {
-    std::map<std::string, scheduling::TargetEntry> targets;
-    for (const auto& [id, entry] : m_targets) {
-      if (entry.service == pool) {
-        targets[id] = entry;
-      }
+    runner->SetTargets(ListTargets(pool));
+  }
+}
+
+std::map<std::string, scheduling::TargetEntry> SchedulerProcess::ListTargets(
+    const std::string& pool) const {
+  std::map<std::string, scheduling::TargetEntry> targets;
+  for (const auto& [id, entry] : m_targets) {
+    if (entry.service == pool) {
+      targets[id] = entry;
     }
-    runner->SetTargets(targets);
   }
+  return targets;
 }
 
 void SchedulerProcess::OnRegistryRow(const storage::VersionedRow& row) {
@@ -390,13 +392,7 @@
   };
   runner->m_on_lost = [this, pool] { RemovePool(pool); };
   runner->SetConfig(*m_config);
-  std::map<std::string, scheduling::TargetEntry> targets;
-  for (const auto& [id, entry] : m_targets) {
-    if (entry.service == pool) {
-      targets[id] = entry;
-    }
-  }
-  runner->m_targets_at_start = std::move(targets);
+  runner->m_targets_at_start = ListTargets(pool);
   runner->Start();
   if (m_pools.empty()) {
     m_registry.Start();
--- a/services/shallotwick-scheduler/scheduler_process.h
+++ b/services/shallotwick-scheduler/scheduler_process.h
@@ -42,6 +42,9 @@
   void SetConfig(const std::string& text);
   void OnRegistryReset(const std::vector<storage::VersionedRow>& rows);
   void OnRegistryRow(const storage::VersionedRow& row);
+  // The targets of the registry that serve a pool.
+  std::map<std::string, scheduling::TargetEntry> ListTargets(
+      const std::string& pool) const;
   void StartPool(const std::string& pool, uint64_t version, int64_t term);
   void TickHosts();
   void SettleByHostList();
--- a/services/shallotwick-scheduler/table_follower.cc
+++ b/services/shallotwick-scheduler/table_follower.cc
@@ -3,9 +3,11 @@
 #include <algorithm>
 #include <utility>
 
+#include "base/backoff.h"
 #include "base/random_identifier.h"
 
 namespace shallotwick::scheduler {
+
 TableFollower::TableFollower(base::EventLoop& loop, storage::RowStore& store,
                              TableFollowerOptions options)
     : m_loop(loop), m_store(store), m_options(std::move(options)) {}
@@ -145,9 +147,9 @@
 }
 
 void TableFollower::RetryAfterPause(void (TableFollower::*step)()) {
-  const auto delay = base::Duration(static_cast<int64_t>(
-      static_cast<double>(base::Duration(kFeedRetryDelay).count()) *
-      (0.5 + base::MakeRandomFraction())));
+  constexpr double kHalfEitherWay = 1.0;
+  const auto delay = base::SpreadPeriod(
+      kFeedRetryDelay, base::MakeRandomFraction(), kHalfEitherWay);
   m_loop.RunAfter(delay,
                   m_lifetime.Guard([this, step, generation = m_generation] {
                     if (generation == m_generation) {
--- a/services/shallotwick-scheduler/wave_conductor.cc
+++ b/services/shallotwick-scheduler/wave_conductor.cc
@@ -32,6 +32,12 @@
   return hosts::DecodeWaveRecord(row.value);
 }
 
+void ReturnToWork(PoolRunner& pool, const std::string& target) {
+  pool.GetScheduler().SetCordoned(target, false);
+  pool.GetScheduler().SetLeaving(target, false);
+  pool.Wake();
+}
+
 std::string MakeWaveKey(int64_t number) {
   return kWavePrefix + std::to_string(number);
 }
@@ -83,8 +89,9 @@
   if (EnterReturned(wave, row, record, now)) {
     return;
   }
-  Prepare(wave, record, now);
-  if (CountPlaces(wave, record) == 0) {
+  const int places = CountPlaces(wave, record);
+  Prepare(wave, record, places, now);
+  if (places == 0) {
     return;
   }
   // One at a time: each host that goes changes what the next would interrupt.
@@ -210,12 +217,11 @@
       continue;
     }
     if (is_unchanged) {
-      pool->GetScheduler().SetLeaving(asked.host.target, false);
-      pool->GetScheduler().SetCordoned(asked.host.target, false);
+      ReturnToWork(*pool, asked.host.target);
     } else {
       pool->GetScheduler().OnTargetDead(asked.host.target);
+      pool->Wake();
     }
-    pool->Wake();
   }
   for (const std::string& name : settled) {
     m_asked_again.erase(name);
@@ -224,7 +230,7 @@
 
 // Keeps new work off the next hosts, those with the least work first.
 void WaveConductor::Prepare(const hosts::MaintenanceWave& wave,
-                            const hosts::WaveRecord& record,
+                            const hosts::WaveRecord& record, int places,
                             base::TimePoint now) {
   std::vector<std::pair<size_t, std::string>> candidates;
   for (const std::string& name : hosts::ListWaitingHosts(wave, record)) {
@@ -243,7 +249,6 @@
     }
   }
   std::sort(candidates.begin(), candidates.end());
-  const int places = CountPlaces(wave, record);
   for (const auto& [runs, name] : candidates) {
     const int most = runs == 0 ? places : kMostBusyPrepared;
     if (static_cast<int>(m_preparing.size()) >= most) {
@@ -363,9 +368,7 @@
   }
   PoolRunner* pool = m_find_pool(listed->second.pool);
   if (pool != nullptr) {
-    pool->GetScheduler().SetCordoned(listed->second.target, false);
-    pool->GetScheduler().SetLeaving(listed->second.target, false);
-    pool->Wake();
+    ReturnToWork(*pool, listed->second.target);
   }
 }
 
--- a/services/shallotwick-scheduler/wave_conductor.h
+++ b/services/shallotwick-scheduler/wave_conductor.h
@@ -55,7 +55,8 @@
                 const hosts::WaveRecord& record, base::TimePoint now);
   void SettleAskedAgain();
   void Prepare(const hosts::MaintenanceWave& wave,
-               const hosts::WaveRecord& record, base::TimePoint now);
+               const hosts::WaveRecord& record, int places,
+               base::TimePoint now);
   bool IsFreeOfWork(const hosts::FleetHost& host, base::TimePoint now) const;
   // `is_first`: no holder before has asked for it.
   void TakeDown(const hosts::MaintenanceWave& wave,
--- a/tests/bench/job_benches.cc
+++ b/tests/bench/job_benches.cc
@@ -1,17 +1,11 @@
 #include "job_benches.h"
 
-#include <unistd.h>
-
 #include <algorithm>
 #include <chrono>
 #include <filesystem>
-#include <fstream>
-#include <iterator>
-#include <sstream>
 #include <stdexcept>
 #include <string>
 #include <thread>
-#include <vector>
 
 #include "harness/process.h"
 #include "harness/wait.h"
@@ -40,20 +34,6 @@
                               {std::chrono::milliseconds(20), 100},
                               {std::chrono::milliseconds(10), 1'000}};
 
-// User and system time of a process so far, from the fields of its status that
-// follow its name.
-double ReadProcessorSeconds(pid_t process) {
-  constexpr int kUserTimeField = 11;
-  std::ifstream file("/proc/" + std::to_string(process) + "/stat");
-  std::string text((std::istreambuf_iterator<char>(file)), {});
-  std::istringstream fields(text.substr(text.rfind(')') + 2));
-  std::vector<std::string> values(std::istream_iterator<std::string>(fields),
-                                  {});
-  const double ticks = std::stod(values.at(kUserTimeField)) +
-                       std::stod(values.at(kUserTimeField + 1));
-  return ticks / static_cast<double>(sysconf(_SC_CLK_TCK));
-}
-
 size_t CountDone(const standin::ClusterStandin& cluster) {
   const auto events = cluster.GetEvents();
   return static_cast<size_t>(
@@ -80,11 +60,7 @@
 }
 
 void RunLoad(BenchReport* report, const JobLoad& load) {
-  std::string directory =
-      (std::filesystem::temp_directory_path() / "shallotwick-XXXXXX").string();
-  if (mkdtemp(directory.data()) == nullptr) {
-    throw std::runtime_error("no directory for logs");
-  }
+  const std::string directory = harness::MakeLogDirectory();
   standin::ClusterStandin cluster(kTargets, kRunMilliseconds);
   harness::Process scheduler(
       "services/shallotwick-scheduler/shallotwick-scheduler",
@@ -95,7 +71,7 @@
   const std::string address = scheduler.WaitForStarted("http");
   harness::WaitFor(
       [&] { return !scheduler.FindEvents("pool-loaded").empty(); });
-  const double before = ReadProcessorSeconds(scheduler.GetPid());
+  const double before = harness::ReadUsage(scheduler.GetPid()).cpu_seconds;
   const auto began = Clock::now();
   int jobs = 0;
   for (auto next = began; next < began + kLoadTime; next += load.pause) {
@@ -108,7 +84,8 @@
   if (!are_done) {
     throw std::runtime_error("not all tasks have ended");
   }
-  const double used = ReadProcessorSeconds(scheduler.GetPid()) - before;
+  const double used =
+      harness::ReadUsage(scheduler.GetPid()).cpu_seconds - before;
   const double seconds =
       std::chrono::duration<double>(Clock::now() - began).count();
   const double rate = static_cast<double>(tasks) / seconds;
--- a/tests/bench/process_benches.cc
+++ b/tests/bench/process_benches.cc
@@ -1,14 +1,10 @@
 #include "process_benches.h"
 
-#include <unistd.h>
-
 #include <algorithm>
 #include <atomic>
 #include <chrono>
-#include <fstream>
 #include <functional>
 #include <mutex>
-#include <sstream>
 #include <stdexcept>
 #include <thread>
 #include <vector>
@@ -105,35 +101,6 @@
   }
 }
 
-struct Usage {
-  double cpu_seconds = 0;
-  double resident_bytes = 0;
-};
-
-Usage ReadUsage(pid_t pid) {
-  std::ifstream stat("/proc/" + std::to_string(pid) + "/stat");
-  std::string text;
-  std::getline(stat, text);
-  std::istringstream fields(text.substr(text.rfind(')') + 2));
-  // Fields of proc(5) after the command: state is the third of all.
-  constexpr int kUserTime = 14;
-  constexpr int kSystemTime = 15;
-  constexpr int kResidentPages = 24;
-  Usage usage;
-  std::string field;
-  for (int number = 3; number <= kResidentPages; ++number) {
-    fields >> field;
-    if (number == kUserTime || number == kSystemTime) {
-      usage.cpu_seconds +=
-          std::stod(field) / static_cast<double>(sysconf(_SC_CLK_TCK));
-    } else if (number == kResidentPages) {
-      usage.resident_bytes =
-          std::stod(field) * static_cast<double>(sysconf(_SC_PAGESIZE));
-    }
-  }
-  return usage;
-}
-
 double ReadMetric(const std::string& address, const std::string& name) {
   const std::string text =
       http::SendAndWait("http://" + address + "/metrics", {}).response.body;
@@ -162,10 +129,11 @@
 Totals ReadTotals(harness::System& system) {
   Totals totals;
   for (const auto& gateway : system.GetGateways()) {
-    totals.gateway_cpu += ReadUsage(gateway->GetPid()).cpu_seconds;
+    totals.gateway_cpu += harness::ReadUsage(gateway->GetPid()).cpu_seconds;
   }
   for (const auto& controller : system.GetControllers()) {
-    totals.controller_cpu += ReadUsage(controller->GetPid()).cpu_seconds;
+    totals.controller_cpu +=
+        harness::ReadUsage(controller->GetPid()).cpu_seconds;
   }
   totals.reads = ReadStat(system.GetPlatformAddress(), "reads");
   totals.commits = ReadStat(system.GetPlatformAddress(), "commits");
@@ -202,11 +170,13 @@
       "1/s");
   double resident = 0;
   for (const auto& gateway : system.GetGateways()) {
-    resident = std::max(resident, ReadUsage(gateway->GetPid()).resident_bytes);
+    resident = std::max(resident,
+                        harness::ReadUsage(gateway->GetPid()).resident_bytes);
   }
   add("gateway, resident memory", resident / 1e6, "MB");
   add("controller, resident memory",
-      ReadUsage(system.GetControllers()[0]->GetPid()).resident_bytes / 1e6,
+      harness::ReadUsage(system.GetControllers()[0]->GetPid()).resident_bytes /
+          1e6,
       "MB");
 }
 
--- a/tests/harness/process.cc
+++ b/tests/harness/process.cc
@@ -6,9 +6,12 @@
 #include <unistd.h>
 
 #include <csignal>
+#include <cstdlib>
+#include <filesystem>
 #include <fstream>
 #include <iterator>
 #include <nlohmann/json.hpp>
+#include <sstream>
 #include <stdexcept>
 
 #include "base/random_identifier.h"
@@ -69,6 +72,39 @@
 
 }  // namespace
 
+std::string MakeLogDirectory() {
+  std::string path =
+      (std::filesystem::temp_directory_path() / "shallotwick-XXXXXX").string();
+  if (mkdtemp(path.data()) == nullptr) {
+    throw std::runtime_error("can't make a directory for logs");
+  }
+  return path;
+}
+
+ProcessUsage ReadUsage(pid_t process) {
+  std::ifstream stat("/proc/" + std::to_string(process) + "/stat");
+  std::string text;
+  std::getline(stat, text);
+  std::istringstream fields(text.substr(text.rfind(')') + 2));
+  // Fields of proc(5) after the command: state is the third of all.
+  constexpr int kUserTime = 14;
+  constexpr int kSystemTime = 15;
+  constexpr int kResidentPages = 24;
+  ProcessUsage usage;
+  std::string field;
+  for (int number = 3; number <= kResidentPages; ++number) {
+    fields >> field;
+    if (number == kUserTime || number == kSystemTime) {
+      usage.cpu_seconds +=
+          std::stod(field) / static_cast<double>(sysconf(_SC_CLK_TCK));
+    } else if (number == kResidentPages) {
+      usage.resident_bytes =
+          std::stod(field) * static_cast<double>(sysconf(_SC_PAGESIZE));
+    }
+  }
+  return usage;
+}
+
 Process::Process(const std::string& program, std::vector<std::string> arguments,
                  const std::string& log_path,
                  const std::map<std::string, std::string>& environment)
--- a/tests/harness/process.h
+++ b/tests/harness/process.h
@@ -9,6 +9,17 @@
 
 namespace shallotwick::harness {
 
+// Makes a directory for logs. Throws std::runtime_error if it can't.
+std::string MakeLogDirectory();
+
+// What a process has used so far.
+struct ProcessUsage {
+  double cpu_seconds = 0;
+  double resident_bytes = 0;
+};
+
+ProcessUsage ReadUsage(pid_t process);
+
 // One process under test. Its log goes to a file and is read from there. Killed
 // when this object goes.
 class Process {
--- a/tests/harness/system.cc
+++ b/tests/harness/system.cc
@@ -1,11 +1,7 @@
 #include "harness/system.h"
 
-#include <unistd.h>
-
-#include <cstdlib>
 #include <filesystem>
 #include <nlohmann/json.hpp>
-#include <stdexcept>
 
 #include "harness/wait.h"
 #include "http/blocking_client.h"
@@ -13,15 +9,6 @@
 namespace shallotwick::harness {
 namespace {
 
-std::string MakeDirectory() {
-  std::string path =
-      (std::filesystem::temp_directory_path() / "shallotwick-XXXXXX").string();
-  if (mkdtemp(path.data()) == nullptr) {
-    throw std::runtime_error("can't make a directory for logs");
-  }
-  return path;
-}
-
 std::string MakeTokens() {
   std::string tokens;
   for (const char* team : kTeams) {
@@ -36,7 +23,7 @@
 std::string TokenOf(const std::string& team) { return "token-of-" + team; }
 
 System::System(const SystemOptions& options)
-    : m_options(options), m_directory(MakeDirectory()) {
+    : m_options(options), m_directory(MakeLogDirectory()) {
   StartStandins();
   ListHosts();
   m_admin = std::make_shared<Process>(
--- a/tests/process/jobs_test.cc
+++ b/tests/process/jobs_test.cc
@@ -41,12 +41,7 @@
   std::vector<std::string> m_addresses;
   std::vector<std::string> m_ready_addresses;
 
-  void setup() override {
-    std::string path =
-        (std::filesystem::temp_directory_path() / "shallotwick-XXXXXX")
-            .string();
-    m_directory = mkdtemp(path.data());
-  }
+  void setup() override { m_directory = harness::MakeLogDirectory(); }
 
   void teardown() override {
     m_hosts.clear();
--- a/tests/process/settings_test.cc
+++ b/tests/process/settings_test.cc
@@ -24,12 +24,7 @@
 TEST_GROUP(ProgramSettings) {
   std::string m_directory;
 
-  void setup() override {
-    std::string path =
-        (std::filesystem::temp_directory_path() / "shallotwick-XXXXXX")
-            .string();
-    m_directory = mkdtemp(path.data());
-  }
+  void setup() override { m_directory = harness::MakeLogDirectory(); }
   void teardown() override { std::filesystem::remove_all(m_directory); }
 };
 
