--- a/libraries/hosts/capacity_need.cc
+++ b/libraries/hosts/capacity_need.cc
@@ -47,7 +47,7 @@
   std::map<std::string, int> shares;
   for (const auto& [pool, need] : needs) {
     shares[pool] =
-        timely <= hosts
+        timely == 0 || timely <= hosts
             ? need.timely
             : static_cast<int>(int64_t{need.timely} * hosts / timely);
   }
