Count no gateway out before the limit that it declares

Ruled out: counting time in which no row was read (has its own test). Change: gateways declare their limit in their row; a controller's lapse is never less. Rows of older builds declare none. The process test stays as it was, and a second one plays gateways that renew often, so that a lapse of 4 s is in force.

--- a/libraries/fleet/drain_tracker.cc
+++ b/libraries/fleet/drain_tracker.cc
@@ -85,7 +85,10 @@
 }
 
 bool DrainTracker::IsLapsed(const Member& member, base::TimePoint now) const {
-  return member.still_for + GetWatchedTime(now) > m_lapse_limit;
+  const base::Duration declared =
+      std::chrono::milliseconds(member.record.limit_milliseconds);
+  return member.still_for + GetWatchedTime(now) >
+         std::max(m_lapse_limit, declared);
 }
 
 bool DrainTracker::IsReleased(const Member& member,
--- a/libraries/fleet/drain_tracker.h
+++ b/libraries/fleet/drain_tracker.h
@@ -43,7 +43,8 @@
       const std::map<std::string, records::HostRecord>& hosts,
       base::TimePoint now) const;
 
-  // Members whose rows stood still for longer than the lapse limit.
+  // Members whose rows stood still for longer than the lapse limit and than the
+  // limit that they declared themselves.
   std::vector<std::string> FindLapsed(base::TimePoint now) const;
 
  private:
--- a/libraries/fleet/tests/lease_and_drain_test.cc
+++ b/libraries/fleet/tests/lease_and_drain_test.cc
@@ -122,6 +122,32 @@
   LONGS_EQUAL(1, m_tracker.FindLapsed(At(seconds(41))).size());
 }
 
+// A member that sends on under its own limit may not be counted out before
+// that, whatever the controller's setting says.
+TEST(DrainTracker, AMemberIsNotCountedOutBeforeTheLimitItDeclares) {
+  const auto make_member = [] {
+    records::MemberRecord member = MakeMember("g1", 1);
+    member.limit_milliseconds = 60'000;
+    return member;
+  };
+  for (int second = 0; second <= 60; ++second) {
+    m_tracker.ObserveMembers({make_member()}, At(seconds(second)));
+    CHECK_FALSE(IsDrained(seconds(second)));
+    LONGS_EQUAL(0, m_tracker.FindLapsed(At(seconds(second))).size());
+  }
+  m_tracker.ObserveMembers({make_member()}, At(seconds(61)));
+  CHECK_TRUE(IsDrained(seconds(61)));
+}
+
+TEST(DrainTracker, ARowWithoutADeclaredLimitIsRead) {
+  const auto member = nlohmann::json::parse(
+                          R"({"gateway":"g1","incarnation":"i",
+    "link_address":"","http_address":"","data_centre":"","renewal":1,
+    "view_version":0,"document_version":0,"ready":true})")
+                          .get<records::MemberRecord>();
+  LONGS_EQUAL(0, member.limit_milliseconds);
+}
+
 TEST(DrainTracker, TimeInWhichNoRowCouldBeReadCountsNoMemberOut) {
   m_tracker.ObserveMembers({MakeMember("g1", 1)}, At(seconds(0)));
   // The table service is down for an hour: the row could not be renewed.
--- a/libraries/records/control_records.h
+++ b/libraries/records/control_records.h
@@ -32,6 +32,9 @@
   uint64_t view_version = 0;
   uint64_t document_version = 0;
   bool ready = false;
+  // Without a renewal for so long the gateway takes no new requests. Rows of
+  // builds that do not declare it read as 0.
+  uint64_t limit_milliseconds = 0;
 
   auto operator<=>(const MemberRecord&) const = default;
 };
--- a/services/shallotwick-gateway/gateway.cc
+++ b/services/shallotwick-gateway/gateway.cc
@@ -94,6 +94,7 @@
     : m_name(settings.GetString("name")),
       m_incarnation(base::MakeRandomIdentifier()),
       m_data_centre(settings.GetString("data-centre")),
+      m_membership_limit(settings.GetInteger("membership-limit-ms")),
       m_stop_limit(settings.GetInteger("stop-limit-ms")),
       m_stop_delay(settings.GetInteger("stop-delay-ms")),
       m_platform(settings.GetString("platform"),
@@ -108,8 +109,7 @@
           m_name, m_dispatcher,
           routing::ConfirmationLimits{
               std::chrono::milliseconds(settings.GetInteger("stale-limit-ms")),
-              std::chrono::milliseconds(
-                  settings.GetInteger("membership-limit-ms"))}) {
+              m_membership_limit}) {
   m_metrics.GetRegistry().SetGauge("shallotwick_link_bytes", [] {
     return static_cast<double>(link::GetLinkBytes());
   });
@@ -145,8 +145,7 @@
   m_membership = std::make_unique<Membership>(
       m_platform, m_store_watch, m_views, *m_links,
       [this] { return DescribeMember(); },
-      MakeMembershipOptions(std::chrono::milliseconds(
-          settings.GetInteger("membership-limit-ms"))));
+      MakeMembershipOptions(m_membership_limit));
   GossipOptions gossip;
   gossip.first_peers = settings.GetList("peers");
   m_gossip = std::make_unique<PeerGossip>(m_name, *m_links, m_views, gossip);
@@ -208,6 +207,7 @@
   member.view_version = view.version;
   member.document_version = view.document_version;
   member.ready = IsReady();
+  member.limit_milliseconds = static_cast<uint64_t>(m_membership_limit.count());
   return member;
 }
 
--- a/services/shallotwick-gateway/gateway.h
+++ b/services/shallotwick-gateway/gateway.h
@@ -53,6 +53,7 @@
   std::string m_data_centre;
   std::string m_link_address;
   std::string m_http_address;
+  std::chrono::milliseconds m_membership_limit;
   std::chrono::milliseconds m_stop_limit;
   std::chrono::milliseconds m_stop_delay;
   GatewayMetrics m_metrics;
--- a/tests/process/fleet_test.cc
+++ b/tests/process/fleet_test.cc
@@ -117,7 +117,51 @@
 
 }  // namespace
 
-TEST_GROUP(Fleet) { std::unique_ptr<harness::System> m_system; };
+TEST_GROUP(Fleet) {
+  std::unique_ptr<harness::System> m_system;
+
+  // The store goes away for longer than the lapse while each host of a pool
+  // holds a request; a wave waits for all of them.
+  void CheckOutageCutsOffNothing(const harness::SystemOptions& options) {
+    m_system = StartSystem(options);
+    std::string section = MakeWaveSection("w1");
+    const std::string deadline = "deadline_ms: 5000";
+    section.replace(section.find(deadline), deadline.size(),
+                    "deadline_ms: 30000");
+    std::string without_wave = section.substr(0, section.find("waves:"));
+    LONGS_EQUAL(200, m_system->Submit("quotes", without_wave).status);
+    CHECK_TRUE(m_system->WaitUntilInForce());
+    // One request on each host, longer than the outage.
+    std::vector<std::thread> callers;
+    for (int caller = 0; caller < kPromise; ++caller) {
+      callers.emplace_back([&] {
+        m_system->Send(
+            0,
+            {"GET",
+             "/s/quotes/slow",
+             {{"Standin-Request", "slow"}, {"Standin-Work-Ms", "12000"}},
+             ""},
+            {milliseconds(1'000), seconds(30), seconds(30)});
+      });
+    }
+    CHECK_TRUE(harness::WaitFor([&] {
+      const auto record = nlohmann::json::parse(m_system->GetRecord(true));
+      return record.at("starts").value("slow", 0) == kPromise;
+    }));
+    LONGS_EQUAL(200, m_system->Submit("quotes", section).status);
+    CHECK_TRUE(
+        harness::WaitFor([&] { return CountInMaintenance(*m_system) > 0; }));
+    m_system->SetPlatformFaults(R"({"mode":"down"})");
+    std::this_thread::sleep_for(seconds(6));
+    m_system->SetPlatformFaults("{}");
+    for (std::thread& thread : callers) {
+      thread.join();
+    }
+    CHECK_TRUE(harness::WaitFor([&] { return IsWaveDone(*m_system, "w1"); }));
+    const auto record = nlohmann::json::parse(m_system->GetRecord(false));
+    LONGS_EQUAL(0, record.at("cut_by_reboot").get<int>());
+  }
+};
 
 TEST(Fleet, AWaveSurvivesTheDeathOfItsControllerAndCutsNothingOff) {
   harness::SystemOptions options;
@@ -274,43 +318,14 @@
 TEST(Fleet, AnOutageOfTheStoreCountsNoGatewayOut) {
   harness::SystemOptions options;
   options.controller_flags = {"--member-lapse-ms", "4000"};
-  m_system = StartSystem(options);
-  std::string section = MakeWaveSection("w1");
-  const std::string deadline = "deadline_ms: 5000";
-  section.replace(section.find(deadline), deadline.size(),
-                  "deadline_ms: 30000");
-  std::string without_wave = section.substr(0, section.find("waves:"));
-  LONGS_EQUAL(200, m_system->Submit("quotes", without_wave).status);
-  CHECK_TRUE(m_system->WaitUntilInForce());
-  // One request on each host, longer than the outage.
-  std::vector<std::thread> callers;
-  for (int caller = 0; caller < kPromise; ++caller) {
-    callers.emplace_back([&] {
-      m_system->Send(
-          0,
-          {"GET",
-           "/s/quotes/slow",
-           {{"Standin-Request", "slow"}, {"Standin-Work-Ms", "12000"}},
-           ""},
-          {milliseconds(1'000), seconds(30), seconds(30)});
-    });
-  }
-  CHECK_TRUE(harness::WaitFor([&] {
-    const auto record = nlohmann::json::parse(m_system->GetRecord(true));
-    return record.at("starts").value("slow", 0) == kPromise;
-  }));
-  LONGS_EQUAL(200, m_system->Submit("quotes", section).status);
-  CHECK_TRUE(
-      harness::WaitFor([&] { return CountInMaintenance(*m_system) > 0; }));
-  m_system->SetPlatformFaults(R"({"mode":"down"})");
-  std::this_thread::sleep_for(seconds(6));
-  m_system->SetPlatformFaults("{}");
-  for (std::thread& thread : callers) {
-    thread.join();
-  }
-  CHECK_TRUE(harness::WaitFor([&] { return IsWaveDone(*m_system, "w1"); }));
-  const auto record = nlohmann::json::parse(m_system->GetRecord(false));
-  LONGS_EQUAL(0, record.at("cut_by_reboot").get<int>());
+  CheckOutageCutsOffNothing(options);
+}
+
+TEST(Fleet, AnOutageOfTheStoreCountsNoGatewayOutThatRenewsOften) {
+  harness::SystemOptions options;
+  options.gateway_flags = {"--membership-limit-ms", "2000"};
+  options.controller_flags = {"--member-lapse-ms", "4000"};
+  CheckOutageCutsOffNothing(options);
 }
 
 TEST(Fleet, ARackThatFailsWithinAWaveStopsItUntilTheBudgetIsFreeAgain) {
