Read sessions closely on a few hosts only; measure time between hosts by the store's clock

Locks of hosts named their age by their holder's time of day, and jobs their acceptance by the accepting host's, either of which may jump by seconds: a lock of this moment could look old (two holders at once), a job late or early. Ruled out: a feed of the sessions (as many bytes as readings); a row of owners alone (a graceful hand-over would wait for a reading of all others). Change: the twelve hosts with the most cores, owners, and hosts that see signs of a lost owner read each 0.4 s; the others each 3 s, and renew each 1.25 s. Pools go to these watchers first. FleetClock: intervals by the store's steady clock, time of day by the median of the hosts' offsets. Locks name the store's time. The test of old locks by the time of day is replaced by one by the store's clock with the same bounds, and one that a time of day makes no lock old.

--- a/libraries/ownership/session_watch.cc
+++ b/libraries/ownership/session_watch.cc
@@ -34,10 +34,11 @@
   m_watched += counted;
   std::map<std::string, Seen> seen;
   for (const auto& [host, row] : rows) {
-    Seen entry{row, base::Duration(0)};
+    Seen entry{row, base::Duration(0), now};
     const auto before = m_seen.find(host);
     if (before != m_seen.end() && before->second.row == row) {
       entry.still = before->second.still + counted;
+      entry.changed = before->second.changed;
     }
     seen[host] = entry;
   }
@@ -60,6 +61,22 @@
          found->second.still < m_time_to_live;
 }
 
+bool SessionWatch::IsSuspect(const Incarnation& incarnation) const {
+  const auto found = m_seen.find(incarnation.host);
+  return found == m_seen.end() || !(found->second.row.holder == incarnation) ||
+         m_last_reading - found->second.changed >= m_time_to_live / 2;
+}
+
+std::vector<int64_t> SessionWatch::GetClockOffsets() const {
+  std::vector<int64_t> offsets;
+  for (const auto& [host, seen] : m_seen) {
+    if (seen.still < m_time_to_live && seen.row.clock_offset_ms) {
+      offsets.push_back(*seen.row.clock_offset_ms);
+    }
+  }
+  return offsets;
+}
+
 bool SessionWatch::HasWatchedLongEnough() const {
   return m_watched >= m_time_to_live / kLongestGapDivisor;
 }
--- a/libraries/ownership/session_watch.h
+++ b/libraries/ownership/session_watch.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "base/runtime_clock.h"
 
@@ -29,6 +30,8 @@
   uint64_t version = 0;
   // Cores that the holder may use.
   double cores = 1;
+  // The holder's time of day less the store's clock; nothing if it did not say.
+  std::optional<int64_t> clock_offset_ms = std::nullopt;
 
   auto operator<=>(const SessionRow&) const = default;
 };
@@ -47,6 +50,11 @@
   // The live hosts and the cores that each may use.
   std::map<Incarnation, double> GetLive() const;
   bool IsLive(const Incarnation& incarnation) const;
+  // Whether a session is unknown, or stood still for half its time to live,
+  // also between readings that are far apart. Such a one may have lapsed.
+  bool IsSuspect(const Incarnation& incarnation) const;
+  // The clock offsets that the live hosts see.
+  std::vector<int64_t> GetClockOffsets() const;
   // Whether the rows were watched for long enough to tell a lapsed session.
   bool HasWatchedLongEnough() const;
 
@@ -55,6 +63,8 @@
     SessionRow row;
     // How long it stood still in readings that were not far apart.
     base::Duration still{0};
+    // The first reading that showed it as it is.
+    base::TimePoint changed;
   };
 
   base::Duration m_time_to_live;
--- a/libraries/ownership/tests/ownership_test.cc
+++ b/libraries/ownership/tests/ownership_test.cc
@@ -1,5 +1,6 @@
 #include <CppUTest/TestHarness.h>
 
+#include "ownership/fleet_clock.h"
 #include "ownership/pool_assignment.h"
 #include "ownership/session_watch.h"
 
@@ -94,3 +95,135 @@
                                                  {{kAnna, 0.12}, {kBert, 0.5}});
   CHECK_TRUE(crowded.at("p5").at(0) == kAnna);
 }
+
+TEST(Ownership, WatchersAreTheHostsWithTheMostCores) {
+  std::map<Incarnation, double> live;
+  for (int i = 0; i < 97; ++i) {
+    live[{"host-" + std::to_string(i), "1"}] = i < 15 ? 0.5 : 0.12;
+  }
+  const auto watchers = ownership::SelectWatchers(live, 5);
+  LONGS_EQUAL(12, watchers.size());
+  for (const Incarnation& watcher : watchers) {
+    DOUBLES_EQUAL(0.5, live.at(watcher), 0.001);
+  }
+  // Many pools need many owners.
+  LONGS_EQUAL(97, ownership::SelectWatchers(live, 164).size());
+  // A pool without an owner goes to a watcher, as only they notice at once.
+  for (const auto& [pool, hosts] :
+       ownership::RankCandidates({"p1", "p2", "p3"}, {}, live)) {
+    LONGS_EQUAL(97, hosts.size());
+    for (size_t rank = 0; rank < watchers.size(); ++rank) {
+      CHECK_TRUE(watchers.count(hosts[rank]) == 1);
+    }
+  }
+}
+
+// A host that reads seldom can't tell a lapsed session, but it sees which to
+// look at closely.
+TEST(Ownership, SessionThatStandsStillBetweenFarReadingsIsSuspect) {
+  ownership::SessionWatch watch(kTimeToLive);
+  CHECK_TRUE(watch.IsSuspect(kAnna));
+  watch.Observe({{"anna", {kAnna, 1}}, {"bert", {kBert, 1}}}, At(0));
+  CHECK_FALSE(watch.IsSuspect(kAnna));
+  watch.Observe({{"anna", {kAnna, 2}}, {"bert", {kBert, 1}}}, At(3'000));
+  CHECK_FALSE(watch.IsSuspect(kAnna));
+  CHECK_TRUE(watch.IsSuspect(kBert));
+  CHECK_TRUE(watch.IsLive(kBert));
+  watch.Observe({{"anna", {kAnna, 2}}, {"bert", {kBert, 2}}}, At(3'400));
+  CHECK_FALSE(watch.IsSuspect(kAnna));
+  CHECK_FALSE(watch.IsSuspect(kBert));
+}
+
+TEST(Ownership, LapsedSessionsTellNoClockOffset) {
+  ownership::SessionWatch watch(kTimeToLive);
+  uint64_t anna = 1;
+  for (int64_t ms = 0; ms <= 2'000; ms += 400) {
+    watch.Observe({{"anna", {kAnna, ++anna, 1, 70}},
+                   {"bert", {kBert, 7, 1, 9'000}},
+                   {"cora", {kCora, ++anna}}},
+                  At(ms));
+  }
+  CHECK_TRUE(watch.GetClockOffsets() == std::vector<int64_t>{70});
+}
+
+TEST_GROUP(FleetClock) {
+  ownership::FleetClock m_clock;
+
+  // An answer of the store, whose clock shows 5 s at the test's start.
+  void Answer(int64_t received_ms, int64_t delay_ms) {
+    m_clock.ObserveStore(5'000 + received_ms - delay_ms, At(received_ms));
+  }
+};
+
+TEST(FleetClock, OwnClockCountsOnlyUntilTheStoresIsKnown) {
+  CHECK_FALSE(m_clock.GetStoreMs(At(0)).has_value());
+  LONGS_EQUAL(77, m_clock.GetUnixMs(At(0), 77));
+  Answer(0, 3);
+  LONGS_EQUAL(77, m_clock.GetUnixMs(At(0), 77));
+  m_clock.ObserveOffsets({1'000'000}, At(0));
+  LONGS_EQUAL(1'004'997, m_clock.GetUnixMs(At(0), 77));
+}
+
+TEST(FleetClock, TheStoresClockIsTakenFromTheFastestAnswer) {
+  Answer(0, 40);
+  Answer(500, 2);
+  Answer(600, 900);
+  LONGS_EQUAL(5'998, *m_clock.GetStoreMs(At(1'000)));
+  // It is never ahead, also after many answers.
+  for (int64_t ms = 1'000; ms < 60'000; ms += 300) {
+    Answer(ms, 5 + ms % 7);
+    CHECK_TRUE(*m_clock.GetStoreMs(At(ms)) <= 5'000 + ms);
+    CHECK_TRUE(*m_clock.GetStoreMs(At(ms)) >= 5'000 + ms - 40);
+  }
+}
+
+TEST(FleetClock, FollowsAStoreClockThatRunsSlower) {
+  for (int64_t ms = 0; ms <= 100'000; ms += 400) {
+    m_clock.ObserveStore(ms * 98 / 100, At(ms));
+  }
+  // Two windows of 10 s at 2%.
+  CHECK_TRUE(*m_clock.GetStoreMs(At(100'000)) <= 98'000 + 400);
+}
+
+TEST(FleetClock, JumpsOfSomeClocksMoveNobodysTime) {
+  struct Case {
+    const char* name;
+    // How far the clocks of two hosts of five jump, and this host's own.
+    int64_t others_ms;
+    int64_t own_ms;
+  } cases[] = {{"ahead", 2'400, 0},
+               {"back", -6'000, 0},
+               {"own ahead", 0, 6'000},
+               {"own and others back", -3'000, -3'000},
+               {"days", 86'400'000, -86'400'000}};
+  for (const Case& jump : cases) {
+    m_clock = {};
+    Answer(0, 0);
+    m_clock.ObserveOffsets({99'990, 100'000, 100'010, 100'020, 99'980}, At(0));
+    for (int64_t ms = 400; ms <= 120'000; ms += 400) {
+      const bool has_jumped = ms > 10'000 && ms < 50'000;
+      const int64_t others_ms = has_jumped ? jump.others_ms : 0;
+      m_clock.ObserveOffsets(
+          {99'990, 100'000 + others_ms, 100'010, 100'020 + others_ms, 99'980},
+          At(ms));
+      const int64_t own_ms = 105'000 + ms + (has_jumped ? jump.own_ms : 0);
+      Answer(ms, 0);
+      const int64_t error_ms = m_clock.GetUnixMs(At(ms), own_ms) - 105'000 - ms;
+      CHECK_TEXT(error_ms >= -20 && error_ms <= 20, jump.name);
+    }
+  }
+}
+
+TEST(FleetClock, AJumpOfMostClocksCountsOnlyIfItLasts) {
+  Answer(0, 0);
+  m_clock.ObserveOffsets({100'000, 100'000, 100'000}, At(0));
+  m_clock.ObserveOffsets({100'000, 102'400, 102'400}, At(10'000));
+  m_clock.ObserveOffsets({100'000, 102'400, 102'400}, At(16'000));
+  LONGS_EQUAL(121'000, m_clock.GetUnixMs(At(16'000), 0));
+  m_clock.ObserveOffsets({100'000, 100'000, 100'000}, At(16'400));
+  m_clock.ObserveOffsets({102'400, 102'400, 102'400}, At(20'000));
+  m_clock.ObserveOffsets({102'400, 102'400, 102'400}, At(49'000));
+  LONGS_EQUAL(154'000, m_clock.GetUnixMs(At(49'000), 0));
+  m_clock.ObserveOffsets({102'400, 102'400, 102'400}, At(50'000));
+  LONGS_EQUAL(157'400, m_clock.GetUnixMs(At(50'000), 0));
+}
--- a/services/shallotwick-scheduler/capacity_broker.cc
+++ b/services/shallotwick-scheduler/capacity_broker.cc
@@ -162,7 +162,7 @@
     return view;
   }
   hosts::PoolLoad load = runner.GetScheduler().EstimateLoad(
-      base::RuntimeClock::now(), base::WallClockMilliseconds());
+      base::RuntimeClock::now(), m_get_unix_ms());
   load.forecast_cores = runner.ForecastCores(m_move_time);
   load.cores_per_host = view.cores_per_host;
   view.running_cores = load.running_cores;
--- a/services/shallotwick-scheduler/capacity_broker.h
+++ b/services/shallotwick-scheduler/capacity_broker.h
@@ -22,6 +22,9 @@
   CapacityBroker(hosts::HostOperations& operations, HostLedger& ledger,
                  base::Duration move_time);
 
+  // The time of day that all hosts agree on, in milliseconds since the Unix
+  // epoch.
+  std::function<int64_t()> m_get_unix_ms = base::WallClockMilliseconds;
   // The pools that this host owns.
   std::function<std::map<std::string, PoolRunner*>()> m_get_pools;
   std::function<bool(const std::string& host)> m_is_reserved;
--- a/services/shallotwick-scheduler/host_ledger.cc
+++ b/services/shallotwick-scheduler/host_ledger.cc
@@ -17,11 +17,17 @@
 constexpr auto kRetryDelay = std::chrono::milliseconds(250);
 constexpr char kLockPrefix[] = "lock/";
 
-// The clocks of two hosts differ by less than this; each may be off by half.
-constexpr auto kLongestClockDifference = std::chrono::milliseconds(4'000);
+// A lock names the time at which it was asked for; the store may carry the
+// write out later than that by less than this.
+constexpr auto kLongestCommitDelay = std::chrono::milliseconds(4'000);
 
-std::string EncodeLock(const std::string& holder, int64_t taken_ms) {
-  return nlohmann::json{{"holder", holder}, {"taken_ms", taken_ms}}.dump();
+std::string EncodeLock(const std::string& holder,
+                       std::optional<int64_t> taken_store_ms) {
+  nlohmann::json lock = {{"holder", holder}};
+  if (taken_store_ms) {
+    lock["taken_store_ms"] = *taken_store_ms;
+  }
+  return lock.dump();
 }
 
 storage::RowKey MakeHostsKey(const std::string& key) {
@@ -113,7 +119,10 @@
   const auto object = nlohmann::json::parse(row.value, nullptr, false);
   if (object.is_object()) {
     lock.holder = object.value("holder", "");
-    lock.taken_ms = object.value("taken_ms", int64_t{0});
+    const auto taken = object.find("taken_store_ms");
+    if (taken != object.end() && taken->is_number_integer()) {
+      lock.taken_store_ms = taken->get<int64_t>();
+    }
   } else {
     lock.holder = row.value;
   }
@@ -123,10 +132,11 @@
 // A holder that has just begun to watch can't tell by its own watching how long
 // ago a lock was taken, but for one that is surely old.
 bool HostLedger::HasRested(const Lock& lock, base::TimePoint now) const {
-  const auto age =
-      std::chrono::milliseconds(base::WallClockMilliseconds() - lock.taken_ms);
+  const std::optional<int64_t> store_ms = m_get_store_ms();
   const bool is_surely_old =
-      lock.taken_ms > 0 && age >= m_holder_pause + kLongestClockDifference;
+      store_ms && lock.taken_store_ms &&
+      std::chrono::milliseconds(*store_ms - *lock.taken_store_ms) >=
+          m_holder_pause + kLongestCommitDelay;
   return is_surely_old || now >= lock.observed + m_holder_pause;
 }
 
@@ -210,7 +220,7 @@
   storage::RowTransaction transaction;
   transaction.expected = {{request.shared_row.key, request.shared_row.version}};
   transaction.writes = {{request.shared_row.key, request.new_value}};
-  const std::string lock = EncodeLock(m_holder, base::WallClockMilliseconds());
+  const std::string lock = EncodeLock(m_holder, m_get_store_ms());
   for (const std::string& host : request.hosts) {
     m_operating.insert(host);
     const storage::RowKey key = MakeHostsKey(kLockPrefix + host);
--- a/services/shallotwick-scheduler/host_ledger.h
+++ b/services/shallotwick-scheduler/host_ledger.h
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -41,6 +42,11 @@
 
   // Whether that holder may still act.
   std::function<bool(const std::string& holder)> m_is_holder_live;
+  // The store's steady clock, if it is known; intervals between holders are
+  // measured by it.
+  std::function<std::optional<int64_t>()> m_get_store_ms = [] {
+    return std::nullopt;
+  };
   // After each list and each change of a shared row.
   std::function<void()> m_on_change;
 
@@ -76,9 +82,9 @@
     uint64_t version = storage::kNoVersion;
     std::string holder;
     base::TimePoint observed;
-    // By the holder's clock, in milliseconds since the Unix epoch; 0 if it is
-    // not known.
-    int64_t taken_ms = 0;
+    // When it was taken, by the store's clock, or somewhat earlier; nothing if
+    // the holder did not say.
+    std::optional<int64_t> taken_store_ms;
   };
 
   static Lock DecodeLock(const storage::VersionedRow& row);
--- a/services/shallotwick-scheduler/job_api.h
+++ b/services/shallotwick-scheduler/job_api.h
@@ -17,6 +17,9 @@
  public:
   JobApi(JobService& jobs, base::MetricRegistry& metrics);
 
+  // The time of day that all hosts agree on, in milliseconds since the Unix
+  // epoch.
+  std::function<int64_t()> m_get_unix_ms = base::WallClockMilliseconds;
   // The configuration in force; null before the first.
   std::function<const scheduling::ServingConfig*()> m_get_config;
   // Whether the store answers; jobs are refused at once if it does not.
--- a/services/shallotwick-scheduler/ownership_manager.cc
+++ b/services/shallotwick-scheduler/ownership_manager.cc
@@ -114,6 +114,22 @@
   });
 }
 
+bool OwnershipManager::MustWatchClosely() const {
+  if (!m_owned.empty() || !m_owners_table.IsLoaded()) {
+    return true;
+  }
+  const ownership::SessionWatch& watch = m_session.GetWatch();
+  const bool may_be_orphaned =
+      std::any_of(m_pools.begin(), m_pools.end(), [&](const std::string& pool) {
+        const auto owner = m_owners.find(pool);
+        return owner == m_owners.end() ||
+               watch.IsSuspect(owner->second.record.holder);
+      });
+  return may_be_orphaned ||
+         ownership::SelectWatchers(watch.GetLive(), m_pools.size())
+                 .count(m_session.GetSelf()) > 0;
+}
+
 // Takes the pools that an earlier process of this host owned: this one has
 // taken its session, so it is certainly gone.
 void OwnershipManager::ClaimBack() {
--- a/services/shallotwick-scheduler/ownership_manager.h
+++ b/services/shallotwick-scheduler/ownership_manager.h
@@ -27,6 +27,9 @@
   void SetPools(const std::set<std::string>& pools);
   // Takes pools if there are any to take; call after each reading of sessions.
   void Reconsider();
+  // Whether this host owns pools, is among the first to take one, or has seen
+  // signs that a pool's owner is gone.
+  bool MustWatchClosely() const;
   // Stops taking pools.
   void StopClaiming() { m_is_claiming = false; }
   // Gives a pool up.
--- a/services/shallotwick-scheduler/pool_runner.cc
+++ b/services/shallotwick-scheduler/pool_runner.cc
@@ -269,8 +269,7 @@
     return;
   }
   std::set<std::string> missing;
-  const int64_t youngest_ms =
-      base::WallClockMilliseconds() - kListedAfter.count();
+  const int64_t youngest_ms = m_get_unix_ms() - kListedAfter.count();
   for (const std::string& id : m_scheduler.ListSilentTargets(asked)) {
     const scheduling::TargetEntry& entry =
         m_scheduler.GetTargets().at(id).GetEntry();
@@ -332,7 +331,7 @@
   if (may_order) {
     WriteRoster();
     const auto now = base::RuntimeClock::now();
-    SendOrders(m_scheduler.Decide(now, base::WallClockMilliseconds()));
+    SendOrders(m_scheduler.Decide(now, m_get_unix_ms()));
     SendReports(now);
   }
   CommitSoon();
--- a/services/shallotwick-scheduler/pool_runner.h
+++ b/services/shallotwick-scheduler/pool_runner.h
@@ -39,6 +39,9 @@
              scheduling::TargetOrders& orders, base::MetricRegistry& metrics,
              const PoolRunnerOptions& options);
 
+  // The time of day that all hosts agree on, in milliseconds since the Unix
+  // epoch.
+  std::function<int64_t()> m_get_unix_ms = base::WallClockMilliseconds;
   // Whether this host may give orders at this moment.
   std::function<bool()> m_may_order;
   // Another host owns the pool.
--- a/services/shallotwick-scheduler/scheduler_process.cc
+++ b/services/shallotwick-scheduler/scheduler_process.cc
@@ -108,7 +108,34 @@
       m_retention(GetSeconds(settings, "retention-s") + kRetentionMargin),
       m_stop_grace(GetSeconds(settings, "stop-grace-s")),
       m_signals(m_loop.GetContext(), SIGTERM, SIGINT, SIGHUP) {
-  m_session.m_on_reading = [this] { m_ownership.Reconsider(); };
+  m_store.m_on_clock = [this](int64_t store_ms) {
+    m_clock.ObserveStore(store_ms, base::RuntimeClock::now());
+  };
+  m_session.m_on_reading = [this] {
+    m_clock.ObserveOffsets(m_session.GetWatch().GetClockOffsets(),
+                           base::RuntimeClock::now());
+    m_ownership.Reconsider();
+  };
+  m_session.m_must_watch_closely = [this] {
+    return m_ownership.MustWatchClosely();
+  };
+  m_session.m_get_clock_offset = [this]() -> std::optional<int64_t> {
+    const auto store_ms = m_clock.GetStoreMs(base::RuntimeClock::now());
+    if (!store_ms) {
+      return std::nullopt;
+    }
+    return base::WallClockMilliseconds() - *store_ms;
+  };
+  m_host_ledger.m_get_store_ms = [this] {
+    return m_clock.GetStoreMs(base::RuntimeClock::now());
+  };
+  const auto get_unix_ms = [this] {
+    return m_clock.GetUnixMs(base::RuntimeClock::now(),
+                             base::WallClockMilliseconds());
+  };
+  m_waves.m_get_unix_ms = get_unix_ms;
+  m_capacity.m_get_unix_ms = get_unix_ms;
+  m_api.m_get_unix_ms = get_unix_ms;
   m_session.m_on_replaced = [this] {
     base::Log(base::events::kSessionReplaced);
     m_loop.Stop();
@@ -390,6 +417,7 @@
   runner->m_may_order = [this] {
     return m_session.IsSafe(base::RuntimeClock::now());
   };
+  runner->m_get_unix_ms = m_api.m_get_unix_ms;
   runner->m_on_lost = [this, pool] { RemovePool(pool); };
   runner->SetConfig(*m_config);
   runner->m_targets_at_start = ListTargets(pool);
--- a/services/shallotwick-scheduler/scheduler_process.h
+++ b/services/shallotwick-scheduler/scheduler_process.h
@@ -15,6 +15,7 @@
 #include "http/server.h"
 #include "job_api.h"
 #include "job_service.h"
+#include "ownership/fleet_clock.h"
 #include "ownership_manager.h"
 #include "platform/host_operations_client.h"
 #include "platform/row_store_client.h"
@@ -64,6 +65,7 @@
   http::ConnectionPool m_store_client;
   http::ConnectionPool m_target_client;
   platform::RowStoreClient m_store;
+  ownership::FleetClock m_clock;
   platform::TargetOrdersClient m_orders;
   platform::HostOperationsClient m_host_operations;
   SessionKeeper m_session;
--- a/services/shallotwick-scheduler/session_keeper.cc
+++ b/services/shallotwick-scheduler/session_keeper.cc
@@ -1,5 +1,6 @@
 #include "session_keeper.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -13,13 +14,20 @@
 constexpr auto kRenewPeriod = std::chrono::milliseconds(500);
 constexpr auto kRetryPeriod = std::chrono::milliseconds(150);
 constexpr auto kReadPeriod = std::chrono::milliseconds(400);
+// The periods of a host that owns no pool and would be the last to take one.
+// Its renewals still tell it that the store can be reached.
+constexpr auto kRemoteRenewPeriod = std::chrono::milliseconds(1'250);
+constexpr auto kRemoteReadPeriod = std::chrono::milliseconds(3'000);
+// When all hosts start at once, each has to learn who else is there.
+constexpr auto kStartTime = std::chrono::milliseconds(4'000);
 // A session that stands still for so long has lapsed. Several renewals fit in,
 // so that lost answers alone do not end it.
 constexpr auto kTimeToLive = std::chrono::milliseconds(2'000);
 // A holder stops giving orders so long after it sent its last renewal; the rest
 // of the time to live covers clocks that differ and orders on their way.
 constexpr auto kHolderWindow = std::chrono::milliseconds(1'600);
-constexpr auto kStoreReachableWindow = std::chrono::milliseconds(2'000);
+// A renewal of a remote host may be lost and sent again meanwhile.
+constexpr auto kStoreReachableWindow = std::chrono::milliseconds(2'500);
 
 ownership::SessionRow DecodeSession(const storage::VersionedRow& row) {
   ownership::SessionRow session;
@@ -29,6 +37,10 @@
   if (object.is_object()) {
     session.holder.boot = object.value("boot", "");
     session.cores = object.value("cores", 1.0);
+    const auto offset = object.find("clock_offset_ms");
+    if (offset != object.end() && offset->is_number_integer()) {
+      session.clock_offset_ms = offset->get<int64_t>();
+    }
   }
   return session;
 }
@@ -44,6 +56,7 @@
       m_watch(kTimeToLive) {}
 
 void SessionKeeper::Start() {
+  m_started_at = base::RuntimeClock::now();
   Renew();
   ReadSessions();
 }
@@ -56,15 +69,36 @@
   return m_has_session && now < m_renewed_at + kStoreReachableWindow;
 }
 
+bool SessionKeeper::MustWatchClosely(base::TimePoint now) const {
+  return now < m_started_at + kStartTime || m_must_watch_closely();
+}
+
+void SessionKeeper::RenewAfter(base::Duration delay) {
+  m_loop.RunAfter(delay, m_lifetime.Guard([this] { RenewIfDue(); }));
+}
+
+// A host that gains a pool meanwhile renews at the short period at once.
+void SessionKeeper::RenewIfDue() {
+  const auto now = base::RuntimeClock::now();
+  const bool is_due = !m_has_session || MustWatchClosely(now) ||
+                      now >= m_renewed_at + kRemoteRenewPeriod;
+  if (is_due) {
+    Renew();
+  } else {
+    RenewAfter(std::min<base::Duration>(
+        kRenewPeriod, m_renewed_at + kRemoteRenewPeriod - now));
+  }
+}
+
 void SessionKeeper::Renew() {
   if (m_is_released) {
     return;
   }
-  ++m_renewals;
-  const std::string value = nlohmann::json{
-      {"boot", m_self.boot},
-      {"cores", m_cores},
-      {"renewals", m_renewals}}.dump();
+  nlohmann::json session = {{"boot", m_self.boot}, {"cores", m_cores}};
+  if (const auto offset_ms = m_get_clock_offset()) {
+    session["clock_offset_ms"] = *offset_ms;
+  }
+  const std::string value = session.dump();
   storage::RowTransaction transaction;
   const storage::RowKey key = MakeSessionKey(m_self.host);
   transaction.expected = {{key, m_version}};
@@ -100,13 +134,18 @@
     m_version = row.is_removed ? storage::kNoVersion : row.version;
     next = base::Duration(0);
   }
-  m_loop.RunAfter(next, m_lifetime.Guard([this] { Renew(); }));
+  if (next == base::Duration(kRenewPeriod)) {
+    RenewAfter(next);
+  } else {
+    m_loop.RunAfter(next, m_lifetime.Guard([this] { Renew(); }));
+  }
 }
 
 void SessionKeeper::ReadSessions() {
   if (m_is_released) {
     return;
   }
+  m_read_at = base::RuntimeClock::now();
   storage::RowRange range;
   range.table = kSessionTable;
   range.part = kSinglePart;
@@ -125,7 +164,16 @@
     m_watch.Observe(sessions, base::RuntimeClock::now());
     m_on_reading();
   }
-  m_loop.RunAfter(kReadPeriod, m_lifetime.Guard([this] { ReadSessions(); }));
+  m_loop.RunAfter(kReadPeriod, m_lifetime.Guard([this] { ReadIfDue(); }));
+}
+
+void SessionKeeper::ReadIfDue() {
+  const auto now = base::RuntimeClock::now();
+  if (MustWatchClosely(now) || now >= m_read_at + kRemoteReadPeriod) {
+    ReadSessions();
+  } else {
+    m_loop.RunAfter(kReadPeriod, m_lifetime.Guard([this] { ReadIfDue(); }));
+  }
 }
 
 void SessionKeeper::Release() {
--- a/services/shallotwick-scheduler/session_keeper.h
+++ b/services/shallotwick-scheduler/session_keeper.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <optional>
 #include <string>
 
 #include "base/event_loop.h"
@@ -18,6 +19,12 @@
 
   // After each reading of the sessions.
   std::function<void()> m_on_reading;
+  // Whether this host has to notice at once if another one is gone.
+  std::function<bool()> m_must_watch_closely = [] { return true; };
+  // This host's time of day less the store's clock, if that is known.
+  std::function<std::optional<int64_t>()> m_get_clock_offset = [] {
+    return std::nullopt;
+  };
   // Another process holds this host's session.
   std::function<void()> m_on_replaced;
 
@@ -33,9 +40,13 @@
   bool IsStoreReachable(base::TimePoint now) const;
 
  private:
+  bool MustWatchClosely(base::TimePoint now) const;
+  void RenewAfter(base::Duration delay);
+  void RenewIfDue();
   void Renew();
   void OnRenewed(const storage::RowCommitResult& result, base::TimePoint sent);
   void ReadSessions();
+  void ReadIfDue();
   void OnSessions(const storage::RowReadResult& result);
 
   base::EventLoop& m_loop;
@@ -44,10 +55,11 @@
   double m_cores;
   ownership::SessionWatch m_watch;
   uint64_t m_version = storage::kNoVersion;
-  int64_t m_renewals = 0;
   bool m_has_session = false;
   bool m_is_released = false;
+  base::TimePoint m_started_at;
   base::TimePoint m_renewed_at;
+  base::TimePoint m_read_at;
   base::Lifetime m_lifetime;
 };
 
--- a/services/shallotwick-scheduler/tests/scheduler_test.cc
+++ b/services/shallotwick-scheduler/tests/scheduler_test.cc
@@ -89,6 +89,26 @@
   base::EventLoop& m_loop;
 };
 
+// Counts what a host reads and writes.
+class CountingStore : public fakes::FakeRowStore {
+ public:
+  using FakeRowStore::FakeRowStore;
+
+  void Commit(storage::RowTransaction transaction,
+              std::function<void(storage::RowCommitResult)> on_end) override {
+    ++m_commits;
+    FakeRowStore::Commit(std::move(transaction), std::move(on_end));
+  }
+  void Read(const storage::RowRange& range,
+            std::function<void(storage::RowReadResult)> on_end) override {
+    ++m_reads;
+    FakeRowStore::Read(range, std::move(on_end));
+  }
+
+  int m_commits = 0;
+  int m_reads = 0;
+};
+
 }  // namespace
 
 TEST_GROUP(Scheduler) {
@@ -97,6 +117,8 @@
   base::MetricRegistry m_metrics;
   SilentTargets m_targets;
   FakeHosts m_hosts{m_loop};
+  // The store's steady clock, where it is known.
+  std::optional<int64_t> m_store_ms;
 
   // Lets all that is due now happen; timers do not pass.
   void Settle() {
@@ -104,6 +126,24 @@
     m_loop.GetContext().poll();
   }
 
+  // A failed check must not leave the clock paused for the tests that follow.
+  void teardown() override { base::RuntimeClock::Resume(); }
+
+  // Moves the paused clock on; timers that are due by then fire.
+  void AdvanceTimers(base::Duration by) {
+    base::RuntimeClock::Advance(by);
+    // Only a timer that is due before all others makes the loop look at the
+    // clock again.
+    bool has_ticked = false;
+    m_loop.RunAfter(-std::chrono::hours(1),
+                    [&has_ticked] { has_ticked = true; });
+    while (!has_ticked) {
+      m_loop.GetContext().restart();
+      m_loop.GetContext().run_one();
+    }
+    Settle();
+  }
+
   std::unique_ptr<scheduler::PoolRunner> StartPool() {
     scheduler::PoolRunnerOptions options;
     options.service = kService;
@@ -135,6 +175,7 @@
       return is_former_live;
     };
     ledger->m_on_change = [] {};
+    ledger->m_get_store_ms = [this] { return m_store_ms; };
     ledger->Start();
     Settle();
     CHECK_TRUE(ledger->IsLoaded());
@@ -274,28 +315,62 @@
   CHECK_TRUE(StartLedger(true)->IsFree("m-1", now + std::chrono::seconds(4)));
 }
 
-// After a takeover the new owner has watched no lock for long.
-TEST(Scheduler, AnOldLockOfALiveHolderIsKnownByItsTime) {
+// After a takeover the new owner has watched no lock for long. Its time of day
+// may jump, so only the store's clock tells how old a lock is.
+TEST(Scheduler, AnOldLockOfALiveHolderIsKnownByTheStoresClock) {
+  constexpr int64_t kNowMs = 50'000;
   const auto put_lock = [this](const char* host, int64_t age_ms) {
     m_store.Put({scheduler::kHostsTable, scheduler::kSinglePart,
                  std::string("lock/") + host},
-                R"({"holder":"former/7","taken_ms":)" +
-                    std::to_string(base::WallClockMilliseconds() - age_ms) +
-                    "}");
+                R"({"holder":"former/7","taken_store_ms":)" +
+                    std::to_string(kNowMs - age_ms) + "}");
   };
-  // The pause is 3 s; the clocks of two hosts may differ by 4 s.
+  // The pause is 3 s; a write may be carried out 4 s after it was sent.
   put_lock("m-1", 7'100);
   put_lock("m-2", 6'900);
+  CHECK_FALSE(StartLedger(true)->IsFree("m-1", base::RuntimeClock::now()));
+  m_store_ms = kNowMs;
   const auto ledger = StartLedger(true);
   const auto now = base::RuntimeClock::now();
   CHECK_TRUE(ledger->IsFree("m-1", now));
   CHECK_FALSE(ledger->IsFree("m-2", now));
-  // A clock that is ahead makes no lock old.
+  // A lock of the future is not old.
   put_lock("m-1", -60'000);
   Settle();
   CHECK_FALSE(StartLedger(true)->IsFree("m-1", base::RuntimeClock::now()));
 }
 
+// A host whose time of day is ahead by a minute would take a lock of this
+// moment for an old one.
+TEST(Scheduler, ALockThatNamesOnlyATimeOfDayIsNotTakenForOld) {
+  m_store_ms = 50'000;
+  m_store.Put({scheduler::kHostsTable, scheduler::kSinglePart, "lock/m-1"},
+              R"({"holder":"former/7","taken_ms":)" +
+                  std::to_string(base::WallClockMilliseconds() - 60'000) + "}");
+  CHECK_FALSE(StartLedger(true)->IsFree("m-1", base::RuntimeClock::now()));
+}
+
+// A lock that this host takes names the store's time.
+TEST(Scheduler, ALockNamesTheStoresTime) {
+  m_store_ms = 50'000;
+  const auto ledger = StartLedger(true);
+  scheduler::HostOperationRequest request;
+  request.hosts = {"m-1"};
+  request.shared_row = ledger->GetSharedRow("wave/1");
+  request.operate = [](const std::string&, const hosts::HostFence&,
+                       const hosts::HostOperations::OnOutcome& on_end) {
+    on_end(hosts::HostOperationOutcome::kDone);
+  };
+  request.on_end = [](const std::string&, hosts::HostOperationOutcome) {};
+  request.on_refused = [] {};
+  ledger->Operate(std::move(request));
+  Settle();
+  STRCMP_EQUAL(
+      R"({"holder":"self/1","taken_store_ms":50000})",
+      m_store.Get({scheduler::kHostsTable, scheduler::kSinglePart, "lock/m-1"})
+          .value.c_str());
+}
+
 TEST(Scheduler, ARestartedHostTakesItsPoolsBackAtOnce) {
   m_store.Put(scheduler::MakeOwnerKey(kService),
               R"({"host":"edge-1","boot":"old","term":4})");
@@ -318,6 +393,41 @@
   LONGS_EQUAL(5, gained[kService]);
 }
 
+// Each reading brings the rows of all hosts: if all hosts read often, the bytes
+// would grow with the square of their number.
+TEST(Scheduler, AHostThatWouldTakeNoPoolReadsSessionsSeldom) {
+  base::RuntimeClock::Pause();
+  CountingStore store(m_loop);
+  scheduler::SessionKeeper session(m_loop, store, {"edge-1", "new"}, 1);
+  bool must_watch = false;
+  session.m_on_reading = [] {};
+  session.m_on_replaced = [] {};
+  session.m_must_watch_closely = [&must_watch] { return must_watch; };
+  const auto let_pass = [&](std::chrono::milliseconds time) {
+    store.m_commits = 0;
+    store.m_reads = 0;
+    constexpr auto kStep = std::chrono::milliseconds(250);
+    for (auto passed = kStep; passed <= time; passed += kStep) {
+      AdvanceTimers(kStep);
+      CHECK_TRUE(session.IsStoreReachable(base::RuntimeClock::now()));
+    }
+  };
+  session.Start();
+  Settle();
+  // At the start all hosts look for each other.
+  let_pass(std::chrono::seconds(4));
+  CHECK_TRUE(store.m_reads >= 7);
+  let_pass(std::chrono::seconds(30));
+  CHECK_TRUE(store.m_reads <= 10);
+  CHECK_TRUE(store.m_commits <= 25);
+  // One that gains a pool has to keep its session from now on.
+  must_watch = true;
+  let_pass(std::chrono::seconds(2));
+  CHECK_TRUE(store.m_reads >= 4);
+  CHECK_TRUE(store.m_commits >= 3);
+  CHECK_TRUE(session.IsSafe(base::RuntimeClock::now()));
+}
+
 // A caller that waits in vain could have asked another host meanwhile.
 TEST(Scheduler, CallsAreRefusedAtOnceWhileTheStoreIsKnownToBeOutOfReach) {
   scheduler::JobService jobs(m_loop, m_store);
--- a/services/shallotwick-scheduler/wave_conductor.cc
+++ b/services/shallotwick-scheduler/wave_conductor.cc
@@ -116,7 +116,7 @@
                                const hosts::WaveRecord& record) const {
   hosts::WavePace pace;
   pace.host_time = m_options.maintenance_time + kTurnaround;
-  pace.now_ms = base::WallClockMilliseconds();
+  pace.now_ms = m_get_unix_ms();
   pace.are_hosts_short = m_are_hosts_short();
   return hosts::CountFreePlacesAtPace(wave, record, pace);
 }
@@ -282,7 +282,7 @@
                              hosts::WaveRecord record) {
   record.running[host.name] = m_options.holder;
   if (record.began_ms == 0) {
-    record.began_ms = base::WallClockMilliseconds();
+    record.began_ms = m_get_unix_ms();
   }
   SetLeaving(host, true);
   HostOperationRequest request;
--- a/services/shallotwick-scheduler/wave_conductor.h
+++ b/services/shallotwick-scheduler/wave_conductor.h
@@ -26,6 +26,9 @@
   WaveConductor(storage::RowStore& store, hosts::HostOperations& operations,
                 HostLedger& ledger, const WaveConductorOptions& options);
 
+  // The time of day that all hosts agree on, in milliseconds since the Unix
+  // epoch.
+  std::function<int64_t()> m_get_unix_ms = base::WallClockMilliseconds;
   // The pool if this host owns it, else null.
   std::function<PoolRunner*(const std::string& pool)> m_find_pool;
 
