Keep hosts on until a turn was seen, then as many as the busiest moment of late used

Cause: the pools switched all 453 hosts off 8 s before traffic, as nothing was wanted; the first turn called them and had its first new core after 2.3 s, with a backlog that lasted to second 7. Ruled out: the platform's rate of moves (387 hosts were called within 0.5 s). Change: StandbyPolicy, pure: a fleet that has seen no work stays as it is set up; later it keeps what its busiest moment of the last 20 s used and a tenth more, and half of the hour's peak. Each pool's row tells how many hosts it keeps busy. Owners share what may go.

--- a/libraries/hosts/capacity_need.cc
+++ b/libraries/hosts/capacity_need.cc
@@ -20,6 +20,7 @@
   return nlohmann::json{{"timely", record.timely},
                         {"wanted", record.wanted},
                         {"present", record.present},
+                        {"busy", record.busy},
                         {"offers", record.offers}}
       .dump();
 }
@@ -31,6 +32,8 @@
     object.at("timely").get_to(record.timely);
     object.at("wanted").get_to(record.wanted);
     object.at("present").get_to(record.present);
+    // Rows of builds before 2026-12-05 lack it.
+    record.busy = object.value("busy", 0);
     object.at("offers").get_to(record.offers);
     return record;
   } catch (const nlohmann::json::exception& error) {
@@ -54,6 +57,15 @@
   return shares;
 }
 
+int EstimateBusyHosts(const PoolLoad& load) {
+  if (load.cores_per_host <= 0 || load.short_running_cores <= 0) {
+    return 0;
+  }
+  const double usable = load.cores_per_host * kPackingShare;
+  return load.least_hosts +
+         static_cast<int>(std::ceil(load.short_running_cores / usable));
+}
+
 int EstimateTimelyHosts(const PoolLoad& load) {
   if (load.cores_per_host <= 0) {
     return load.least_hosts;
--- a/libraries/hosts/capacity_need.h
+++ b/libraries/hosts/capacity_need.h
@@ -15,6 +15,9 @@
   // Hosts for all its work.
   int wanted = 0;
   int present = 0;
+  // Hosts that its short tasks keep busy at this moment, and those that tasks
+  // which last need beside them; 0 while it runs no short task.
+  int busy = 0;
   // Hosts on their way to it: by host the pool that it comes from.
   std::map<std::string, std::string> offers;
 
@@ -38,6 +41,8 @@
   // Cores of the tasks that run, and of those that could start now.
   double running_cores = 0;
   double waiting_cores = 0;
+  // The part of the running cores that short tasks use.
+  double short_running_cores = 0;
   // Cores of targets that take new tasks, in use or not.
   double usable_cores = 0;
   // Work of all that is not done yet, in core-seconds.
@@ -54,6 +59,9 @@
   auto operator<=>(const PoolLoad&) const = default;
 };
 
+// How many hosts the pool's work keeps busy, as NeedRecord::busy.
+int EstimateBusyHosts(const PoolLoad& load);
+
 // How many hosts the work that can still be in time calls for.
 int EstimateTimelyHosts(const PoolLoad& load);
 
--- a/libraries/hosts/tests/hosts_test.cc
+++ b/libraries/hosts/tests/hosts_test.cc
@@ -6,6 +6,7 @@
 #include "hosts/arrival_forecast.h"
 #include "hosts/capacity_need.h"
 #include "hosts/maintenance_wave.h"
+#include "hosts/standby_policy.h"
 
 namespace base = shallotwick::base;
 namespace hosts = shallotwick::hosts;
@@ -153,3 +154,50 @@
   LONGS_EQUAL(15, scarce.at("a"));
   LONGS_EQUAL(5, scarce.at("b"));
 }
+
+// The load of turns: a calm after the start, then a queue at its height, then
+// the next one while the first works off what it has left.
+TEST(Hosts, FleetStaysAsSetUpUntilItHasSeenATurn) {
+  hosts::StandbyPolicy policy;
+  for (int second = 0; second < 300; ++second) {
+    policy.Observe(0, kStart + std::chrono::seconds(second));
+    LONGS_EQUAL(453,
+                policy.CountKept(453, kStart + std::chrono::seconds(second)));
+  }
+  const auto turn = kStart + std::chrono::seconds(300);
+  for (int tenth = 0; tenth < 80; ++tenth) {
+    policy.Observe(3 * tenth, turn + std::chrono::milliseconds(100) * tenth);
+    LONGS_EQUAL(453, policy.CountKept(
+                         453, turn + std::chrono::milliseconds(100) * tenth));
+  }
+  // 237 hosts at the height, and a tenth more.
+  LONGS_EQUAL(261, policy.CountKept(453, turn + std::chrono::seconds(9)));
+}
+
+TEST(Hosts, FleetKeepsWhatItsBusiestMomentOfLateUsed) {
+  hosts::StandbyPolicy policy;
+  policy.Observe(300, kStart);
+  policy.Observe(40, kStart + std::chrono::seconds(9));
+  LONGS_EQUAL(330, policy.CountKept(540, kStart + std::chrono::seconds(19)));
+  // No more than are on.
+  LONGS_EQUAL(100, policy.CountKept(100, kStart + std::chrono::seconds(19)));
+  // After a calm half of the hour's peak still waits for the next turn.
+  policy.Observe(40, kStart + std::chrono::seconds(600));
+  LONGS_EQUAL(165, policy.CountKept(540, kStart + std::chrono::seconds(600)));
+  const auto later = kStart + std::chrono::hours(2);
+  policy.Observe(0, later);
+  LONGS_EQUAL(0, policy.CountKept(540, later));
+}
+
+TEST(Hosts, BusyHostsAreThoseOfShortTasks) {
+  hosts::PoolLoad load;
+  load.cores_per_host = 32;
+  load.least_hosts = 20;
+  load.running_cores = 320;
+  LONGS_EQUAL(0, hosts::EstimateBusyHosts(load));
+  load.short_running_cores = 272;
+  LONGS_EQUAL(30, hosts::EstimateBusyHosts(load));
+  LONGS_EQUAL(0, hosts::DecodeNeedRecord(
+                     R"({"timely":1,"wanted":1,"present":1,"offers":{}})")
+                     .busy);
+}
--- a/libraries/scheduling/pool_planned_work.cc
+++ b/libraries/scheduling/pool_planned_work.cc
@@ -180,8 +180,10 @@
     }
     for (const auto& [name, run] : target.GetRuns()) {
       if (!run.best_effort) {
-        load.running_cores +=
+        const double cores =
             static_cast<double>(run.demand.cpu_milli) / kMilliPerCore;
+        load.running_cores += cores;
+        load.short_running_cores += IsLongRunning(name) ? 0 : cores;
       }
     }
   }
--- a/services/shallotwick-scheduler/capacity_broker.cc
+++ b/services/shallotwick-scheduler/capacity_broker.cc
@@ -137,6 +137,8 @@
   logged = view;
   base::Log(base::events::kPoolCapacity,
             {{"pool", pool},
+             {"timely", std::to_string(view.timely)},
+             {"busy", std::to_string(view.busy)},
              {"wanted", std::to_string(view.wanted)},
              {"present", std::to_string(view.present)},
              {"running_cores", fmt::format("{:.0f}", view.running_cores)},
@@ -168,6 +170,7 @@
   view.running_cores = load.running_cores;
   view.waiting_cores = load.waiting_cores;
   view.usable_cores = load.usable_cores;
+  view.busy = hosts::EstimateBusyHosts(load);
   view.timely = hosts::EstimateTimelyHosts(load);
   view.wanted = std::max(view.timely, hosts::EstimateWantedHosts(load));
   return view;
@@ -186,6 +189,7 @@
   need.timely = is_standby ? 0 : view.timely;
   need.wanted = is_standby ? 0 : view.wanted;
   need.present = view.present;
+  need.busy = is_standby ? 0 : view.busy;
   return need;
 }
 
@@ -289,17 +293,34 @@
   const bool may_switch_off = view.present > view.wanted && yielding == 0 &&
                               now >= since + kSurplusHold &&
                               !IsAnyNeedRising(pool, now);
-  Give(pool, std::move(idle), needs, may_switch_off);
+  Give(pool, std::move(idle), needs,
+       may_switch_off ? CountNeedless(needs, now) : 0);
+}
+
+size_t CapacityBroker::CountNeedless(const Needs& needs,
+                                     base::TimePoint now) const {
+  int on = 0;
+  for (const auto& [name, host] : m_ledger.GetHosts()) {
+    on += m_standby_pools.count(host.pool) == 0 && m_moved.count(name) == 0 ? 1
+                                                                            : 0;
+  }
+  const int needless = on - m_standby_policy.CountKept(on, now);
+  // Owners decide at the same time on what they all see.
+  return static_cast<size_t>(std::max(0, needless)) /
+         std::max<size_t>(1, needs.size());
 }
 
 void CapacityBroker::WatchNeeds(const Needs& needs, base::TimePoint now) {
+  int busy = 0;
   for (const auto& [pool, need] : needs) {
     SeenNeed& seen = m_seen_needs[pool];
     if (need.wanted >= seen.wanted + kLeastRise) {
       seen.rose = now;
     }
     seen.wanted = need.wanted;
+    busy += need.busy;
   }
+  m_standby_policy.Observe(busy, now);
 }
 
 bool CapacityBroker::IsAnyPoolShort(base::TimePoint now) const {
@@ -342,7 +363,7 @@
 // To the pool that lacks most, or to one that is switched off.
 void CapacityBroker::Give(const std::string& pool,
                           std::vector<std::string> idle, const Needs& needs,
-                          bool may_switch_off) {
+                          size_t most_switched_off) {
   storage::VersionedRow neediest;
   hosts::NeedRecord need;
   int most = 0;
@@ -375,7 +396,10 @@
          hosts::EncodeNeedRecord(need));
     return;
   }
-  if (!may_switch_off) {
+  if (idle.size() > most_switched_off) {
+    idle.resize(most_switched_off);
+  }
+  if (idle.empty()) {
     return;
   }
   const storage::VersionedRow row =
--- a/services/shallotwick-scheduler/capacity_broker.h
+++ b/services/shallotwick-scheduler/capacity_broker.h
@@ -9,6 +9,7 @@
 #include "base/event_loop.h"
 #include "host_ledger.h"
 #include "hosts/capacity_need.h"
+#include "hosts/standby_policy.h"
 #include "pool_runner.h"
 
 namespace shallotwick::scheduler {
@@ -41,6 +42,7 @@
     int timely = 0;
     int wanted = 0;
     int present = 0;
+    int busy = 0;
     double cores_per_host = 0;
     // Cores in use, and cores that ready tasks wait for.
     double running_cores = 0;
@@ -67,6 +69,8 @@
   Needs ReadNeeds() const;
   // Notes which pools' needs grow.
   void WatchNeeds(const Needs& needs, base::TimePoint now);
+  // How many hosts of this owner's pools may be switched off.
+  size_t CountNeedless(const Needs& needs, base::TimePoint now) const;
   bool IsAnyNeedRising(const std::string& pool, base::TimePoint now) const;
   void GiveSurplus(const std::string& pool, PoolRunner& runner,
                    const PoolView& view, const Needs& needs,
@@ -75,7 +79,7 @@
                                          const PoolRunner& runner,
                                          base::TimePoint now) const;
   void Give(const std::string& pool, std::vector<std::string> idle,
-            const Needs& needs, bool may_switch_off);
+            const Needs& needs, size_t most_switched_off);
   void Move(const std::string& from, const std::vector<std::string>& names,
             const std::string& to, const storage::VersionedRow& row,
             const std::string& new_value);
@@ -101,6 +105,7 @@
   };
 
   std::map<std::string, SeenNeed> m_seen_needs;
+  hosts::StandbyPolicy m_standby_policy;
   std::map<std::string, base::TimePoint> m_need_written;
   // Hosts that were moved, until the list shows it.
   std::map<std::string, base::TimePoint> m_moved;
