Store progress in the order of its changes, in several commits at a time

Cause: an owner stored at most 33 jobs' progress each 35 ms, some 940 a second, one commit after the other, and took them by the names of the jobs. A pool in its turn has more changes than that: jobs with late names waited while those with early ones changed again, and no end was acknowledged until nothing was left to store, for which each target's next report waited 0.4 s. Change: ChangeQueue, pure: ended jobs first, then by the age of the change; an end is acknowledged as soon as its own changes and those before are stored. Four commits may be under way, of different jobs; a full batch goes at once. Targets wait 0.15 s for an acknowledgement at the most. The pool's model plays several commits that overtake each other, and stores that take two changes at a time. Conclusion: starts did not bind; the commits did.

--- a/libraries/scheduling/pool_decisions.cc
+++ b/libraries/scheduling/pool_decisions.cc
@@ -290,7 +290,7 @@
     ActiveJob* job = FindJob(order.task.job);
     if (job != nullptr && job->m_state == JobState::kQueued) {
       job->m_state = JobState::kRunning;
-      MarkDirty(*job, false);
+      m_changes.MarkBegun(job->GetSpec().id);
     }
     return;
   }
--- a/libraries/scheduling/pool_reports.cc
+++ b/libraries/scheduling/pool_reports.cc
@@ -12,7 +12,7 @@
 constexpr auto kRetryReportAfter = std::chrono::milliseconds(250);
 // A report waits so long for the store, so that it can acknowledge the ends
 // that the one before it brought.
-constexpr auto kLongestWaitForCommit = std::chrono::milliseconds(400);
+constexpr auto kLongestWaitForCommit = std::chrono::milliseconds(150);
 // A target answers at the first end or after this time; the bound keeps its
 // lease renewed several times over.
 constexpr int64_t kReportWaitMs = 500;
@@ -165,6 +165,7 @@
   std::sort(ends.begin(), ends.end());
   for (const ReportedEnd& end : ends) {
     if (end.number > target.m_processed_end) {
+      m_changes.NoteEnd({target.m_entry.id, target.m_generation, end.number});
       ApplyEnd(target, end, now);
       target.m_processed_end = end.number;
       // Also where no job changed, the end waits to be acknowledged.
@@ -236,7 +237,7 @@
     return;
   }
   failed.insert(place, end.run);
-  MarkDirty(job, true);
+  m_changes.Mark(job.GetSpec().id, false);
   const auto route = m_routes.find(job.GetSpec().route);
   const int most =
       route == m_routes.end() ? 1 : std::max(1, route->second.most_attempts);
--- a/libraries/scheduling/pool_scheduler.cc
+++ b/libraries/scheduling/pool_scheduler.cc
@@ -28,8 +28,7 @@
   }
   EndJob(*job, JobState::kCancelled);
   // Whoever cancelled the job has stored that already.
-  m_dirty.erase(id);
-  m_committing.erase(id);
+  m_changes.Forget(id);
   m_jobs.erase(id);
 }
 
@@ -43,6 +42,7 @@
   TargetLedger ledger(entry);
   ledger.m_is_registered = false;
   ledger.m_is_in_roster = true;
+  ledger.m_generation = ++m_generations;
   ExtendLeaseBound(ledger, now);
   m_targets.emplace(entry.id, std::move(ledger));
 }
@@ -53,6 +53,7 @@
   TargetLedger& target = found->second;
   if (is_new) {
     target.m_lease_bound = now;
+    target.m_generation = ++m_generations;
     return;
   }
   const bool is_reborn = target.m_entry.born_ms > 0 &&
@@ -129,6 +130,7 @@
   fresh.m_is_in_roster = target.m_is_in_roster;
   fresh.m_is_cordoned = target.m_is_cordoned;
   fresh.m_failure_streak = target.m_failure_streak;
+  fresh.m_generation = ++m_generations;
   target = std::move(fresh);
 }
 
@@ -198,11 +200,6 @@
   }
 }
 
-void PoolScheduler::MarkDirty(ActiveJob& job, bool urgent) {
-  m_dirty.insert(job.GetSpec().id);
-  m_has_urgent_change = m_has_urgent_change || urgent;
-}
-
 void PoolScheduler::MarkDone(ActiveJob& job, const TaskName& name) {
   ActiveTask* task = job.FindTask(name);
   if (!task->target.empty()) {
@@ -213,7 +210,8 @@
   }
   job.MarkDone(name);
   m_may_start_more = true;
-  MarkDirty(job, true);
+  m_changes.Mark(job.GetSpec().id, false);
+  m_has_urgent_change = true;
   if (job.IsDone()) {
     EndJob(job, JobState::kCompleted);
   }
@@ -221,7 +219,8 @@
 
 void PoolScheduler::EndJob(ActiveJob& job, JobState state) {
   job.m_state = state;
-  MarkDirty(job, true);
+  m_changes.Mark(job.GetSpec().id, true);
+  m_has_urgent_change = true;
   const JobSpec& spec = job.GetSpec();
   Note("job-ended", TaskName{spec.id, 0, 0, 0}, 0, "",
        state == JobState::kCompleted   ? "completed"
@@ -243,56 +242,50 @@
 
 std::vector<ProgressChange> PoolScheduler::TakeChanges(size_t most) {
   std::vector<ProgressChange> batch;
-  for (const std::string& id : m_dirty) {
-    if (batch.size() >= most) {
-      break;
-    }
+  for (const std::string& id : m_changes.Take(most)) {
     batch.push_back(ProgressChange{id, m_jobs.at(id).MakeProgress()});
   }
-  for (const ProgressChange& change : batch) {
-    m_dirty.erase(change.job);
-    m_committing.insert(change.job);
-  }
-  // With changes left over, an end among them could be forgotten too early.
-  m_ends_in_batch.clear();
-  if (m_dirty.empty()) {
+  if (m_changes.IsEmpty()) {
     m_has_urgent_change = false;
-    for (const auto& [id, target] : m_targets) {
-      m_ends_in_batch[id] = target.m_processed_end;
-    }
   }
   return batch;
 }
 
 void PoolScheduler::OnCommitted(const std::vector<ProgressChange>& batch) {
+  std::vector<std::string> stored;
+  for (const ProgressChange& change : batch) {
+    stored.push_back(change.job);
+  }
+  m_changes.OnStored(stored);
   for (const ProgressChange& change : batch) {
-    m_committing.erase(change.job);
     if (IsTerminal(change.progress.state)) {
-      m_dirty.erase(change.job);
+      m_changes.Forget(change.job);
       m_jobs.erase(change.job);
     }
   }
-  for (const auto& [id, end] : m_ends_in_batch) {
-    TargetLedger* target = FindTarget(id);
-    // A new incarnation counts its ends anew.
-    const bool is_new = target != nullptr && end <= target->m_processed_end &&
-                        end > target->m_acknowledged_end;
-    if (is_new) {
-      target->m_acknowledged_end = end;
-      target->m_has_unsent_acknowledgement = true;
-    }
-  }
-  m_ends_in_batch.clear();
+  AcknowledgeStoredEnds();
 }
 
 void PoolScheduler::OnCommitFailed(const std::vector<ProgressChange>& batch) {
+  std::vector<std::string> failed;
   for (const ProgressChange& change : batch) {
-    if (m_committing.erase(change.job) > 0 && HasJob(change.job)) {
-      m_dirty.insert(change.job);
+    failed.push_back(change.job);
+  }
+  m_changes.OnFailed(failed);
+  m_has_urgent_change = m_has_urgent_change || !m_changes.IsEmpty();
+}
+
+void PoolScheduler::AcknowledgeStoredEnds() {
+  for (const NotedEnd& end : m_changes.TakeStoredEnds()) {
+    TargetLedger* target = FindTarget(end.target);
+    const bool is_new = target != nullptr &&
+                        target->m_generation == end.generation &&
+                        end.number > target->m_acknowledged_end;
+    if (is_new) {
+      target->m_acknowledged_end = end.number;
+      target->m_has_unsent_acknowledgement = true;
     }
   }
-  m_has_urgent_change = m_has_urgent_change || !m_dirty.empty();
-  m_ends_in_batch.clear();
 }
 
 TargetLedger* PoolScheduler::FindTarget(const std::string& id) {
--- a/libraries/scheduling/pool_scheduler.h
+++ b/libraries/scheduling/pool_scheduler.h
@@ -11,6 +11,7 @@
 #include "base/runtime_clock.h"
 #include "hosts/capacity_need.h"
 #include "scheduling/active_job.h"
+#include "scheduling/change_queue.h"
 #include "scheduling/placement.h"
 #include "scheduling/target_ledger.h"
 #include "scheduling/target_messages.h"
@@ -104,10 +105,12 @@
                     base::TimePoint now);
   void OnPaceResult(const PaceOrder& order, const OrderResult& result);
 
-  bool HasChanges() const { return !m_dirty.empty(); }
+  bool HasChanges() const { return !m_changes.IsEmpty(); }
+  // Changes that the next batch could hold.
+  size_t CountReadyChanges() const { return m_changes.CountReady(); }
   // Whether a change waits that someone asks for: an end or a final state.
   bool HasUrgentChanges() const { return m_has_urgent_change; }
-  // Takes up to `most` changes. One batch is under way at a time.
+  // Takes up to `most` changes. Several batches may be under way.
   std::vector<ProgressChange> TakeChanges(size_t most);
   void OnCommitted(const std::vector<ProgressChange>& batch);
   void OnCommitFailed(const std::vector<ProgressChange>& batch);
@@ -181,7 +184,7 @@
   base::Duration GetExpectedTime(const ActiveJob& job, int step) const;
   void LearnRunTime(const ActiveJob& job, int step, const Run& run,
                     base::TimePoint now);
-  void MarkDirty(ActiveJob& job, bool urgent);
+  void AcknowledgeStoredEnds();
 
   bool IsUsable(const TargetLedger& target, base::TimePoint now) const;
   bool IsAnyUnfenced(base::TimePoint now) const;
@@ -210,10 +213,8 @@
   // Targets with a report in flight.
   std::set<std::string> m_reporting;
   std::set<std::pair<std::string, TaskName>> m_stopping;
-  std::set<std::string> m_dirty;
-  std::set<std::string> m_committing;
-  // Ends that may be acknowledged once the batch under way is stored.
-  std::map<std::string, int64_t> m_ends_in_batch;
+  ChangeQueue m_changes;
+  uint64_t m_generations = 0;
   RunTimeModel m_run_times;
   base::TimePoint m_last_stall_check;
   // Something has changed that may let a task start.
--- a/libraries/scheduling/target_ledger.h
+++ b/libraries/scheduling/target_ledger.h
@@ -86,6 +86,8 @@
   // An operation that ends all its runs may be under way.
   bool m_is_leaving = false;
   int64_t m_reported_born_ms = 0;
+  // Tells lives of targets apart, also those under one id.
+  uint64_t m_generation = 0;
   int64_t m_processed_end = 0;
   // Stored, so that the target may forget it; sent with the next report order.
   int64_t m_acknowledged_end = 0;
--- a/libraries/scheduling/tests/pool_model.cc
+++ b/libraries/scheduling/tests/pool_model.cc
@@ -241,7 +241,7 @@
 void PoolModel::Takeover() {
   ++m_generation;
   m_fence += 10;
-  m_is_committing = false;
+  m_commits_in_flight = 0;
   PoolSchedulerOptions options;
   options.fence = m_fence;
   options.first_run = (m_generation - 1) * 1'000 + 1;
@@ -499,23 +499,26 @@
 
 void PoolModel::Commit() {
   const bool is_due = m_owner->HasUrgentChanges() || m_owner->HasChanges();
-  if (m_is_committing || !is_due) {
+  constexpr int kMostCommitsInFlight = 3;
+  if (m_commits_in_flight >= kMostCommitsInFlight || !is_due) {
     return;
   }
-  const auto batch = m_owner->TakeChanges(30);
+  const auto batch = m_owner->TakeChanges(m_options.most_changes);
   if (batch.empty()) {
     m_owner->OnCommitted(batch);
     return;
   }
-  m_is_committing = true;
+  ++m_commits_in_flight;
   const int generation = m_generation;
   const bool is_refused = Draw(m_options.lost_share);
-  Later(std::chrono::milliseconds(5), [this, batch, generation, is_refused] {
+  // Later commits may overtake earlier ones.
+  const auto delay = std::chrono::milliseconds(Draw(0.2) ? 40 : 5);
+  Later(delay, [this, batch, generation, is_refused] {
     // A write of a former owner does not take effect.
     if (generation != m_generation) {
       return;
     }
-    m_is_committing = false;
+    --m_commits_in_flight;
     if (is_refused) {
       m_owner->OnCommitFailed(batch);
       return;
--- a/libraries/scheduling/tests/pool_model.h
+++ b/libraries/scheduling/tests/pool_model.h
@@ -25,6 +25,8 @@
   double takeover_chance = 0;
   double cancel_chance = 0;
   double drain_chance = 0;
+  // Changes that one commit takes; few make a backlog.
+  size_t most_changes = 30;
   // Of runs.
   double failure_share = 0;
   bool long_running_jobs = false;
@@ -135,7 +137,7 @@
   // Ends that the store has taken note of.
   std::set<TaskName> m_noted_done;
   std::map<TaskName, int> m_noted_failures;
-  bool m_is_committing = false;
+  int m_commits_in_flight = 0;
   int64_t m_steps = 0;
   int64_t m_starts = 0;
 };
--- a/libraries/scheduling/tests/pool_model_test.cc
+++ b/libraries/scheduling/tests/pool_model_test.cc
@@ -54,6 +54,7 @@
   options.cancel_chance = draw(0.1);
   options.failure_share = draw(0.05);
   options.drain_chance = draw(0.02);
+  options.most_changes = seed % 3 == 0 ? 2 : 30;
   return options;
 }
 
@@ -122,3 +123,20 @@
   // The number of steps that a run in CI is to take.
   CHECK_TRUE(steps >= 100'000);
 }
+
+// The store takes far fewer changes than come: ends are acknowledged and jobs
+// completed all the same, whatever their names are.
+TEST(PoolModel, ABacklogOfChangesIsWorkedOffInTheOrderOfItsComing) {
+  PoolModelOptions options;
+  options.targets = 40;
+  options.most_changes = 3;
+  PoolModel pool(options, 1);
+  constexpr int kJobs = 150;
+  for (int i = 0; i < kJobs; ++i) {
+    pool.Submit(MakeJob(pool, i, 6, 400));
+    pool.RunFor(std::chrono::milliseconds(10));
+  }
+  pool.RunFor(std::chrono::seconds(8));
+  STRCMP_EQUAL("", JoinFaults(pool.GetFaults()).c_str());
+  LONGS_EQUAL(kJobs, pool.CountCompleted());
+}
--- a/services/shallotwick-scheduler/pool_records.cc
+++ b/services/shallotwick-scheduler/pool_records.cc
@@ -18,6 +18,9 @@
 constexpr auto kUrgentCommitDelay = std::chrono::milliseconds(25);
 // Marks that a job has begun; a reader may see them somewhat late.
 constexpr auto kLazyCommitDelay = std::chrono::milliseconds(250);
+// Commits under way at a time. One takes some 10 ms; a pool of 130 hosts has a
+// thousand changes a second and more at its busiest.
+constexpr int kMostCommitsInFlight = 4;
 constexpr auto kCommitRetryDelay = std::chrono::milliseconds(150);
 // A job takes up to three entries of a transaction; one is the owner's row.
 constexpr size_t kMostChangesPerCommit =
@@ -144,17 +147,23 @@
 }
 
 void PoolRunner::CommitSoon() {
+  const auto now = base::RuntimeClock::now();
+  while (now >= m_commit_not_before &&
+         m_commits_in_flight < kMostCommitsInFlight &&
+         m_scheduler.CountReadyChanges() >= kMostChangesPerCommit) {
+    Commit();
+  }
   const bool is_urgent = m_scheduler.HasUrgentChanges();
   const bool is_due = is_urgent || m_scheduler.HasChanges();
-  if (m_on_quiet && m_orders_in_flight == 0 && !is_due && !m_is_committing) {
+  if (m_on_quiet && m_orders_in_flight == 0 && !is_due &&
+      m_commits_in_flight == 0) {
     std::exchange(m_on_quiet, nullptr)();
     m_is_lost = true;
     return;
   }
-  if (!is_due || m_is_committing) {
+  if (!is_due || m_commits_in_flight >= kMostCommitsInFlight) {
     return;
   }
-  const auto now = base::RuntimeClock::now();
   const auto wanted = now + (is_urgent ? base::Duration(kUrgentCommitDelay)
                                        : base::Duration(kLazyCommitDelay));
   const auto at = std::max(wanted, m_commit_not_before);
@@ -173,7 +182,7 @@
 void PoolRunner::Commit() {
   m_is_commit_planned = false;
   m_is_urgent_commit_planned = false;
-  if (m_is_committing || m_is_lost) {
+  if (m_commits_in_flight >= kMostCommitsInFlight || m_is_lost) {
     return;
   }
   const std::vector<scheduling::ProgressChange> batch =
@@ -183,7 +192,7 @@
     Wake();
     return;
   }
-  m_is_committing = true;
+  ++m_commits_in_flight;
   storage::RowTransaction transaction;
   transaction.expected.push_back(
       {MakeOwnerKey(m_options.service), m_options.owner_version});
@@ -206,7 +215,7 @@
 void PoolRunner::OnCommitted(
     const storage::RowCommitResult& result,
     const std::vector<scheduling::ProgressChange>& batch) {
-  m_is_committing = false;
+  --m_commits_in_flight;
   if (result.status == storage::RowCommitStatus::kCommitted) {
     for (const scheduling::ProgressChange& change : batch) {
       if (scheduling::IsTerminal(change.progress.state)) {
--- a/services/shallotwick-scheduler/pool_runner.h
+++ b/services/shallotwick-scheduler/pool_runner.h
@@ -137,7 +137,7 @@
   bool m_is_waking = false;
   bool m_is_commit_planned = false;
   bool m_is_urgent_commit_planned = false;
-  bool m_is_committing = false;
+  int m_commits_in_flight = 0;
   base::TimePoint m_commit_not_before;
   int m_orders_in_flight = 0;
   std::function<void()> m_on_quiet;
