Count what is left of running tasks as open work, and foresee hosts to their arrival

Ruled out: a share of its own for late work (not touched here). Change: a running task counts half; the forecast reaches the target's first report.

--- a/libraries/scheduling/pool_planned_work.cc
+++ b/libraries/scheduling/pool_planned_work.cc
@@ -145,6 +145,19 @@
     const int k = job.GetFirstOpenOccurrence();
     const RunTimeCorrection correction = m_run_times.GetCorrection(spec.route);
     const bool is_timely = Rank(job, correction, wall_ms).IsTimely();
+    int open_tasks = 0;
+    int ready_tasks = 0;
+    for (int step = 0; step < static_cast<int>(spec.steps.size()); ++step) {
+      open_tasks += job.CountOpen(k, step);
+      ready_tasks += job.IsStepReady(k, step) ? job.CountOpen(k, step) : 0;
+    }
+    // Only ready tasks run, and a running one is half done in the mean.
+    const double running_share =
+        ready_tasks == 0
+            ? 0
+            : std::clamp(static_cast<double>(open_tasks - job.CountIdle()) /
+                             ready_tasks,
+                         0.0, 1.0);
     for (int step = 0; step < static_cast<int>(spec.steps.size()); ++step) {
       const StepSpec& shape = spec.steps[static_cast<size_t>(step)];
       const int open = IsTerminal(job.m_state) ? 0 : job.CountOpen(k, step);
@@ -159,8 +172,10 @@
         load.least_hosts = std::max(
             load.least_hosts, (shape.count + per_target - 1) / per_target);
       } else {
+        const double left =
+            job.IsStepReady(k, step) ? 1 - running_share / 2 : 1;
         const double work =
-            open * cores *
+            left * open * cores *
             correction.Apply(static_cast<double>(shape.estimate_ms)) /
             kMilliPerCore;
         load.open_core_seconds += work;
--- a/services/shallotwick-scheduler/capacity_broker.cc
+++ b/services/shallotwick-scheduler/capacity_broker.cc
@@ -26,6 +26,9 @@
 // such until a host that is called at its end would be there.
 constexpr int kLeastRise = 2;
 constexpr auto kRiseHold = std::chrono::milliseconds(1'500);
+// From the end of a host's move until its target has started, is in the
+// registry and has taken the owner's fence.
+constexpr auto kArrivalTime = std::chrono::milliseconds(500);
 // Before it goes to a pool that lacks hosts at this moment.
 constexpr auto kShortSurplusHold = std::chrono::milliseconds(200);
 
@@ -165,7 +168,7 @@
   }
   hosts::PoolLoad load = runner.GetScheduler().EstimateLoad(
       base::RuntimeClock::now(), m_get_unix_ms());
-  load.forecast_cores = runner.ForecastCores(m_move_time);
+  load.forecast_cores = runner.ForecastCores(m_move_time + kArrivalTime);
   load.cores_per_host = view.cores_per_host;
   view.running_cores = load.running_cores;
   view.waiting_cores = load.waiting_cores;
