Count the bytes of the store's tables; tell how many jobs wait in one small row

Ruled out: the followers of hosts and registry (23 MB together). Change: a pool's owner writes each second how many jobs of each route wait; hosts answer from that row, and count the jobs' rows only if it is older than 1.8 s by the store's clock. shallotwick_store_bytes_total{call,table} counts bytes.

A wave takes its idle hosts down in one write: all owners write the wave's row, which bounded a wave of 280 hosts to some ten a second; and an owner frees more than two busy hosts at a time where many wait. Test: IdleHostsOfAWaveGoDownTogether.

--- a/libraries/base/log_catalogue.h
+++ b/libraries/base/log_catalogue.h
@@ -127,6 +127,9 @@
 inline constexpr LogEvent kPoolCapacity{
     532, "pool-capacity", Severity::kInfo,
     "A pool wants or has another number of hosts."};
+inline constexpr LogEvent kProgressBacklog{
+    533, "progress-backlog", Severity::kWarning,
+    "More progress waits for the store than it takes at a time."};
 inline constexpr LogEvent kWaveProgress{
     531, "wave-progress", Severity::kInfo,
     "A maintenance wave has begun, gone on or ended."};
@@ -170,6 +173,7 @@
                                     kTargetGone,
                                     kHostOperation,
                                     kPoolCapacity,
+                                    kProgressBacklog,
                                     kWaveProgress};
 
 }  // namespace shallotwick::base::events
--- a/libraries/scheduling/pool_scheduler.cc
+++ b/libraries/scheduling/pool_scheduler.cc
@@ -32,6 +32,16 @@
   m_jobs.erase(id);
 }
 
+std::map<std::string, int64_t> PoolScheduler::CountQueuedByRoute() const {
+  std::map<std::string, int64_t> queued;
+  for (const auto& [id, job] : m_jobs) {
+    if (job.m_state == JobState::kQueued) {
+      ++queued[job.GetSpec().route];
+    }
+  }
+  return queued;
+}
+
 bool PoolScheduler::IsActive(const std::string& id) const {
   const auto found = m_jobs.find(id);
   return found != m_jobs.end() && !IsTerminal(found->second.m_state);
--- a/libraries/scheduling/pool_scheduler.h
+++ b/libraries/scheduling/pool_scheduler.h
@@ -75,6 +75,8 @@
   // Whether the job is held and has not ended.
   bool IsActive(const std::string& id) const;
   size_t GetJobCount() const { return m_jobs.size(); }
+  // Jobs of which no task has started, by route.
+  std::map<std::string, int64_t> CountQueuedByRoute() const;
 
   // A target to which an earlier owner granted a lease. Call before any
   // UpdateTarget.
--- a/services/shallotwick-scheduler/job_service.cc
+++ b/services/shallotwick-scheduler/job_service.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "job_tables.h"
+#include "queue_report.h"
 #include "scheduling/job_record.h"
 
 namespace shallotwick::scheduler {
@@ -178,8 +179,36 @@
       }));
 }
 
+// The rows of a busy pool are some hundred kilobytes, and many callers ask.
 void JobService::CountQueued(const std::string& service,
                              const std::string& route, OnCount on_end) {
+  storage::RowRange range;
+  range.table = kQueueTable;
+  range.part = service;
+  m_store.Read(
+      range,
+      m_lifetime.Guard([this, service, route, on_end = std::move(on_end)](
+                           const storage::RowReadResult& result) mutable {
+        if (!result.is_read) {
+          on_end(JobCallOutcome::kRefused, 0);
+          return;
+        }
+        const std::optional<int64_t> store_ms = m_get_store_ms();
+        const auto report = result.rows.empty()
+                                ? std::nullopt
+                                : ReadQueueReport(result.rows.front());
+        if (!report || !store_ms || !report->IsFresh(*store_ms)) {
+          CountRows(service, route, std::move(on_end));
+          return;
+        }
+        const auto queued = report->queued.find(route);
+        on_end(JobCallOutcome::kDone,
+               queued == report->queued.end() ? 0 : queued->second);
+      }));
+}
+
+void JobService::CountRows(const std::string& service, const std::string& route,
+                           OnCount on_end) {
   storage::ReadWholePart(
       m_store, GetProgressTable(service), service,
       [route,
--- a/services/shallotwick-scheduler/job_service.h
+++ b/services/shallotwick-scheduler/job_service.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -26,6 +27,11 @@
  public:
   JobService(base::EventLoop& loop, storage::RowStore& store);
 
+  // The store's steady clock, if it is known; tells the age of reports.
+  std::function<std::optional<int64_t>()> m_get_store_ms = [] {
+    return std::nullopt;
+  };
+
   using OnOutcome = std::function<void(JobCallOutcome)>;
   using OnState = std::function<void(JobCallOutcome, scheduling::JobState)>;
   using OnCount = std::function<void(JobCallOutcome, int64_t)>;
@@ -39,7 +45,8 @@
                  const std::string& id, OnState on_end);
   void Cancel(const std::vector<std::string>& services, const std::string& id,
               OnOutcome on_end);
-  // Counts the accepted jobs of a route of which no task has started.
+  // Counts the accepted jobs of a route of which no task has started, by the
+  // owner's report or, without a fresh one, by the jobs' own rows.
   void CountQueued(const std::string& service, const std::string& route,
                    OnCount on_end);
 
@@ -47,6 +54,8 @@
   struct Found;
   using OnFound = std::function<void(JobCallOutcome, const Found&)>;
 
+  void CountRows(const std::string& service, const std::string& route,
+                 OnCount on_end);
   void TrySubmit(const std::string& service,
                  const storage::RowTransaction& transaction, int attempt,
                  OnOutcome on_end);
--- a/services/shallotwick-scheduler/job_tables.cc
+++ b/services/shallotwick-scheduler/job_tables.cc
@@ -43,6 +43,10 @@
   return {kRosterTable, service, kPoolKey};
 }
 
+storage::RowKey MakeQueueKey(const std::string& service) {
+  return {kQueueTable, service, kPoolKey};
+}
+
 storage::RowKey MakeSessionKey(const std::string& host) {
   return {kSessionTable, kSinglePart, host};
 }
--- a/services/shallotwick-scheduler/job_tables.h
+++ b/services/shallotwick-scheduler/job_tables.h
@@ -13,10 +13,12 @@
 inline constexpr char kSessionTable[] = "sessions";
 inline constexpr char kOwnerTable[] = "owners";
 inline constexpr char kRosterTable[] = "rosters";
+// How many jobs wait, by pool.
+inline constexpr char kQueueTable[] = "queues";
 // Locks of hosts, maintenance waves and needs of capacity.
 inline constexpr char kHostsTable[] = "hosts";
 inline constexpr char kSinglePart[] = "";
-// The only key of a pool's part in the tables of owners and rosters.
+// The only key of a pool's part in the tables of owners, rosters and queues.
 inline constexpr char kPoolKey[] = "pool";
 
 // Job specifications and progress are spread over several tables: an owner
@@ -29,6 +31,7 @@
                                 const std::string& id);
 storage::RowKey MakeOwnerKey(const std::string& service);
 storage::RowKey MakeRosterKey(const std::string& service);
+storage::RowKey MakeQueueKey(const std::string& service);
 storage::RowKey MakeSessionKey(const std::string& host);
 
 // What a row of progress says. Nothing, and a log line, if it is of another
--- a/services/shallotwick-scheduler/pool_records.cc
+++ b/services/shallotwick-scheduler/pool_records.cc
@@ -10,6 +10,7 @@
 #include "base/log_catalogue.h"
 #include "job_tables.h"
 #include "pool_runner.h"
+#include "queue_report.h"
 
 namespace shallotwick::scheduler {
 namespace {
@@ -21,6 +22,10 @@
 // Commits under way at a time. One takes some 10 ms; a pool of 130 hosts has a
 // thousand changes a second and more at its busiest.
 constexpr int kMostCommitsInFlight = 4;
+// Between two reports of how many jobs wait.
+constexpr auto kQueueReportPeriod = std::chrono::seconds(1);
+// Between two log lines about a backlog of one pool.
+constexpr auto kBacklogLogPeriod = std::chrono::seconds(1);
 constexpr auto kCommitRetryDelay = std::chrono::milliseconds(150);
 // A job takes up to three entries of a transaction; one is the owner's row.
 constexpr size_t kMostChangesPerCommit =
@@ -115,6 +120,9 @@
 
 // Removes the progress of jobs whose state nobody may ask for any more.
 void PoolRunner::ForgetOldJobs() {
+  if (m_is_forgetting) {
+    return;
+  }
   const auto now = base::RuntimeClock::now();
   std::vector<std::string> old;
   while (!m_ended_order.empty() && old.size() < kMostForgottenAtOnce &&
@@ -146,6 +154,32 @@
       }));
 }
 
+// So that a caller's question for the number of waiting jobs takes one small
+// row, not those of all jobs.
+void PoolRunner::ReportQueues() {
+  const auto now = base::RuntimeClock::now();
+  const std::optional<int64_t> store_ms = m_get_store_ms();
+  const bool is_due = store_ms && !m_is_reporting_queues &&
+                      now >= m_queues_reported + kQueueReportPeriod;
+  if (!is_due) {
+    return;
+  }
+  m_is_reporting_queues = true;
+  m_queues_reported = now;
+  const QueueReport report{*store_ms, m_scheduler.CountQueuedByRoute()};
+  storage::RowTransaction transaction;
+  transaction.expected = {
+      {MakeOwnerKey(m_options.service), m_options.owner_version}};
+  transaction.writes = {
+      {MakeQueueKey(m_options.service), EncodeQueueReport(report)}};
+  // A report that is lost is made up for by the next one; without one, readers
+  // count the rows themselves.
+  m_store.Commit(std::move(transaction),
+                 m_lifetime.Guard([this](const storage::RowCommitResult&) {
+                   m_is_reporting_queues = false;
+                 }));
+}
+
 void PoolRunner::CommitSoon() {
   const auto now = base::RuntimeClock::now();
   while (now >= m_commit_not_before &&
@@ -153,6 +187,7 @@
          m_scheduler.CountReadyChanges() >= kMostChangesPerCommit) {
     Commit();
   }
+  LogBacklog(now);
   const bool is_urgent = m_scheduler.HasUrgentChanges();
   const bool is_due = is_urgent || m_scheduler.HasChanges();
   if (m_on_quiet && m_orders_in_flight == 0 && !is_due &&
@@ -179,6 +214,21 @@
   m_loop.RunAfter(at - now, m_lifetime.Guard([this] { Commit(); }));
 }
 
+// Until its progress is stored, a job is not shown as ended, and its targets
+// report later.
+void PoolRunner::LogBacklog(base::TimePoint now) {
+  const size_t waiting = m_scheduler.CountReadyChanges();
+  if (waiting <= kMostChangesPerCommit * kMostCommitsInFlight ||
+      now < m_backlog_logged + kBacklogLogPeriod) {
+    return;
+  }
+  m_backlog_logged = now;
+  base::Log(base::events::kProgressBacklog,
+            {{"pool", m_options.service},
+             {"waiting", std::to_string(waiting)},
+             {"commits", std::to_string(m_commits_in_flight)}});
+}
+
 void PoolRunner::Commit() {
   m_is_commit_planned = false;
   m_is_urgent_commit_planned = false;
--- a/services/shallotwick-scheduler/pool_runner.cc
+++ b/services/shallotwick-scheduler/pool_runner.cc
@@ -313,8 +313,9 @@
 
 void PoolRunner::Tick() {
   Act();
-  if (!m_is_forgetting && !m_is_lost && m_may_order()) {
+  if (!m_is_lost && m_may_order()) {
     ForgetOldJobs();
+    ReportQueues();
   }
   m_loop.RunAfter(kTickPeriod, m_lifetime.Guard([this] { Tick(); }));
 }
--- a/services/shallotwick-scheduler/pool_runner.h
+++ b/services/shallotwick-scheduler/pool_runner.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -42,6 +43,10 @@
   // The time of day that all hosts agree on, in milliseconds since the Unix
   // epoch.
   std::function<int64_t()> m_get_unix_ms = base::WallClockMilliseconds;
+  // The store's steady clock, if it is known.
+  std::function<std::optional<int64_t>()> m_get_store_ms = [] {
+    return std::nullopt;
+  };
   // Whether this host may give orders at this moment.
   std::function<bool()> m_may_order;
   // Another host owns the pool.
@@ -88,6 +93,7 @@
   void NoteEnded(const std::string& job);
   void NoteIfEnded(const storage::VersionedRow& row);
   void ForgetOldJobs();
+  void ReportQueues();
   void Tick();
   void Act();
   void SendReports(base::TimePoint now);
@@ -97,6 +103,7 @@
       const char* order,
       std::function<void(const scheduling::OrderResult&)> on_result);
   void CommitSoon();
+  void LogBacklog(base::TimePoint now);
   void Commit();
   void OnCommitted(const storage::RowCommitResult& result,
                    const std::vector<scheduling::ProgressChange>& batch);
@@ -127,6 +134,8 @@
   // Silent targets that the last list of hosts lacked.
   std::set<std::string> m_missing_targets;
   bool m_is_forgetting = false;
+  base::TimePoint m_queues_reported;
+  bool m_is_reporting_queues = false;
   uint64_t m_roster_version = storage::kNoVersion;
   std::map<std::string, std::string> m_stored_roster;
   base::TimePoint m_roster_written;
@@ -139,6 +148,7 @@
   bool m_is_urgent_commit_planned = false;
   int m_commits_in_flight = 0;
   base::TimePoint m_commit_not_before;
+  base::TimePoint m_backlog_logged;
   int m_orders_in_flight = 0;
   std::function<void()> m_on_quiet;
   base::Lifetime m_lifetime;
--- a/services/shallotwick-scheduler/scheduler_process.cc
+++ b/services/shallotwick-scheduler/scheduler_process.cc
@@ -111,6 +111,13 @@
   m_store.m_on_clock = [this](int64_t store_ms) {
     m_clock.ObserveStore(store_ms, base::RuntimeClock::now());
   };
+  m_store.m_on_traffic = [this](const char* call, const std::string& table,
+                                size_t bytes) {
+    m_metrics
+        .GetCounter("shallotwick_store_bytes_total",
+                    {{"call", call}, {"table", table}})
+        .Increment(bytes);
+  };
   m_session.m_on_reading = [this] {
     m_clock.ObserveOffsets(m_session.GetWatch().GetClockOffsets(),
                            base::RuntimeClock::now());
@@ -129,6 +136,7 @@
   m_host_ledger.m_get_store_ms = [this] {
     return m_clock.GetStoreMs(base::RuntimeClock::now());
   };
+  m_jobs.m_get_store_ms = m_host_ledger.m_get_store_ms;
   const auto get_unix_ms = [this] {
     return m_clock.GetUnixMs(base::RuntimeClock::now(),
                              base::WallClockMilliseconds());
@@ -418,6 +426,7 @@
     return m_session.IsSafe(base::RuntimeClock::now());
   };
   runner->m_get_unix_ms = m_api.m_get_unix_ms;
+  runner->m_get_store_ms = m_host_ledger.m_get_store_ms;
   runner->m_on_lost = [this, pool] { RemovePool(pool); };
   runner->SetConfig(*m_config);
   runner->m_targets_at_start = ListTargets(pool);
--- a/services/shallotwick-scheduler/tests/scheduler_test.cc
+++ b/services/shallotwick-scheduler/tests/scheduler_test.cc
@@ -217,6 +217,65 @@
               m_store.Get(scheduler::MakeJobKey(kService, "job1")).version);
 }
 
+// Many callers ask how many jobs wait; the rows of all jobs are too much for
+// each of them.
+TEST(Scheduler, WaitingJobsAreCountedByAFreshReportOrElseByTheirRows) {
+  PutJob("job1");
+  PutJob("job2");
+  m_store_ms = 50'000;
+  scheduler::JobService jobs(m_loop, m_store);
+  jobs.m_get_store_ms = [this] { return m_store_ms; };
+  const auto count = [&](const char* route) {
+    std::optional<int64_t> counted;
+    jobs.CountQueued(kService, route,
+                     [&counted](JobCallOutcome outcome, int64_t queued) {
+                       CHECK_TRUE(outcome == JobCallOutcome::kDone);
+                       counted = queued;
+                     });
+    Settle();
+    return counted.value();
+  };
+  const auto put_report = [this](const std::string& text) {
+    m_store.Put(scheduler::MakeQueueKey(kService), text);
+  };
+  // The rows of the test name no route.
+  LONGS_EQUAL(2, count(""));
+  put_report(R"({"counted_store_ms":48500,"queued":{"quote":7}})");
+  LONGS_EQUAL(7, count("quote"));
+  LONGS_EQUAL(0, count(""));
+  // Its owner may be gone: jobs may have come that it has not counted.
+  m_store_ms = 51'000;
+  LONGS_EQUAL(2, count(""));
+  put_report("{");
+  LONGS_EQUAL(2, count(""));
+  put_report(R"({"counted_store_ms":51000,"queued":{"quote":7}})");
+  m_store_ms.reset();
+  LONGS_EQUAL(2, count(""));
+}
+
+TEST(Scheduler, AnOwnerReportsHowManyJobsWait) {
+  base::RuntimeClock::Pause();
+  PutJob("job1");
+  PutJob("job2");
+  m_store_ms = 50'000;
+  const auto pool = StartPool();
+  pool->m_get_store_ms = [this] { return m_store_ms; };
+  AdvanceTimers(std::chrono::milliseconds(200));
+  STRCMP_EQUAL(R"({"counted_store_ms":50000,"queued":{"quote":2}})",
+               m_store.Get(scheduler::MakeQueueKey(kService)).value.c_str());
+  m_store_ms = 50'500;
+  AdvanceTimers(std::chrono::milliseconds(500));
+  CHECK_TRUE(
+      m_store.Get(scheduler::MakeQueueKey(kService)).value.find("50000") !=
+      std::string::npos);
+  // One that has lost the pool reports nothing.
+  m_store.Put(scheduler::MakeOwnerKey(kService), R"({"host":"other"})");
+  AdvanceTimers(std::chrono::milliseconds(1'000));
+  CHECK_TRUE(
+      m_store.Get(scheduler::MakeQueueKey(kService)).value.find("50000") !=
+      std::string::npos);
+}
+
 // A configuration must be in force two seconds after the platform took it, also
 // if the question for it was lost just before.
 TEST(Scheduler, ALostQuestionForTheConfigurationCostsLessThanItsBound) {
@@ -561,3 +620,37 @@
   Settle();
   LONGS_EQUAL(1, m_hosts.m_maintained.size());
 }
+
+// All owners agree on a wave in one row: a write for each host would bound the
+// pace of a wave of hundreds.
+TEST(Scheduler, IdleHostsOfAWaveGoDownTogether) {
+  m_hosts.m_hosts.clear();
+  hosts::MaintenanceWave wave;
+  wave.number = 1;
+  wave.most_at_once = 30;
+  for (int i = 0; i < 40; ++i) {
+    hosts::FleetHost host;
+    host.name = "m-" + std::to_string(i);
+    host.pool = kService;
+    m_hosts.m_hosts.push_back(host);
+    wave.hosts.push_back(host.name);
+  }
+  const auto pool = StartPool();
+  const auto ledger = StartLedger(false);
+  scheduler::WaveConductor waves(m_store, m_hosts, *ledger,
+                                 {"self/1", std::chrono::seconds(2)});
+  waves.m_find_pool = [&pool](const std::string&) { return pool.get(); };
+  waves.m_is_holder_live = [](const std::string&) { return true; };
+  waves.m_are_hosts_short = [] { return false; };
+  waves.SetWave(wave);
+  waves.Reconsider(base::RuntimeClock::now());
+  Settle();
+  LONGS_EQUAL(30, m_hosts.m_maintained.size());
+  for (const auto& [host, token] : m_hosts.m_maintained) {
+    LONGS_EQUAL(m_hosts.m_maintained[0].second, token);
+  }
+  // No more than may be down at once.
+  waves.Reconsider(base::RuntimeClock::now());
+  Settle();
+  LONGS_EQUAL(30, m_hosts.m_maintained.size());
+}
--- a/services/shallotwick-scheduler/wave_conductor.cc
+++ b/services/shallotwick-scheduler/wave_conductor.cc
@@ -15,8 +15,12 @@
 constexpr char kWavePrefix[] = "wave/";
 // Short tasks get so long to end before a host is taken down under them.
 constexpr auto kLongestPreparation = std::chrono::milliseconds(1'500);
-// Hosts with work that are freed of it at a time; idle ones cost nothing.
-constexpr int kMostBusyPrepared = 2;
+// Hosts with work that an owner frees of it at a time: so many, or this share
+// of those that still wait for their turn. Idle ones cost nothing.
+constexpr int kLeastBusyPrepared = 2;
+constexpr int kBusyPreparedDivisor = 8;
+// Hosts of one transaction: each takes two entries, as does the wave's row.
+constexpr size_t kMostTakenAtOnce = storage::kMostTransactionEntries / 2 - 1;
 // A host that the list lacks for so long has left the fleet.
 constexpr auto kMissingForGood = std::chrono::milliseconds(3'000);
 // From a host's return until the next one is down: the list that shows it, and
@@ -94,21 +98,37 @@
   if (places == 0) {
     return;
   }
-  // One at a time: each host that goes changes what the next would interrupt.
   const auto waiting = hosts::ListWaitingHosts(wave, record);
+  std::vector<hosts::FleetHost> idle;
   for (const auto& [name, since] : m_preparing) {
     const auto host = m_ledger.GetHosts().find(name);
+    if (host == m_ledger.GetHosts().end()) {
+      continue;
+    }
     const bool is_due =
-        host != m_ledger.GetHosts().end() && m_ledger.IsFree(name, now) &&
+        m_ledger.IsFree(name, now) &&
         std::find(waiting.begin(), waiting.end(), name) != waiting.end() &&
         IsFreeOfWork(host->second, now);
-    if (host != m_ledger.GetHosts().end() && !is_due) {
+    if (!is_due) {
       Evacuate(host->second, now);
+      continue;
     }
-    if (is_due) {
-      TakeDown(wave, host->second, true, row, record);
+    if (m_find_pool(host->second.pool)
+            ->GetScheduler()
+            .CountRuns(host->second.target) > 0) {
+      // One at a time: each host that goes with work on it changes what the
+      // next would interrupt.
+      TakeDown(wave, {host->second}, true, row, record);
       return;
     }
+    idle.push_back(host->second);
+  }
+  // All owners write the wave's row, so that one write for each host would
+  // bound the pace of a large wave.
+  idle.resize(
+      std::min({idle.size(), static_cast<size_t>(places), kMostTakenAtOnce}));
+  if (!idle.empty()) {
+    TakeDown(wave, idle, true, row, record);
   }
 }
 
@@ -195,7 +215,7 @@
     Evacuate(host, now);
     return false;
   }
-  TakeDown(wave, host, false, row, record);
+  TakeDown(wave, {host}, false, row, record);
   return true;
 }
 
@@ -249,8 +269,12 @@
     }
   }
   std::sort(candidates.begin(), candidates.end());
+  const int most_busy =
+      std::max(kLeastBusyPrepared,
+               static_cast<int>(candidates.size() + m_preparing.size()) /
+                   kBusyPreparedDivisor);
   for (const auto& [runs, name] : candidates) {
-    const int most = runs == 0 ? places : kMostBusyPrepared;
+    const int most = runs == 0 ? places : most_busy;
     if (static_cast<int>(m_preparing.size()) >= most) {
       break;
     }
@@ -277,16 +301,20 @@
 }
 
 void WaveConductor::TakeDown(const hosts::MaintenanceWave& wave,
-                             const hosts::FleetHost& host, bool is_first,
-                             const storage::VersionedRow& row,
+                             const std::vector<hosts::FleetHost>& taken,
+                             bool is_first, const storage::VersionedRow& row,
                              hosts::WaveRecord record) {
-  record.running[host.name] = m_options.holder;
+  HostOperationRequest request;
+  std::map<std::string, hosts::FleetHost> by_name;
+  for (const hosts::FleetHost& host : taken) {
+    record.running[host.name] = m_options.holder;
+    SetLeaving(host, true);
+    request.hosts.push_back(host.name);
+    by_name[host.name] = host;
+  }
   if (record.began_ms == 0) {
     record.began_ms = m_get_unix_ms();
   }
-  SetLeaving(host, true);
-  HostOperationRequest request;
-  request.hosts = {host.name};
   request.shared_row = row;
   request.new_value = hosts::EncodeWaveRecord(record);
   request.operate = [this, number = wave.number](
@@ -295,12 +323,15 @@
     m_operations.Maintain(name, number, fence, std::move(on_end));
   };
   request.on_end = m_lifetime.Guard(
-      [this, host, is_first](const std::string& /*name*/,
-                             hosts::HostOperationOutcome outcome) {
-        OnTakenDown(host, is_first, outcome);
+      [this, by_name, is_first](const std::string& name,
+                                hosts::HostOperationOutcome outcome) {
+        OnTakenDown(by_name.at(name), is_first, outcome);
       });
-  request.on_refused =
-      m_lifetime.Guard([this, host] { SetLeaving(host, false); });
+  request.on_refused = m_lifetime.Guard([this, taken] {
+    for (const hosts::FleetHost& host : taken) {
+      SetLeaving(host, false);
+    }
+  });
   m_ledger.Operate(std::move(request));
 }
 
--- a/services/shallotwick-scheduler/wave_conductor.h
+++ b/services/shallotwick-scheduler/wave_conductor.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "base/event_loop.h"
 #include "host_ledger.h"
@@ -63,7 +64,7 @@
   bool IsFreeOfWork(const hosts::FleetHost& host, base::TimePoint now) const;
   // `is_first`: no holder before has asked for it.
   void TakeDown(const hosts::MaintenanceWave& wave,
-                const hosts::FleetHost& host, bool is_first,
+                const std::vector<hosts::FleetHost>& taken, bool is_first,
                 const storage::VersionedRow& row, hosts::WaveRecord record);
   void OnTakenDown(const hosts::FleetHost& host, bool is_first,
                    hosts::HostOperationOutcome outcome);
