Free busy hosts of a wave as fast as the wave must end

Change: CountBusyPreparations, pure: so many at a time that all are through in the planned share of the wave's time, and all that are left once that is over.

--- a/libraries/hosts/maintenance_wave.cc
+++ b/libraries/hosts/maintenance_wave.cc
@@ -11,6 +11,21 @@
 // Of the time that a wave has; the rest is for hosts that hold it up.
 constexpr double kPlannedShare = 0.7;
 
+// Freed of work at a time at the least.
+constexpr int kLeastBusyPreparations = 2;
+
+// How often a place of the wave can be given to another host until it should be
+// over.
+double CountPlannedRounds(const MaintenanceWave& wave, const WaveRecord& record,
+                          base::Duration host_time, int64_t now_ms) {
+  const auto within = std::chrono::duration_cast<std::chrono::milliseconds>(
+      wave.complete_within * kPlannedShare);
+  const int64_t began_ms = record.began_ms > 0 ? record.began_ms : now_ms;
+  const auto left = std::chrono::milliseconds(began_ms - now_ms) + within;
+  return std::floor(std::chrono::duration<double>(left) /
+                    std::chrono::duration<double>(host_time));
+}
+
 }  // namespace
 
 std::string EncodeWaveRecord(const WaveRecord& record) {
@@ -64,13 +79,8 @@
   if (!pace.are_hosts_short || wave.complete_within <= base::Duration(0)) {
     return free;
   }
-  const auto within = std::chrono::duration_cast<std::chrono::milliseconds>(
-      wave.complete_within * kPlannedShare);
-  const int64_t began_ms = record.began_ms > 0 ? record.began_ms : pace.now_ms;
-  const auto left = std::chrono::milliseconds(began_ms - pace.now_ms) + within;
   const double rounds =
-      std::floor(std::chrono::duration<double>(left) /
-                 std::chrono::duration<double>(pace.host_time));
+      CountPlannedRounds(wave, record, pace.host_time, pace.now_ms);
   if (rounds < 1) {
     return free;
   }
@@ -81,4 +91,16 @@
   return std::clamp(planned - static_cast<int>(record.running.size()), 0, free);
 }
 
+int CountBusyPreparations(const MaintenanceWave& wave, const WaveRecord& record,
+                          int waiting, base::Duration host_time,
+                          int64_t now_ms) {
+  if (wave.complete_within <= base::Duration(0)) {
+    return kLeastBusyPreparations;
+  }
+  const double rounds = CountPlannedRounds(wave, record, host_time, now_ms);
+  const int planned =
+      rounds < 1 ? waiting : static_cast<int>(std::ceil(waiting / rounds));
+  return std::max(kLeastBusyPreparations, planned);
+}
+
 }  // namespace shallotwick::hosts
--- a/libraries/hosts/maintenance_wave.h
+++ b/libraries/hosts/maintenance_wave.h
@@ -60,4 +60,11 @@
 int CountFreePlacesAtPace(const MaintenanceWave& wave, const WaveRecord& record,
                           const WavePace& pace);
 
+// How many of the `waiting` hosts of an owner's pools that have work on them it
+// frees of it at a time, so that all have their turn in time. `host_time`:
+// until a host is freed and down.
+int CountBusyPreparations(const MaintenanceWave& wave, const WaveRecord& record,
+                          int waiting, base::Duration host_time,
+                          int64_t now_ms);
+
 }  // namespace shallotwick::hosts
--- a/libraries/hosts/tests/hosts_test.cc
+++ b/libraries/hosts/tests/hosts_test.cc
@@ -125,6 +125,33 @@
   LONGS_EQUAL(20, hosts::CountFreePlacesAtPace(wave, record, pace));
 }
 
+// The last hosts of a wave are those with work on them; two at a time they were
+// late on a fleet of hundreds.
+TEST(Hosts, BusyHostsAreFreedOfWorkAsFastAsTheWaveMustEnd) {
+  hosts::MaintenanceWave wave;
+  wave.most_at_once = 99;
+  hosts::WaveRecord record;
+  record.began_ms = 1'000'000;
+  constexpr auto kHostTime = std::chrono::milliseconds(2'500);
+  LONGS_EQUAL(2, hosts::CountBusyPreparations(wave, record, 50, kHostTime,
+                                              record.began_ms));
+  wave.complete_within = std::chrono::seconds(27);
+  // Played on: the owner of 50 hosts is through before the wave has to end.
+  int waiting = 50;
+  int64_t now_ms = record.began_ms;
+  while (waiting > 0) {
+    waiting -= std::min(waiting, hosts::CountBusyPreparations(
+                                     wave, record, waiting, kHostTime, now_ms));
+    now_ms += kHostTime.count();
+  }
+  CHECK_TRUE(now_ms <= record.began_ms + 20'000);
+  // With many left near the end, all at once.
+  LONGS_EQUAL(21, hosts::CountBusyPreparations(wave, record, 21, kHostTime,
+                                               record.began_ms + 19'000));
+  LONGS_EQUAL(2, hosts::CountBusyPreparations(wave, record, 1, kHostTime,
+                                              record.began_ms));
+}
+
 TEST(Hosts, RecordsOfAnotherFormAreRefused) {
   CHECK_THROWS(std::runtime_error, hosts::DecodeWaveRecord("[1"));
   CHECK_THROWS(std::runtime_error, hosts::DecodeWaveRecord("{\"running\":3}"));
--- a/services/shallotwick-scheduler/wave_conductor.cc
+++ b/services/shallotwick-scheduler/wave_conductor.cc
@@ -15,10 +15,8 @@
 constexpr char kWavePrefix[] = "wave/";
 // Short tasks get so long to end before a host is taken down under them.
 constexpr auto kLongestPreparation = std::chrono::milliseconds(1'500);
-// Hosts with work that an owner frees of it at a time: so many, or this share
-// of those that still wait for their turn. Idle ones cost nothing.
-constexpr int kLeastBusyPrepared = 2;
-constexpr int kBusyPreparedDivisor = 8;
+// From the choice of a host with work on it until it is down.
+constexpr auto kBusyHostTime = std::chrono::milliseconds(2'500);
 // Hosts of one transaction: each takes two entries, as does the wave's row.
 constexpr size_t kMostTakenAtOnce = storage::kMostTransactionEntries / 2 - 1;
 // A host that the list lacks for so long has left the fleet.
@@ -269,10 +267,10 @@
     }
   }
   std::sort(candidates.begin(), candidates.end());
-  const int most_busy =
-      std::max(kLeastBusyPrepared,
-               static_cast<int>(candidates.size() + m_preparing.size()) /
-                   kBusyPreparedDivisor);
+  // Idle ones cost nothing.
+  const int most_busy = hosts::CountBusyPreparations(
+      wave, record, static_cast<int>(candidates.size() + m_preparing.size()),
+      kBusyHostTime, m_get_unix_ms());
   for (const auto& [runs, name] : candidates) {
     const int most = runs == 0 ? places : most_busy;
     if (static_cast<int>(m_preparing.size()) >= most) {
