Let no malformed row or answer end a process

Rows of sessions, owners and locks whose fields have another type threw out of the event loop and ended the scheduler, as did a refusal of a host operation whose reason is no text. Ruled out: rows of jobs, progress, needs, waves (tests before). Change: each is decoded or left aside with event 112. An owner that can't be read is none, and its successor's term is above the row's version, so that run numbers rise; a lock that can't be read rests from when it was seen; a session that can't be read is not live and replaces nobody. An exception that still leaves a task of the event loop is logged (113) and the others go on.

--- a/libraries/base/event_loop.cc
+++ b/libraries/base/event_loop.cc
@@ -1,10 +1,22 @@
 #include "base/event_loop.h"
 
+#include <exception>
+
+#include "base/log.h"
+#include "base/log_catalogue.h"
+
 namespace shallotwick::base {
 
 void EventLoop::Run() {
   const auto work = asio::make_work_guard(m_context);
-  m_context.run();
+  while (!m_context.stopped()) {
+    try {
+      m_context.run();
+    } catch (const std::exception& error) {
+      // One message that nobody foresaw must not end what all others need.
+      Log(events::kHandlerFailed, {{"fault", error.what()}});
+    }
+  }
 }
 
 void EventLoop::Stop() { m_context.stop(); }
--- a/libraries/base/event_loop.h
+++ b/libraries/base/event_loop.h
@@ -14,7 +14,7 @@
  public:
   asio::io_context& GetContext() { return m_context; }
 
-  // Runs until Stop.
+  // Runs until Stop. An exception of one task is logged; the others go on.
   void Run();
   void Stop();
 
--- a/libraries/base/log_catalogue.h
+++ b/libraries/base/log_catalogue.h
@@ -22,6 +22,9 @@
 inline constexpr LogEvent kStoreReachable{111, "store-reachable",
                                           Severity::kInfo,
                                           "The table service answers again."};
+inline constexpr LogEvent kHandlerFailed{
+    113, "handler-failed", Severity::kError,
+    "An unexpected error ended one step; the process goes on."};
 inline constexpr LogEvent kStoreContentInvalid{
     112, "store-content-invalid", Severity::kError,
     "A row does not have the expected form; what depends on it waits."};
@@ -140,6 +143,7 @@
                                     kStoreUnreachable,
                                     kStoreReachable,
                                     kStoreContentInvalid,
+                                    kHandlerFailed,
                                     kViewInForce,
                                     kViewRefused,
                                     kReady,
--- a/libraries/base/tests/small_parts_test.cc
+++ b/libraries/base/tests/small_parts_test.cc
@@ -1,6 +1,9 @@
 #include <CppUTest/TestHarness.h>
 
+#include <stdexcept>
+
 #include "base/backoff.h"
+#include "base/event_loop.h"
 #include "base/metrics.h"
 #include "base/periodic_task.h"
 #include "base/runtime_clock.h"
@@ -69,3 +72,18 @@
   task.Stop();
   CHECK_TRUE(runs.load() >= 2);
 }
+
+TEST_GROUP(EventLoop){};
+
+TEST(EventLoop, AnExceptionOfOneTaskEndsNoOther) {
+  base::EventLoop loop;
+  int ran = 0;
+  loop.Post([&ran] { ++ran; });
+  loop.Post([] { throw std::runtime_error("a message that nobody foresaw"); });
+  loop.Post([&ran, &loop] {
+    ++ran;
+    loop.Stop();
+  });
+  loop.Run();
+  LONGS_EQUAL(2, ran);
+}
--- a/services/shallotwick-scheduler/host_ledger.cc
+++ b/services/shallotwick-scheduler/host_ledger.cc
@@ -116,15 +116,17 @@
   Lock lock;
   lock.version = row.version;
   lock.observed = base::RuntimeClock::now();
-  const auto object = nlohmann::json::parse(row.value, nullptr, false);
-  if (object.is_object()) {
-    lock.holder = object.value("holder", "");
+  try {
+    const auto object = nlohmann::json::parse(row.value);
+    object.at("holder").get_to(lock.holder);
     const auto taken = object.find("taken_store_ms");
-    if (taken != object.end() && taken->is_number_integer()) {
+    if (taken != object.end()) {
       lock.taken_store_ms = taken->get<int64_t>();
     }
-  } else {
-    lock.holder = row.value;
+  } catch (const nlohmann::json::exception& error) {
+    base::Log(base::events::kStoreContentInvalid,
+              {{"row", row.key.key}, {"fault", error.what()}});
+    lock.is_holder_known = false;
   }
   return lock;
 }
@@ -171,7 +173,9 @@
   }
   const auto lock = m_locks.find(host);
   return lock == m_locks.end() || lock->second.holder == m_holder ||
-         !m_is_holder_live(lock->second.holder) || HasRested(lock->second, now);
+         (lock->second.is_holder_known &&
+          !m_is_holder_live(lock->second.holder)) ||
+         HasRested(lock->second, now);
 }
 
 storage::VersionedRow HostLedger::GetSharedRow(const std::string& key) const {
--- a/services/shallotwick-scheduler/host_ledger.h
+++ b/services/shallotwick-scheduler/host_ledger.h
@@ -81,6 +81,8 @@
   struct Lock {
     uint64_t version = storage::kNoVersion;
     std::string holder;
+    // Whoever wrote a row of another form may still be acting.
+    bool is_holder_known = true;
     base::TimePoint observed;
     // When it was taken, by the store's clock, or somewhat earlier; nothing if
     // the holder did not say.
--- a/services/shallotwick-scheduler/ownership_manager.cc
+++ b/services/shallotwick-scheduler/ownership_manager.cc
@@ -22,13 +22,23 @@
       .dump();
 }
 
-ownership::OwnerRecord DecodeOwner(const std::string& text) {
+// A row of another form names no owner, so that the pool is taken; its term was
+// no higher than the version, which rises with each write.
+ownership::OwnerRecord DecodeOwner(const storage::VersionedRow& row) {
   ownership::OwnerRecord record;
-  const auto object = nlohmann::json::parse(text, nullptr, false);
-  if (object.is_object()) {
-    record.holder.host = object.value("host", "");
-    record.holder.boot = object.value("boot", "");
-    record.term = object.value("term", int64_t{0});
+  if (row.version == storage::kNoVersion || row.is_removed) {
+    return record;
+  }
+  try {
+    const auto object = nlohmann::json::parse(row.value);
+    object.at("host").get_to(record.holder.host);
+    object.at("boot").get_to(record.holder.boot);
+    object.at("term").get_to(record.term);
+  } catch (const nlohmann::json::exception& error) {
+    base::Log(
+        base::events::kStoreContentInvalid,
+        {{"row", row.key.table + "/" + row.key.part}, {"fault", error.what()}});
+    record = {{}, static_cast<int64_t>(row.version)};
   }
   return record;
 }
@@ -70,7 +80,7 @@
   if (row.version < owner.version) {
     return;
   }
-  owner = Owner{DecodeOwner(row.value), row.version};
+  owner = Owner{DecodeOwner(row), row.version};
   m_orphaned_since.erase(pool);
   const bool is_own = owner.record.holder == m_session.GetSelf();
   if (!is_own && m_owned.erase(pool) > 0) {
--- a/services/shallotwick-scheduler/pool_runner.cc
+++ b/services/shallotwick-scheduler/pool_runner.cc
@@ -116,6 +116,13 @@
         for (const storage::VersionedRow& row : result.rows) {
           m_roster_version = row.version;
           const auto roster = nlohmann::json::parse(row.value, nullptr, false);
+          if (!roster.is_object()) {
+            base::Log(base::events::kStoreContentInvalid,
+                      {{"pool", m_options.service},
+                       {"row", row.key.table},
+                       {"fault", "no object"}});
+            continue;
+          }
           for (const auto& [id, address] : roster.items()) {
             scheduling::TargetEntry entry;
             entry.id = id;
--- a/services/shallotwick-scheduler/session_keeper.cc
+++ b/services/shallotwick-scheduler/session_keeper.cc
@@ -29,20 +29,27 @@
 // A renewal of a remote host may be lost and sent again meanwhile.
 constexpr auto kStoreReachableWindow = std::chrono::milliseconds(2'500);
 
-ownership::SessionRow DecodeSession(const storage::VersionedRow& row) {
-  ownership::SessionRow session;
-  session.holder.host = row.key.key;
-  session.version = row.version;
-  const auto object = nlohmann::json::parse(row.value, nullptr, false);
-  if (object.is_object()) {
-    session.holder.boot = object.value("boot", "");
+// Nothing, and a log line, if the row is of another form.
+std::optional<ownership::SessionRow> DecodeSession(
+    const storage::VersionedRow& row) {
+  try {
+    const auto object = nlohmann::json::parse(row.value);
+    ownership::SessionRow session;
+    session.holder.host = row.key.key;
+    session.holder.boot = object.at("boot").get<std::string>();
+    session.version = row.version;
     session.cores = object.value("cores", 1.0);
     const auto offset = object.find("clock_offset_ms");
-    if (offset != object.end() && offset->is_number_integer()) {
+    if (offset != object.end()) {
       session.clock_offset_ms = offset->get<int64_t>();
     }
+    return session;
+  } catch (const nlohmann::json::exception& error) {
+    base::Log(
+        base::events::kStoreContentInvalid,
+        {{"row", row.key.table + "/" + row.key.key}, {"fault", error.what()}});
+    return std::nullopt;
   }
-  return session;
 }
 
 }  // namespace
@@ -123,9 +130,9 @@
   } else if (result.status == storage::RowCommitStatus::kConflict) {
     const storage::VersionedRow row =
         result.current.empty() ? storage::VersionedRow{} : result.current[0];
-    const bool is_own = DecodeSession(row).holder.boot == m_self.boot;
-    if (m_has_session && !is_own && row.version != storage::kNoVersion &&
-        !row.is_removed) {
+    const bool is_there = row.version != storage::kNoVersion && !row.is_removed;
+    const auto session = is_there ? DecodeSession(row) : std::nullopt;
+    if (m_has_session && session && session->holder.boot != m_self.boot) {
       m_on_replaced();
       return;
     }
@@ -159,7 +166,9 @@
   if (result.is_read) {
     std::map<std::string, ownership::SessionRow> sessions;
     for (const storage::VersionedRow& row : result.rows) {
-      sessions[row.key.key] = DecodeSession(row);
+      if (auto session = DecodeSession(row)) {
+        sessions[row.key.key] = std::move(*session);
+      }
     }
     m_watch.Observe(sessions, base::RuntimeClock::now());
     m_on_reading();
