--- a/services/shallotwick-controller/controller.cc
+++ b/services/shallotwick-controller/controller.cc
@@ -74,7 +74,8 @@
       {"member-lapse-ms", "MILLISECONDS",
        "a gateway that has not renewed its membership for so long is counted "
        "out; its lease, the time in which it stops sending and the longest "
-       "deadline together",
+       "deadline together; never sooner than the limit that the gateway itself "
+       "declares",
        "45000", milliseconds},
   };
   const auto log_settings = base::GetLogSettings();
