--- a/libraries/hosts/capacity_need.cc
+++ b/libraries/hosts/capacity_need.cc
@@ -32,7 +32,7 @@
     object.at("timely").get_to(record.timely);
     object.at("wanted").get_to(record.wanted);
     object.at("present").get_to(record.present);
-    // Rows of builds before 2026-12-05 lack it.
+    // Rows of older builds lack it.
     record.busy = object.value("busy", 0);
     object.at("offers").get_to(record.offers);
     return record;
