--- a/libraries/hosts/tests/hosts_test.cc
+++ b/libraries/hosts/tests/hosts_test.cc
@@ -1,5 +1,7 @@
 #include <CppUTest/TestHarness.h>
 
+#include <cmath>
+#include <random>
 #include <stdexcept>
 #include <string>
 
@@ -17,13 +19,18 @@
 constexpr auto kStart = base::TimePoint(std::chrono::seconds(1'000));
 constexpr auto kMoveTime = std::chrono::milliseconds(1'500);
 
-// Adds work for `tenths` tenths of a second, at a rate in core-seconds per
-// second that changes linearly.
+// Records jobs of 2.5 core-seconds for `tenths` tenths of a second, at a rate
+// in core-seconds per second that changes linearly.
 void AddRamp(hosts::ArrivalForecast& forecast, double from, double to,
              int tenths) {
+  constexpr double kJobCoreSeconds = 2.5;
+  double due = 0;
   for (int i = 0; i < tenths; ++i) {
     const double rate = from + (to - from) * i / tenths;
-    forecast.Add(rate / 10, kStart + std::chrono::milliseconds(100) * i);
+    for (due += rate / 10; due >= kJobCoreSeconds; due -= kJobCoreSeconds) {
+      forecast.Add(kJobCoreSeconds,
+                   kStart + std::chrono::milliseconds(100) * i);
+    }
   }
 }
 
@@ -35,21 +42,58 @@
   hosts::ArrivalForecast forecast;
   AddRamp(forecast, 100, 100, 30);
   const double cores = forecast.ForecastCores(
-      kMoveTime, kStart + std::chrono::milliseconds(2'900));
+      kMoveTime, kStart + std::chrono::milliseconds(2'999));
   DOUBLES_EQUAL(100, cores, 1);
 }
 
 TEST(Hosts, ForecastOfRiseIsRateWhenActivatedHostIsAvailable) {
   hosts::ArrivalForecast forecast;
-  // The rate rises by 200 cores per second; the newest complete view of the
-  // rate is 0.5 s old.
+  // The rate rises by 200 cores per second, to 400 at the end.
   AddRamp(forecast, 0, 400, 20);
   const double cores = forecast.ForecastCores(
-      kMoveTime, kStart + std::chrono::milliseconds(1'900));
+      kMoveTime, kStart + std::chrono::milliseconds(1'999));
   CHECK_TRUE(cores > 600);
   CHECK_TRUE(cores < 750);
 }
 
+TEST(Hosts, ForecastIgnoresRandomClustersOfLargeJobs) {
+  constexpr double kRate = 20;  // jobs per second
+  std::mt19937 random(20261204);
+  std::exponential_distribution<double> gap(kRate);
+  std::exponential_distribution<double> size(1.0 / 60);
+  hosts::ArrivalForecast forecast;
+  double next = 0;
+  double error = 0;
+  int readings = 0;
+  for (int tenth = 1; tenth < 300; ++tenth) {
+    for (; next < tenth / 10.0; next += gap(random)) {
+      forecast.Add(size(random),
+                   kStart + std::chrono::milliseconds(
+                                static_cast<int64_t>(next * 1'000)));
+    }
+    if (tenth > 40) {
+      const double cores = forecast.ForecastCores(
+          kMoveTime, kStart + std::chrono::milliseconds(100) * tenth);
+      error += std::abs(cores - kRate * 60);
+      ++readings;
+    }
+  }
+  // With slopes taken as they are, and jobs counted by their size, the mean
+  // error is above four fifths of the load.
+  CHECK_TRUE(error / readings < 0.4 * kRate * 60);
+}
+
+TEST(Hosts, ForecastUsesTimesOfArrivalOfJobsRecordedLate) {
+  hosts::ArrivalForecast steady;
+  AddRamp(steady, 100, 100, 30);
+  hosts::ArrivalForecast late;
+  const auto now = kStart + std::chrono::milliseconds(2'999);
+  late.ForecastCores(kMoveTime, now);
+  AddRamp(late, 100, 100, 30);
+  DOUBLES_EQUAL(steady.ForecastCores(kMoveTime, now),
+                late.ForecastCores(kMoveTime, now), 0.001);
+}
+
 TEST(Hosts, ForecastAfterIdlePeriodIsZero) {
   hosts::ArrivalForecast forecast;
   AddRamp(forecast, 100, 100, 30);
