--- a/libraries/ownership/session_monitor.cc
+++ b/libraries/ownership/session_monitor.cc
@@ -69,6 +69,14 @@
          m_last_reading - found->second.last_changed >= m_time_to_live / 2;
 }
 
+std::string SessionMonitor::GetPeerAddress(
+    const Incarnation& incarnation) const {
+  const auto found = m_sessions.find(incarnation.host);
+  return found != m_sessions.end() && found->second.row.holder == incarnation
+             ? found->second.row.peer_address
+             : std::string();
+}
+
 std::vector<int64_t> SessionMonitor::GetClockOffsets() const {
   std::vector<int64_t> offsets;
   for (const auto& [host, session] : m_sessions) {
--- a/libraries/ownership/session_monitor.h
+++ b/libraries/ownership/session_monitor.h
@@ -33,6 +33,8 @@
   // The holder's time of day minus the store's clock; std::nullopt if the
   // holder did not report it.
   std::optional<int64_t> clock_offset_ms = std::nullopt;
+  // Where other hosts reach the holder; empty if it did not report it.
+  std::string peer_address = {};
 
   auto operator<=>(const SessionRow&) const = default;
 };
@@ -55,6 +57,9 @@
   // not changed for half its time to live, also between readings that are far
   // apart.
   bool IsSuspect(const Incarnation& incarnation) const;
+  // Returns where other hosts reach the holder, as last observed; empty if not
+  // known.
+  std::string GetPeerAddress(const Incarnation& incarnation) const;
   // Returns the clock offsets that the live hosts report.
   std::vector<int64_t> GetClockOffsets() const;
   // Returns whether the rows have been observed for long enough to detect an
--- a/libraries/scheduling/pool_decisions.cc
+++ b/libraries/scheduling/pool_decisions.cc
@@ -188,7 +188,7 @@
     }
     waiting.push_back(i);
   }
-  if (waiting.empty()) {
+  if (waiting.empty() || !FitsLeaseLimit(job, step_index, now)) {
     return true;
   }
   // A gang is restarted only as a whole, under one run number.
--- a/libraries/scheduling/pool_reports.cc
+++ b/libraries/scheduling/pool_reports.cc
@@ -99,11 +99,20 @@
 
 int64_t PoolScheduler::GrantLease(TargetLedger& target, base::TimePoint now) {
   ExtendLeaseBound(target, now);
-  const auto lease =
-      std::chrono::duration_cast<std::chrono::milliseconds>(m_options.lease);
+  const auto lease = std::chrono::duration_cast<std::chrono::milliseconds>(
+      std::min(m_options.lease, m_lease_limit - now));
   return target.EstimateClockMs(now) + lease.count();
 }
 
+bool PoolScheduler::FitsLeaseLimit(const ActiveJob& job, int step,
+                                   base::TimePoint now) const {
+  if (m_lease_limit - now >= m_options.lease) {
+    return true;
+  }
+  return !job.GetSpec().steps[static_cast<size_t>(step)].long_running &&
+         now + GetExpectedTime(job, step) <= m_lease_limit;
+}
+
 void PoolScheduler::OnReportFailed(const ReportOrder& order,
                                    OrderOutcome outcome, base::TimePoint now) {
   m_reports_in_flight.erase(order.target);
--- a/libraries/scheduling/pool_scheduler.cc
+++ b/libraries/scheduling/pool_scheduler.cc
@@ -47,6 +47,14 @@
   return found != m_jobs.end() && !IsTerminal(found->second.m_state);
 }
 
+std::optional<JobState> PoolScheduler::FindState(const std::string& id) const {
+  const auto found = m_jobs.find(id);
+  if (found == m_jobs.end()) {
+    return std::nullopt;
+  }
+  return found->second.m_state;
+}
+
 void PoolScheduler::AddRosterTarget(const TargetEntry& entry,
                                     base::TimePoint now) {
   TargetLedger ledger(entry);
--- a/libraries/scheduling/pool_scheduler.h
+++ b/libraries/scheduling/pool_scheduler.h
@@ -79,6 +79,8 @@
   bool HasJob(const std::string& id) const { return m_jobs.count(id) > 0; }
   // Returns whether the job is known and has not ended.
   bool IsActive(const std::string& id) const;
+  // Returns the state of a job that has not ended or whose end is not stored.
+  std::optional<JobState> FindState(const std::string& id) const;
   size_t GetJobCount() const { return m_jobs.size(); }
   // Returns the number of jobs of each route of which no task has started.
   std::map<std::string, int64_t> CountQueuedByRoute() const;
@@ -108,6 +110,8 @@
   void OnReportFailed(const ReportOrder& order, OrderOutcome outcome,
                       base::TimePoint now);
 
+  // Sets the time by which all leases must end that are granted from now on.
+  void SetLeaseLimit(base::TimePoint limit) { m_lease_limit = limit; }
   PoolOrders Decide(base::TimePoint now, int64_t wall_ms);
   void OnStartResult(const StartOrder& order, const OrderResult& result,
                      base::TimePoint now);
@@ -191,6 +195,10 @@
   void ResolveUnlistedRuns(TargetLedger& target, const TargetReport& report,
                            base::TimePoint sent);
   void ExtendLeaseBound(TargetLedger& target, base::TimePoint now);
+  // Returns whether a task that starts now ends before its lease, which cannot
+  // be renewed beyond the limit.
+  bool FitsLeaseLimit(const ActiveJob& job, int step,
+                      base::TimePoint now) const;
   // Returns the expiry of a new lease, on the target's clock.
   int64_t GrantLease(TargetLedger& target, base::TimePoint now);
   void MarkDone(ActiveJob& job, const TaskName& name);
@@ -226,6 +234,7 @@
                    const std::string& target, const char* reason) const;
 
   PoolSchedulerOptions m_options;
+  base::TimePoint m_lease_limit = base::TimePoint::max();
   std::map<std::string, RoutePolicy> m_routes;
   std::map<std::string, ActiveJob> m_jobs;
   std::map<std::string, TargetLedger> m_targets;
--- a/libraries/scheduling/tests/pool_model.cc
+++ b/libraries/scheduling/tests/pool_model.cc
@@ -11,6 +11,9 @@
 constexpr int kStepsPerFaultInjection = 50;
 constexpr int64_t kWallOffsetMs = 1'700'000'000'000;
 constexpr auto kLease = std::chrono::milliseconds(4'000);
+// The minimum time from the lapse of an owner's session until another host may
+// take over its pool.
+constexpr auto kTakeoverMargin = std::chrono::milliseconds(400);
 
 std::string Describe(const TaskName& name) {
   return name.job + "." + std::to_string(name.occurrence) + "." +
@@ -112,6 +115,7 @@
   m_options.crash_chance = 0;
   m_options.partition_chance = 0;
   m_options.takeover_chance = 0;
+  m_options.lapsed_owner_chance = 0;
   m_options.cancel_chance = 0;
   m_options.failure_share = 0;
   m_options.drain_chance = 0;
@@ -138,9 +142,21 @@
   for (const auto& target : m_targets) {
     AdvanceTarget(*target);
   }
+  RunLapsedOwner();
   RunOwner();
 }
 
+void PoolModel::RunLapsedOwner() {
+  if (m_lapsed_owner == nullptr) {
+    return;
+  }
+  if (m_now >= m_lapsed_owner_limit || m_lapsed_owner->IsSuperseded()) {
+    m_lapsed_owner = nullptr;
+    return;
+  }
+  SendOrders(m_lapsed_owner);
+}
+
 void PoolModel::InjectFaults() {
   const size_t victim =
       std::uniform_int_distribution<size_t>(0, m_targets.size() - 1)(m_random);
@@ -247,7 +263,12 @@
   options.first_run = (m_generation - 1) * 1'000 + 1;
   options.lease = kLease;
   options.max_stop_time = kStopTime;
-  m_owner = std::make_unique<PoolScheduler>(options);
+  if (m_owner != nullptr && Draw(m_options.lapsed_owner_chance)) {
+    m_lapsed_owner_limit = m_now - kTakeoverMargin + kLease;
+    m_lapsed_owner = std::move(m_owner);
+    m_lapsed_owner->SetLeaseLimit(m_lapsed_owner_limit);
+  }
+  m_owner = std::make_shared<PoolScheduler>(options);
   m_owner->m_on_decision = [this](const SchedulingDecision& note) {
     Trace("owner " + note.what + ": " + note.reason, note.task, note.run,
           note.target);
@@ -285,14 +306,16 @@
 
 template <typename Order>
 void PoolModel::Send(
-    const Order& order, std::function<OrderResult(const Order&)> apply,
-    const std::function<void(const OrderResult&)>& on_response) {
-  const int generation = m_generation;
+    const std::shared_ptr<PoolScheduler>& owner, const Order& order,
+    std::function<OrderResult(const Order&)> apply,
+    const std::function<void(PoolScheduler&, const OrderResult&)>&
+        on_response) {
   const auto has_responded = std::make_shared<bool>(false);
-  const auto respond = [this, generation, on_response,
-                        has_responded](const OrderResult& result) {
-    if (generation == m_generation && !std::exchange(*has_responded, true)) {
-      on_response(result);
+  const auto respond = [weak_owner = std::weak_ptr<PoolScheduler>(owner),
+                        on_response, has_responded](const OrderResult& result) {
+    const auto sender = weak_owner.lock();
+    if (sender != nullptr && !std::exchange(*has_responded, true)) {
+      on_response(*sender, result);
     }
   };
   const bool is_lost = Draw(m_options.lost_share);
@@ -437,26 +460,32 @@
     m_roster = m_owner->GetRoster();
   }
   m_owner->ConfirmRoster(m_roster);
-  const PoolOrders orders = m_owner->Decide(m_now, GetWallMs());
+  SendOrders(m_owner);
+  Commit();
+}
+
+void PoolModel::SendOrders(const std::shared_ptr<PoolScheduler>& owner) {
+  const PoolOrders orders = owner->Decide(m_now, GetWallMs());
   for (const StartOrder& order : orders.starts) {
     Send<StartOrder>(
-        order, [this](const StartOrder& sent) { return ApplyStart(sent); },
-        [this, order](const OrderResult& result) {
-          m_owner->OnStartResult(order, result, m_now);
+        owner, order,
+        [this](const StartOrder& sent) { return ApplyStart(sent); },
+        [this, order](PoolScheduler& sender, const OrderResult& result) {
+          sender.OnStartResult(order, result, m_now);
         });
   }
   for (const StopOrder& order : orders.stops) {
     Send<StopOrder>(
-        order, [this](const StopOrder& sent) { return ApplyStop(sent); },
-        [this, order](const OrderResult& result) {
-          m_owner->OnStopResult(order, result, m_now);
+        owner, order, [this](const StopOrder& sent) { return ApplyStop(sent); },
+        [this, order](PoolScheduler& sender, const OrderResult& result) {
+          sender.OnStopResult(order, result, m_now);
         });
   }
-  for (const ReportOrder& order : m_owner->CreateReportOrders(m_now)) {
+  for (const ReportOrder& order : owner->CreateReportOrders(m_now)) {
     const auto sent = m_now;
     const auto report = std::make_shared<TargetReport>();
     Send<ReportOrder>(
-        order,
+        owner, order,
         [this, report](const ReportOrder& request) -> OrderResult {
           Target& target = *Find(request.target);
           const int64_t clock = GetClockMs(target);
@@ -492,15 +521,15 @@
           report->ended = target.ended;
           return {OrderOutcome::kAccepted, clock};
         },
-        [this, order, sent, report](const OrderResult& result) {
+        [this, order, sent, report](PoolScheduler& sender,
+                                    const OrderResult& result) {
           if (result.outcome == OrderOutcome::kAccepted) {
-            m_owner->OnReport(order, sent, m_now, *report);
+            sender.OnReport(order, sent, m_now, *report);
           } else {
-            m_owner->OnReportFailed(order, result.outcome, m_now);
+            sender.OnReportFailed(order, result.outcome, m_now);
           }
         });
   }
-  Commit();
 }
 
 void PoolModel::Commit() {
--- a/libraries/scheduling/tests/pool_model.h
+++ b/libraries/scheduling/tests/pool_model.h
@@ -24,6 +24,9 @@
   double crash_chance = 0;
   double partition_chance = 0;
   double takeover_chance = 0;
+  // The probability that an owner whose session has lapsed goes on with the
+  // jobs that it knows after another one has taken over.
+  double lapsed_owner_chance = 0;
   double cancel_chance = 0;
   double drain_chance = 0;
   // The maximum number of changes per commit; a low number creates a backlog.
@@ -105,6 +108,10 @@
   void Crash(Target& target);
   void Takeover();
   void RunOwner();
+  // Runs an owner that has lost its pool without knowing it, until the leases
+  // that it may grant have ended.
+  void RunLapsedOwner();
+  void SendOrders(const std::shared_ptr<PoolScheduler>& owner);
   void Commit();
   void Schedule(base::Duration delay, std::function<void()> action);
   base::Duration DrawDelay();
@@ -120,14 +127,19 @@
   void TraceSend(const StartOrder& order, bool is_lost);
   void TraceSend(const StopOrder& order, bool is_lost);
   void TraceSend(const ReportOrder& /*order*/, bool /*is_lost*/) {}
+  // `on_response` is not called if its owner no longer exists by then.
   template <typename Order>
-  void Send(const Order& order, std::function<OrderResult(const Order&)> apply,
-            const std::function<void(const OrderResult&)>& answer);
+  void Send(const std::shared_ptr<PoolScheduler>& owner, const Order& order,
+            std::function<OrderResult(const Order&)> apply,
+            const std::function<void(PoolScheduler&, const OrderResult&)>&
+                on_response);
 
   PoolModelOptions m_options;
   std::mt19937 m_random;
   base::TimePoint m_now{std::chrono::seconds(1'000)};
-  std::unique_ptr<PoolScheduler> m_owner;
+  std::shared_ptr<PoolScheduler> m_owner;
+  std::shared_ptr<PoolScheduler> m_lapsed_owner;
+  base::TimePoint m_lapsed_owner_limit;
   int m_generation = 0;
   uint64_t m_fence = 10;
   std::vector<std::unique_ptr<Target>> m_targets;
--- a/libraries/scheduling/tests/pool_model_test.cc
+++ b/libraries/scheduling/tests/pool_model_test.cc
@@ -55,6 +55,7 @@
   options.failure_share = draw(0.05);
   options.drain_chance = draw(0.02);
   options.max_changes = seed % 3 == 0 ? 2 : 30;
+  options.lapsed_owner_chance = draw(1.0);
   return options;
 }
 
@@ -129,6 +130,26 @@
   CHECK_TRUE(steps >= 100'000);
 }
 
+TEST(PoolModel, LapsedOwnersViolateNoInvariant) {
+  for (uint32_t seed = 1; seed <= 6; ++seed) {
+    PoolModelOptions options;
+    options.takeover_chance = 0.04;
+    options.lapsed_owner_chance = 1;
+    options.lost_share = 0.05;
+    options.late_share = 0.5;
+    options.partition_chance = 0.06;
+    PoolModel pool(options, seed);
+    for (int i = 0; i < 60; ++i) {
+      pool.Submit(MakeJob(pool, i, 1 + i % 9, 400));
+      pool.RunFor(std::chrono::milliseconds(100));
+    }
+    pool.StopFaults();
+    pool.RunFor(std::chrono::seconds(25));
+    STRCMP_EQUAL("", JoinViolations(pool.GetViolations()).c_str());
+    LONGS_EQUAL(0, pool.CountUnfinishedJobs());
+  }
+}
+
 // The store accepts far fewer changes than arrive. Completions must still be
 // acknowledged and jobs completed, regardless of the order of the job names.
 TEST(PoolModel, CompletesAllJobsDespiteABacklogOfChanges) {
--- /dev/null
+++ b/libraries/storage/observed_store.cc
@@ -0,0 +1,52 @@
+#include "storage/observed_store.h"
+
+#include <utility>
+
+namespace shallotwick::storage {
+
+void ObservedStore::OnAnswer(base::TimePoint sent) {
+  const auto now = base::RuntimeClock::now();
+  const bool was_away = m_health.IsAway(now);
+  m_health.OnAnswer(now, now - sent);
+  if (was_away) {
+    m_on_return();
+  }
+}
+
+void ObservedStore::Commit(RowTransaction transaction,
+                           std::function<void(RowCommitResult)> on_end) {
+  const auto sent = base::RuntimeClock::now();
+  m_health.OnSent(sent);
+  m_store.Commit(
+      std::move(transaction),
+      [this, sent, on_end = std::move(on_end)](RowCommitResult result) {
+        if (result.status == RowCommitStatus::kCommitted ||
+            result.status == RowCommitStatus::kConflict) {
+          OnAnswer(sent);
+        }
+        on_end(std::move(result));
+      });
+}
+
+void ObservedStore::Read(const RowRange& range,
+                         std::function<void(RowReadResult)> on_end) {
+  const auto sent = base::RuntimeClock::now();
+  m_health.OnSent(sent);
+  m_store.Read(range,
+               [this, sent, on_end = std::move(on_end)](RowReadResult result) {
+                 if (result.is_read) {
+                   OnAnswer(sent);
+                 }
+                 on_end(std::move(result));
+               });
+}
+
+// The store answers these calls only when there is a change, so they say
+// nothing about its answer time or its absence.
+void ObservedStore::ReadChanges(const std::string& table, uint64_t after,
+                                std::chrono::milliseconds wait,
+                                std::function<void(ChangeFeedResult)> on_end) {
+  m_store.ReadChanges(table, after, wait, std::move(on_end));
+}
+
+}  // namespace shallotwick::storage
--- a/services/shallotwick-scheduler/job_api.cc
+++ b/services/shallotwick-scheduler/job_api.cc
@@ -5,15 +5,14 @@
 
 #include "base/log.h"
 #include "base/log_catalogue.h"
+#include "base/random_identifier.h"
 #include "platform/operator_codec.h"
+#include "storage/store_health.h"
 
 namespace shallotwick::scheduler {
 namespace {
 
 constexpr size_t kIdentifierDigits = 16;
-// Refused clients retry after this time. By then another host has taken over
-// what this one cannot reach.
-constexpr char kRetryAfterSeconds[] = "1";
 
 bool IsJobIdentifier(const std::string& text) {
   return text.size() == kIdentifierDigits &&
@@ -49,8 +48,9 @@
 
 }  // namespace
 
-JobApi::JobApi(JobService& jobs, base::MetricRegistry& metrics)
-    : m_jobs(jobs), m_metrics(metrics) {}
+JobApi::JobApi(JobService& jobs, JobStateLookup& states,
+               base::MetricRegistry& metrics)
+    : m_jobs(jobs), m_states(states), m_metrics(metrics) {}
 
 void JobApi::Handle(const http::Request& request,
                     const http::Respond& respond) {
@@ -67,9 +67,12 @@
     respond(http::MakeProblem(404, "no-such-queue", "No queue has this path."));
     return;
   }
-  // Without the store, requests cannot be served here; another host may be able
-  // to reach it.
-  if (!m_is_store_reachable()) {
+  const std::string id = path.substr(route->prefix.size());
+  const bool is_read = request.method == "GET" || request.method == "HEAD";
+  // Without the store, other requests cannot be served here; another host may
+  // be able to reach it.
+  const bool is_state_request = is_read && IsJobIdentifier(id);
+  if (!is_state_request && !m_is_store_reachable()) {
     base::Log(base::events::kJobRefused, {{"route", route->name},
                                           {"call", request.method},
                                           {"path", path},
@@ -77,8 +80,6 @@
     respond(Refuse("store-unreachable"));
     return;
   }
-  const std::string id = path.substr(route->prefix.size());
-  const bool is_read = request.method == "GET" || request.method == "HEAD";
   if (id.empty() && is_read) {
     Count(*route, respond);
   } else if (request.method == "POST") {
@@ -135,7 +136,7 @@
 
 void JobApi::Show(const scheduling::Route& route, const std::string& id,
                   const http::Respond& respond) {
-  m_jobs.FindState(
+  m_states.Find(
       ListServices(route), id,
       [this, id, respond](JobCallOutcome outcome, scheduling::JobState state) {
         respond(MakeResponse(
@@ -184,7 +185,9 @@
       .Increment();
   http::Response response = http::MakeProblem(
       503, reason, "Nothing was done; come back after the time given.");
-  response.headers.emplace_back("Retry-After", kRetryAfterSeconds);
+  response.headers.emplace_back(
+      "Retry-After", std::to_string(storage::GetRetryAfterSeconds(
+                         m_get_outage_age(), base::MakeRandomFraction())));
   return response;
 }
 
--- a/services/shallotwick-scheduler/job_api.h
+++ b/services/shallotwick-scheduler/job_api.h
@@ -7,6 +7,7 @@
 #include "base/metrics.h"
 #include "http/server.h"
 #include "job_service.h"
+#include "job_state_lookup.h"
 #include "scheduling/serving_config.h"
 
 namespace shallotwick::scheduler {
@@ -15,15 +16,21 @@
 // the event loop.
 class JobApi {
  public:
-  JobApi(JobService& jobs, base::MetricRegistry& metrics);
+  JobApi(JobService& jobs, JobStateLookup& states,
+         base::MetricRegistry& metrics);
 
   // Returns the fleet-wide time of day in milliseconds since the Unix epoch.
   std::function<int64_t()> m_get_unix_ms = base::WallClockMilliseconds;
   // Returns the current configuration, or null before the first one is
   // received.
   std::function<const scheduling::ServingConfig*()> m_get_config;
-  // Whether the store is reachable; requests are refused immediately if not.
+  // Whether the store is reachable. If not, only the states of jobs are shown;
+  // other requests are refused immediately.
   std::function<bool()> m_is_store_reachable;
+  // How long the store has been away; zero if it is not.
+  std::function<base::Duration()> m_get_outage_age = [] {
+    return base::Duration(0);
+  };
 
   void Handle(const http::Request& request, const http::Respond& respond);
 
@@ -42,6 +49,7 @@
                               JobCallOutcome outcome, http::Response done);
 
   JobService& m_jobs;
+  JobStateLookup& m_states;
   base::MetricRegistry& m_metrics;
 };
 
--- /dev/null
+++ b/services/shallotwick-scheduler/job_state_lookup.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/event_loop.h"
+#include "job_service.h"
+#include "scheduling/progress.h"
+
+namespace shallotwick::scheduler {
+
+// Finds the state of a job for a caller: in the store, or with the owner of the
+// job's pool if the store fails or is slow. A job that has ended is shown so
+// while its end waits to be stored.
+class JobStateLookup {
+ public:
+  JobStateLookup(base::EventLoop& loop, JobService& jobs);
+
+  using OnOwnerState = std::function<void(std::optional<scheduling::JobState>)>;
+
+  // Whether the store is reachable; if not, only the owner is asked.
+  std::function<bool()> m_is_store_reachable = [] { return true; };
+  // Asks the owner of a pool for the state of a job.
+  std::function<void(const std::string& pool, const std::string& job,
+                     OnOwnerState on_done)>
+      m_ask_owner = [](const std::string&, const std::string&,
+                       const OnOwnerState& on_done) { on_done(std::nullopt); };
+
+  // `pools`: the pool of the job's route first, then all others.
+  void Find(const std::vector<std::string>& pools, const std::string& job,
+            JobService::OnState on_done);
+
+ private:
+  struct Lookup;
+
+  void AskOwner(const std::shared_ptr<Lookup>& lookup);
+
+  base::EventLoop& m_loop;
+  JobService& m_jobs;
+  base::Lifetime m_lifetime;
+};
+
+}  // namespace shallotwick::scheduler
--- a/services/shallotwick-scheduler/ownership_manager.cc
+++ b/services/shallotwick-scheduler/ownership_manager.cc
@@ -126,6 +126,23 @@
   });
 }
 
+std::optional<ownership::Incarnation> OwnershipManager::FindOwner(
+    const std::string& pool) const {
+  const auto found = m_owners.find(pool);
+  if (found == m_owners.end() || found->second.record.holder.host.empty()) {
+    return std::nullopt;
+  }
+  return found->second.record.holder;
+}
+
+bool OwnershipManager::IsOwner(
+    const ownership::Incarnation& incarnation) const {
+  return std::any_of(m_owners.begin(), m_owners.end(),
+                     [&incarnation](const auto& entry) {
+                       return entry.second.record.holder == incarnation;
+                     });
+}
+
 bool OwnershipManager::MustWatchClosely() const {
   if (!m_owned.empty() || !m_owners_table.IsLoaded()) {
     return true;
--- a/services/shallotwick-scheduler/ownership_manager.h
+++ b/services/shallotwick-scheduler/ownership_manager.h
@@ -31,6 +31,11 @@
   // Whether this host owns pools, ranks among the first hosts to claim one, or
   // suspects that the owner of a pool is gone.
   bool MustWatchClosely() const;
+  // Returns the owner of the pool according to its row as last read.
+  std::optional<ownership::Incarnation> FindOwner(
+      const std::string& pool) const;
+  // Returns whether the host owns a pool according to the rows as last read.
+  bool IsOwner(const ownership::Incarnation& incarnation) const;
   // Stops claiming pools.
   void StopClaiming() { m_is_claiming = false; }
   // Releases the ownership of a pool.
--- a/services/shallotwick-scheduler/pool_records.cc
+++ b/services/shallotwick-scheduler/pool_records.cc
@@ -101,14 +101,21 @@
                   m_lifetime.Guard([this] { WriteRoster(); }));
 }
 
+// A row may also be gone because this owner stored the end of the job and has
+// not received the response yet.
 void PoolRunner::RemoveCancelledJob(const std::string& job) {
+  const scheduling::JobState state =
+      m_scheduler.FindState(job).value_or(scheduling::JobState::kCancelled);
   m_scheduler.CancelJob(job);
   m_progress_versions.erase(job);
-  RecordEndedJob(job);
+  RecordEndedJob(job, scheduling::IsTerminal(state)
+                          ? state
+                          : scheduling::JobState::kCancelled);
 }
 
-void PoolRunner::RecordEndedJob(const std::string& job) {
-  if (m_ended_jobs.insert(job).second) {
+void PoolRunner::RecordEndedJob(const std::string& job,
+                                scheduling::JobState state) {
+  if (m_ended_jobs.try_emplace(job, state).second) {
     m_ended_jobs_by_time.emplace_back(base::RuntimeClock::now(), job);
   }
 }
@@ -116,7 +123,7 @@
 void PoolRunner::RecordJobIfEnded(const storage::VersionedRow& row) {
   const auto summary = ReadSummary(row);
   if (summary && scheduling::IsTerminal(summary->state)) {
-    RecordEndedJob(row.key.key);
+    RecordEndedJob(row.key.key, summary->state);
   }
 }
 
@@ -126,11 +133,11 @@
     return;
   }
   const auto now = base::RuntimeClock::now();
-  std::vector<std::string> old;
+  std::map<std::string, scheduling::JobState> old;
   while (!m_ended_jobs_by_time.empty() &&
          old.size() < kMaxRemovalsPerTransaction &&
          m_ended_jobs_by_time.front().first + m_options.retention <= now) {
-    old.push_back(m_ended_jobs_by_time.front().second);
+    old.insert(m_ended_jobs.extract(m_ended_jobs_by_time.front().second));
     m_ended_jobs_by_time.pop_front();
   }
   if (old.empty()) {
@@ -140,8 +147,7 @@
   storage::RowTransaction transaction;
   transaction.expected = {
       {MakeOwnerKey(m_options.service), m_options.owner_version}};
-  for (const std::string& job : old) {
-    m_ended_jobs.erase(job);
+  for (const auto& [job, state] : old) {
     transaction.removals.push_back(MakeProgressKey(m_options.service, job));
   }
   m_store.Commit(
@@ -150,13 +156,38 @@
         m_is_removing_progress = false;
         if (result.status != storage::RowCommitStatus::kCommitted) {
           // Retried later; removing a row that no longer exists has no effect.
-          for (const std::string& job : old) {
-            RecordEndedJob(job);
+          for (const auto& [job, state] : old) {
+            RecordEndedJob(job, state);
           }
         }
       }));
 }
 
+void PoolRunner::ConfirmOwnership() {
+  if (std::exchange(m_is_confirming, true)) {
+    return;
+  }
+  storage::RowTransaction transaction;
+  transaction.expected = {
+      {MakeOwnerKey(m_options.service), m_options.owner_version}};
+  transaction.writes = {
+      {MakeQueueKey(m_options.service),
+       EncodeQueueReport(QueueReport{m_get_store_ms().value_or(0),
+                                     m_scheduler.CountQueuedByRoute()})}};
+  m_store.Commit(std::move(transaction),
+                 m_lifetime.Guard([this, lapses = m_get_lapse_count()](
+                                      const storage::RowCommitResult& result) {
+                   m_is_confirming = false;
+                   if (result.status == storage::RowCommitStatus::kCommitted) {
+                     m_confirmed_lapse_count = lapses;
+                     AddDeferredJobs();
+                     Wake();
+                   } else if (!IsStillOwner(result)) {
+                     AbandonPool("owner row has changed");
+                   }
+                 }));
+}
+
 // A report lets a request for the number of waiting jobs read one small row
 // instead of the rows of all jobs.
 void PoolRunner::ReportQueues() {
@@ -274,7 +305,7 @@
     for (const scheduling::ProgressChange& change : batch) {
       if (scheduling::IsTerminal(change.progress.state)) {
         m_progress_versions.erase(change.job);
-        RecordEndedJob(change.job);
+        RecordEndedJob(change.job, change.progress.state);
       } else {
         m_progress_versions[change.job] = result.version;
       }
--- a/services/shallotwick-scheduler/pool_runner.cc
+++ b/services/shallotwick-scheduler/pool_runner.cc
@@ -94,7 +94,10 @@
   };
 }
 
-void PoolRunner::Start() { ReadRoster(); }
+void PoolRunner::Start() {
+  m_confirmed_lapse_count = m_get_lapse_count();
+  ReadRoster();
+}
 
 void PoolRunner::SetConfig(const scheduling::ServingConfig& config) {
   m_scheduler.SetRoutes(config.GetPolicies());
@@ -160,6 +163,7 @@
 
 void PoolRunner::OnJobsReset(const std::vector<storage::VersionedRow>& rows) {
   std::set<std::string> present;
+  m_deferred_jobs.clear();
   for (const storage::VersionedRow& row : rows) {
     present.insert(row.key.key);
     AddJob(row, !m_is_loaded);
@@ -201,6 +205,8 @@
     // The owner removes only the rows of ended jobs, so a caller has cancelled
     // this job.
     RemoveCancelledJob(row.key.key);
+  } else {
+    m_deferred_jobs.erase(row.key.key);
   }
   Wake();
 }
@@ -211,6 +217,10 @@
   if (m_scheduler.HasJob(id) || m_ended_jobs.count(id) > 0) {
     return;
   }
+  if (m_is_loaded && !IsOwnershipConfirmed()) {
+    m_deferred_jobs[id] = {row, predates_ownership};
+    return;
+  }
   try {
     scheduling::JobSpec spec = scheduling::DecodeJobRecord(row.value);
     scheduling::JobProgress progress = scheduling::MakeInitialProgress(spec);
@@ -228,9 +238,13 @@
     m_progress_versions[id] = version;
     // Jobs left by the previous owner are a backlog and do not predict future
     // arrivals.
+    // After a gap of the store, the feed delivers jobs that arrived over a
+    // longer time at once.
     if (!predates_ownership) {
+      const auto age = std::chrono::milliseconds(
+          std::max(int64_t{0}, m_get_unix_ms() - spec.accepted_ms));
       m_arrivals.Add(m_scheduler.PredictCoreSeconds(spec),
-                     base::RuntimeClock::now());
+                     base::RuntimeClock::now() - age);
     }
     m_scheduler.AddJob(std::move(spec), progress, predates_ownership);
   } catch (const std::runtime_error& error) {
@@ -240,6 +254,20 @@
   }
 }
 
+// While this host's session is not valid, another host may have become the
+// owner and may start jobs that this host has not seen before. Jobs that it has
+// seen are safe: the other owner holds them back until it knows what runs on
+// every target of the roster, or until the leases there have expired.
+bool PoolRunner::IsOwnershipConfirmed() const {
+  return m_is_session_valid() && m_get_lapse_count() == m_confirmed_lapse_count;
+}
+
+void PoolRunner::AddDeferredJobs() {
+  for (const auto& [id, job] : std::exchange(m_deferred_jobs, {})) {
+    AddJob(job.row, job.predates_ownership);
+  }
+}
+
 void PoolRunner::SetTargets(
     const std::map<std::string, scheduling::TargetEntry>& targets) {
   if (!m_is_roster_read) {
@@ -327,7 +355,7 @@
 
 void PoolRunner::RunPeriodically() {
   RunSchedulingPass();
-  if (!m_is_lost && m_can_send_orders()) {
+  if (!m_is_lost && m_is_session_valid()) {
     RemoveExpiredProgress();
     ReportQueues();
   }
@@ -342,10 +370,14 @@
     AbandonPool("a target has accepted a higher fencing token");
     return;
   }
-  const bool can_send_orders = m_can_send_orders() && !m_on_quiesced;
-  if (can_send_orders) {
+  if (m_is_session_valid() && !IsOwnershipConfirmed()) {
+    ConfirmOwnership();
+  }
+  const auto now = base::RuntimeClock::now();
+  const base::TimePoint lease_limit = m_get_lease_limit();
+  if (now < lease_limit && !m_on_quiesced) {
     WriteRoster();
-    const auto now = base::RuntimeClock::now();
+    m_scheduler.SetLeaseLimit(lease_limit);
     SendOrders(m_scheduler.Decide(now, m_get_unix_ms()));
     SendReports(now);
   }
@@ -405,6 +437,22 @@
   }
 }
 
+std::optional<scheduling::JobState> PoolRunner::FindState(
+    const std::string& job) const {
+  const auto ended = m_ended_jobs.find(job);
+  if (ended != m_ended_jobs.end()) {
+    // That a job was cancelled is concluded from its missing row only.
+    return ended->second == scheduling::JobState::kCancelled
+               ? std::nullopt
+               : std::optional(ended->second);
+  }
+  const auto state = m_scheduler.FindState(job);
+  // Another owner may know more of a job that has not ended here.
+  const bool is_certain =
+      state && (scheduling::IsTerminal(*state) || IsOwnershipConfirmed());
+  return is_certain ? state : std::nullopt;
+}
+
 void PoolRunner::Quiesce(std::function<void()> on_quiesced) {
   m_on_quiesced = std::move(on_quiesced);
   if (!m_is_loaded) {
--- a/services/shallotwick-scheduler/pool_runner.h
+++ b/services/shallotwick-scheduler/pool_runner.h
@@ -47,8 +47,15 @@
   std::function<std::optional<int64_t>()> m_get_store_ms = [] {
     return std::nullopt;
   };
-  // Whether this host may currently send orders.
-  std::function<bool()> m_can_send_orders;
+  // Whether no other host can have become the owner of the pool.
+  std::function<bool()> m_is_session_valid = [] { return true; };
+  // How often this host's session has lapsed.
+  std::function<int64_t()> m_get_lapse_count = [] { return int64_t{0}; };
+  // The time by which all leases that this host grants must end. No orders are
+  // sent after it.
+  std::function<base::TimePoint()> m_get_lease_limit = [] {
+    return base::TimePoint::max();
+  };
   // Called when another host has become the owner of the pool.
   std::function<void()> m_on_lost;
   // Registered targets at the time of the takeover; later changes arrive
@@ -74,6 +81,9 @@
   scheduling::PoolScheduler& GetScheduler() { return m_scheduler; }
   const scheduling::PoolScheduler& GetScheduler() const { return m_scheduler; }
   bool IsLoaded() const { return m_is_loaded; }
+  // Returns the state of a job, if this owner is certain of it. The end of a
+  // job may not be stored yet: its tasks have ended all the same.
+  std::optional<scheduling::JobState> FindState(const std::string& job) const;
   double ForecastCores(base::Duration ahead) {
     return m_arrivals.ForecastCores(ahead, base::RuntimeClock::now());
   }
@@ -86,13 +96,19 @@
   void OnJobsReset(const std::vector<storage::VersionedRow>& rows);
   void OnJobChanged(const storage::VersionedRow& row);
   void AddJob(const storage::VersionedRow& row, bool predates_ownership);
+  // Whether the ownership is certain since the last lapse of the session.
+  bool IsOwnershipConfirmed() const;
+  // After a lapse of the session: makes sure by a conditional write that this
+  // host still owns the pool, then adds the deferred jobs.
+  void ConfirmOwnership();
+  void AddDeferredJobs();
   void WriteRoster();
   void OnRosterWritten(const storage::RowCommitResult& result,
                        const std::map<std::string, std::string>& roster);
 
   // Removes a job that a caller has stored as cancelled.
   void RemoveCancelledJob(const std::string& job);
-  void RecordEndedJob(const std::string& job);
+  void RecordEndedJob(const std::string& job, scheduling::JobState state);
   void RecordJobIfEnded(const storage::VersionedRow& row);
   void RemoveExpiredProgress();
   void ReportQueues();
@@ -129,8 +145,18 @@
   std::map<std::string, uint64_t> m_progress_versions;
   // Progress rows read at the takeover, kept until the jobs have been loaded.
   std::map<std::string, storage::VersionedRow> m_loaded_progress;
-  // Ended jobs; the change feed may still deliver their rows.
-  std::set<std::string> m_ended_jobs;
+  struct DeferredJob {
+    storage::VersionedRow row;
+    bool predates_ownership = false;
+  };
+
+  // Jobs that arrived while the ownership was not confirmed.
+  std::map<std::string, DeferredJob> m_deferred_jobs;
+  // The number of lapses after which the ownership was confirmed last.
+  int64_t m_confirmed_lapse_count = 0;
+  bool m_is_confirming = false;
+  // Ended jobs and their states; the change feed may still deliver their rows.
+  std::map<std::string, scheduling::JobState> m_ended_jobs;
   // Completion times of the ended jobs, oldest first.
   std::deque<std::pair<base::TimePoint, std::string>> m_ended_jobs_by_time;
   // Unresponsive targets that the last host list did not contain.
--- a/services/shallotwick-scheduler/scheduler_process.cc
+++ b/services/shallotwick-scheduler/scheduler_process.cc
@@ -20,6 +20,9 @@
 // One connection for the pending report request and a few for orders; each
 // further connection to a target has a cost.
 constexpr int kConnectionsPerTarget = 4;
+constexpr auto kStoreProbePeriod = std::chrono::milliseconds(250);
+// Requests to a peer are few and answered from memory.
+constexpr int kConnectionsPerPeer = 2;
 // Time for which registry changes are batched; a draining target must be known
 // within the platform's drain time.
 constexpr auto kRegistryBatchDelay = std::chrono::milliseconds(300);
@@ -72,8 +75,9 @@
 SchedulerProcess::SchedulerProcess(const base::Settings& settings)
     : m_store_client(m_loop.GetContext(), kStoreConnections),
       m_target_client(m_loop.GetContext(), kConnectionsPerTarget),
-      m_store(m_store_client, settings.GetString("platform"),
-              GetTimeout(settings, "platform-timeout-ms")),
+      m_row_store(m_store_client, settings.GetString("platform"),
+                  GetTimeout(settings, "platform-timeout-ms")),
+      m_store(m_row_store),
       m_orders(m_target_client, GetTimeout(settings, "order-timeout-ms")),
       m_host_operations(m_store_client, settings.GetString("hosts"),
                         GetTimeout(settings, "platform-timeout-ms")),
@@ -104,18 +108,21 @@
                   base::Duration(0),
                   kShortFeedWait}),
       m_jobs(m_loop, m_store),
-      m_api(m_jobs, m_metrics),
+      m_job_states(m_loop, m_jobs),
+      m_api(m_jobs, m_job_states, m_metrics),
+      m_peer_connections(m_loop.GetContext(), kConnectionsPerPeer),
+      m_peers(m_peer_connections),
       m_lease(std::min(base::Duration(kRequestedLease),
                        GetMilliseconds(settings, "longest-lease-ms"))),
       m_max_stop_time(GetMilliseconds(settings, "longest-stop-ms")),
       m_retention(GetSeconds(settings, "retention-s") + kRetentionMargin),
       m_stop_grace(GetSeconds(settings, "stop-grace-s")),
       m_signals(m_loop.GetContext(), SIGTERM, SIGINT, SIGHUP) {
-  m_store.m_on_clock = [this](int64_t store_ms) {
+  m_row_store.m_on_clock = [this](int64_t store_ms) {
     m_clock.ObserveStoreClock(store_ms, base::RuntimeClock::now());
   };
-  m_store.m_on_traffic = [this](const char* call, const std::string& table,
-                                size_t bytes) {
+  m_row_store.m_on_traffic = [this](const char* call, const std::string& table,
+                                    size_t bytes) {
     m_metrics
         .GetCounter("shallotwick_store_bytes_total",
                     {{"call", call}, {"table", table}})
@@ -168,7 +175,11 @@
   m_host_ledger.m_is_holder_live = [this](const std::string& holder) {
     return IsHolderLive(holder);
   };
-  m_waves.m_is_holder_live = m_host_ledger.m_is_holder_live;
+  m_waves.m_is_holder_active = [this](const std::string& holder) {
+    const auto incarnation = ownership::ParseHolder(holder);
+    return incarnation && m_session.GetMonitor().IsLive(*incarnation) &&
+           m_ownership.IsOwner(*incarnation);
+  };
   m_waves.m_are_hosts_short = [this] {
     return m_capacity.IsAnyPoolShort(base::RuntimeClock::now());
   };
@@ -201,8 +212,20 @@
     OnRegistryRow(row);
   };
   m_api.m_get_config = [this] { return m_config ? &*m_config : nullptr; };
-  m_api.m_is_store_reachable = [this] {
-    return m_session.IsStoreReachable(base::RuntimeClock::now());
+  m_store.m_on_return = [this] { m_session.RenewNow(); };
+  m_api.m_is_store_reachable = [this] { return IsStoreReachable(); };
+  m_api.m_get_outage_age = [this] {
+    return m_store.GetHealth().GetOutageAge(base::RuntimeClock::now());
+  };
+  m_job_states.m_is_store_reachable = m_api.m_is_store_reachable;
+  m_job_states.m_ask_owner = [this](const std::string& pool,
+                                    const std::string& job,
+                                    JobStateLookup::OnOwnerState on_done) {
+    AskOwner(pool, job, std::move(on_done));
+  };
+  m_peer_api.m_find_state = [this](const std::string& pool,
+                                   const std::string& job) {
+    return FindOwnState(pool, job);
   };
   m_job_server = std::make_unique<http::Server>(
       MakeServerOptions(settings.GetString("listen")),
@@ -226,6 +249,18 @@
           respond(http::MakeJsonResponse(IsReady() ? 200 : 503, "{}"));
         });
       });
+  m_peer_server = std::make_unique<http::Server>(
+      MakeServerOptions(settings.GetString("peer-listen")),
+      [this](http::Request request, http::Respond respond) {
+        m_loop.Post(
+            [this, request = std::move(request), respond = std::move(respond)] {
+              m_peer_api.Handle(request, respond);
+            });
+      });
+  base::Endpoint peer_endpoint =
+      base::ParseEndpoint(settings.GetString("peer-listen"));
+  peer_endpoint.port = m_peer_server->GetPort();
+  m_session.m_peer_address = base::FormatEndpoint(peer_endpoint);
   m_job_endpoint = base::ParseEndpoint(settings.GetString("listen"));
   m_job_endpoint.port = m_job_server->GetPort();
   m_readiness_endpoint =
@@ -245,9 +280,11 @@
   m_session.Start();
   m_operator_table.Start();
   RunHostManagementPeriodically();
+  ProbeStorePeriodically();
   m_loop.Run();
   m_job_server->Stop();
   m_readiness_server->Stop();
+  m_peer_server->Stop();
   base::Log(base::events::kStopped);
 }
 
@@ -269,9 +306,52 @@
   return incarnation && m_session.GetMonitor().IsLive(*incarnation);
 }
 
+std::optional<scheduling::JobState> SchedulerProcess::FindOwnState(
+    const std::string& pool, const std::string& job) const {
+  const PoolRunner* runner = FindPool(pool);
+  return runner == nullptr ? std::nullopt : runner->FindState(job);
+}
+
+void SchedulerProcess::AskOwner(const std::string& pool, const std::string& job,
+                                JobStateLookup::OnOwnerState on_done) {
+  const auto owner = m_ownership.FindOwner(pool);
+  if (owner && *owner == m_session.GetSelf()) {
+    on_done(FindOwnState(pool, job));
+    return;
+  }
+  const std::string address =
+      owner ? m_session.GetMonitor().GetPeerAddress(*owner) : std::string();
+  if (address.empty()) {
+    on_done(std::nullopt);
+    return;
+  }
+  m_peers.AskState(address, pool, job, std::move(on_done));
+}
+
 bool SchedulerProcess::IsReady() const {
-  return !m_is_stopping && m_config &&
-         m_session.IsStoreReachable(base::RuntimeClock::now());
+  return !m_is_stopping && m_config && IsStoreReachable();
+}
+
+bool SchedulerProcess::IsStoreReachable() const {
+  return m_session.HasSession() &&
+         !m_store.GetHealth().IsAway(base::RuntimeClock::now());
+}
+
+void SchedulerProcess::ProbeStorePeriodically() {
+  const bool is_away = m_session.HasSession() && !IsStoreReachable();
+  if (is_away) {
+    storage::RowRange range;
+    range.table = kSessionTable;
+    range.part = kSinglePartition;
+    range.limit = 1;
+    m_store.Read(range, [](const storage::RowReadResult& /*result*/) {});
+  }
+  if (is_away != m_is_store_known_away) {
+    m_is_store_known_away = is_away;
+    base::Log(is_away ? base::events::kStoreUnreachable
+                      : base::events::kStoreReachable);
+  }
+  m_loop.RunAfter(kStoreProbePeriod, [this] { ProbeStorePeriodically(); });
 }
 
 void SchedulerProcess::OnOperatorRow(const storage::VersionedRow& row) {
@@ -428,9 +508,13 @@
   options.retention = m_retention;
   auto runner = std::make_unique<PoolRunner>(m_loop, m_store, m_orders,
                                              m_metrics, options);
-  runner->m_can_send_orders = [this] {
+  runner->m_is_session_valid = [this] {
     return m_session.IsSessionValid(base::RuntimeClock::now());
   };
+  runner->m_get_lapse_count = [this] { return m_session.GetLapseCount(); };
+  runner->m_get_lease_limit = [this] {
+    return m_session.GetValidUntil() + m_lease;
+  };
   runner->m_get_unix_ms = m_api.m_get_unix_ms;
   runner->m_get_store_ms = m_host_ledger.m_get_store_ms;
   runner->m_on_lost = [this, pool] { RemovePool(pool); };
--- a/services/shallotwick-scheduler/scheduler_process.h
+++ b/services/shallotwick-scheduler/scheduler_process.h
@@ -15,13 +15,17 @@
 #include "http/server.h"
 #include "job_api.h"
 #include "job_service.h"
+#include "job_state_lookup.h"
 #include "ownership/fleet_clock.h"
 #include "ownership_manager.h"
+#include "peer_api.h"
+#include "peer_client.h"
 #include "platform/host_operations_client.h"
 #include "platform/row_store_client.h"
 #include "platform/target_orders_client.h"
 #include "pool_runner.h"
 #include "session_renewer.h"
+#include "storage/observed_store.h"
 #include "table_follower.h"
 #include "wave_coordinator.h"
 
@@ -54,7 +58,18 @@
   PoolRunner* FindPool(const std::string& pool) const;
   void RemovePool(const std::string& pool);
   bool IsHolderLive(const std::string& holder) const;
+  // Returns the state of a job of a pool that this host owns.
+  std::optional<scheduling::JobState> FindOwnState(
+      const std::string& pool, const std::string& job) const;
+  // Asks the owner of the pool, which may be this host.
+  void AskOwner(const std::string& pool, const std::string& job,
+                JobStateLookup::OnOwnerState on_done);
+  // Whether requests that need the store can be served.
+  bool IsStoreReachable() const;
   bool IsReady() const;
+  // While the store is away, looks often whether it is back: other requests
+  // wait long for an answer, or are not sent.
+  void ProbeStorePeriodically();
   void Stop();
   void ReleasePools();
   void OnPoolReleased();
@@ -64,7 +79,8 @@
   base::MetricRegistry m_metrics;
   http::ConnectionPool m_store_client;
   http::ConnectionPool m_target_client;
-  platform::RowStoreClient m_store;
+  platform::RowStoreClient m_row_store;
+  storage::ObservedStore m_store;
   ownership::FleetClock m_clock;
   platform::TargetOrdersClient m_orders;
   platform::HostOperationsClient m_host_operations;
@@ -76,7 +92,11 @@
   TableFollower m_operator_table;
   TableFollower m_registry;
   JobService m_jobs;
+  JobStateLookup m_job_states;
   JobApi m_api;
+  http::ConnectionPool m_peer_connections;
+  PeerClient m_peers;
+  PeerApi m_peer_api;
   base::Duration m_lease;
   base::Duration m_max_stop_time;
   base::Duration m_retention;
@@ -90,10 +110,12 @@
   base::TimePoint m_applied_list_time;
   bool m_is_host_pass_scheduled = false;
   bool m_is_stopping = false;
+  bool m_is_store_known_away = false;
   base::TimePoint m_stop_requested_at;
   asio::signal_set m_signals;
   std::unique_ptr<http::Server> m_job_server;
   std::unique_ptr<http::Server> m_readiness_server;
+  std::unique_ptr<http::Server> m_peer_server;
   base::Endpoint m_job_endpoint;
   base::Endpoint m_readiness_endpoint;
 };
--- a/services/shallotwick-scheduler/scheduler_settings.cc
+++ b/services/shallotwick-scheduler/scheduler_settings.cc
@@ -18,6 +18,8 @@
        base::CheckAddress},
       {"ready-listen", "IP:PORT", "where the balancer asks for readiness",
        std::nullopt, base::CheckAddress},
+      {"peer-listen", "IP:PORT", "address for the other hosts", "127.0.0.1:0",
+       base::CheckAddress},
       {"platform", "IP:PORT", "address of the platform's store", std::nullopt,
        base::CheckAddress},
       {"platform-timeout-ms", "MILLISECONDS", "wait for an answer of the store",
--- a/services/shallotwick-scheduler/session_renewer.cc
+++ b/services/shallotwick-scheduler/session_renewer.cc
@@ -27,9 +27,6 @@
 // renewal. The rest of the time to live covers differing clocks and orders
 // in flight.
 constexpr auto kMaxRenewalAge = std::chrono::milliseconds(1'600);
-// Long enough that a host with the relaxed renewal period can lose a renewal
-// and send it again.
-constexpr auto kStoreReachableWindow = std::chrono::milliseconds(2'500);
 
 // Returns std::nullopt and logs the error if the row is malformed.
 std::optional<ownership::SessionRow> DecodeSession(
@@ -41,6 +38,7 @@
     session.holder.boot = object.at("boot").get<std::string>();
     session.version = row.version;
     session.cores = object.value("cores", 1.0);
+    session.peer_address = object.value("peer", "");
     const auto offset = object.find("clock_offset_ms");
     if (offset != object.end()) {
       session.clock_offset_ms = offset->get<int64_t>();
@@ -71,11 +69,11 @@
 }
 
 bool SessionRenewer::IsSessionValid(base::TimePoint now) const {
-  return m_has_session && !m_is_released && now < m_renewed_at + kMaxRenewalAge;
+  return m_has_session && !m_is_released && now < GetValidUntil();
 }
 
-bool SessionRenewer::IsStoreReachable(base::TimePoint now) const {
-  return m_has_session && now < m_renewed_at + kStoreReachableWindow;
+base::TimePoint SessionRenewer::GetValidUntil() const {
+  return m_renewed_at + kMaxRenewalAge;
 }
 
 bool SessionRenewer::MustWatchClosely(base::TimePoint now) const {
@@ -83,7 +81,11 @@
 }
 
 void SessionRenewer::RenewAfter(base::Duration delay) {
-  m_loop.RunAfter(delay, m_lifetime.Guard([this] { RenewIfDue(); }));
+  m_loop.RunAfter(delay, m_lifetime.Guard([this, attempt = m_attempts] {
+    if (attempt == m_attempts) {
+      RenewIfDue();
+    }
+  }));
 }
 
 // Checks at the short period, so that a host that gains a pool immediately
@@ -104,7 +106,8 @@
   if (m_is_released) {
     return;
   }
-  nlohmann::json session = {{"boot", m_self.boot}, {"cores", m_cores}};
+  nlohmann::json session = {
+      {"boot", m_self.boot}, {"cores", m_cores}, {"peer", m_peer_address}};
   if (const auto offset_ms = m_get_clock_offset()) {
     session["clock_offset_ms"] = *offset_ms;
   }
@@ -114,18 +117,22 @@
   transaction.expected = {{key, m_version}};
   transaction.writes = {{key, value}};
   m_store.Commit(std::move(transaction),
-                 m_lifetime.Guard([this, sent = base::RuntimeClock::now()](
+                 m_lifetime.Guard([this, sent = base::RuntimeClock::now(),
+                                   attempt = ++m_attempts](
                                       const storage::RowCommitResult& result) {
-                   OnRenewed(result, sent);
+                   OnRenewed(result, sent, attempt);
                  }));
 }
 
 void SessionRenewer::OnRenewed(const storage::RowCommitResult& result,
-                               base::TimePoint sent) {
+                               base::TimePoint sent, int64_t attempt) {
   auto next = base::Duration(kRetryPeriod);
   if (result.status == storage::RowCommitStatus::kCommitted) {
     m_version = result.version;
-    m_renewed_at = sent;
+    if (m_has_session && base::RuntimeClock::now() >= GetValidUntil()) {
+      ++m_lapse_count;
+    }
+    m_renewed_at = std::max(m_renewed_at, sent);
     next = kRenewPeriod;
     if (!std::exchange(m_has_session, true)) {
       m_on_sessions_read();
@@ -144,10 +151,17 @@
     m_version = row.is_removed ? storage::kNoVersion : row.version;
     next = base::Duration(0);
   }
+  if (attempt != m_attempts) {
+    return;
+  }
   if (next == base::Duration(kRenewPeriod)) {
     RenewAfter(next);
   } else {
-    m_loop.RunAfter(next, m_lifetime.Guard([this] { Renew(); }));
+    m_loop.RunAfter(next, m_lifetime.Guard([this, attempt] {
+      if (attempt == m_attempts) {
+        Renew();
+      }
+    }));
   }
 }
 
--- a/services/shallotwick-scheduler/session_renewer.h
+++ b/services/shallotwick-scheduler/session_renewer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <optional>
 #include <string>
@@ -27,10 +28,15 @@
   std::function<std::optional<int64_t>()> m_get_clock_offset = [] {
     return std::nullopt;
   };
+  // Where other hosts reach this one.
+  std::string m_peer_address;
   // Called when another process has taken over this host's session.
   std::function<void()> m_on_replaced;
 
   void Start();
+  // Renews the session at once. Called when the store is back, as the pending
+  // renewal may have to time out first.
+  void RenewNow() { Renew(); }
   // Removes the session, so that other hosts need not wait for it to expire.
   void Release();
 
@@ -39,15 +45,21 @@
   // Returns whether the session was renewed recently enough that no other host
   // can consider it expired.
   bool IsSessionValid(base::TimePoint now) const;
-  // Returns whether a renewal sent recently has succeeded.
-  bool IsStoreReachable(base::TimePoint now) const;
+  // Returns until when the session is valid without another renewal.
+  base::TimePoint GetValidUntil() const;
+  // Returns how often the session was renewed only after it had stopped being
+  // valid. Other hosts may have taken over this host's pools each time.
+  int64_t GetLapseCount() const { return m_lapse_count; }
+  // Whether this host's session has been established.
+  bool HasSession() const { return m_has_session; }
 
  private:
   bool MustWatchClosely(base::TimePoint now) const;
   void RenewAfter(base::Duration delay);
   void RenewIfDue();
   void Renew();
-  void OnRenewed(const storage::RowCommitResult& result, base::TimePoint sent);
+  void OnRenewed(const storage::RowCommitResult& result, base::TimePoint sent,
+                 int64_t attempt);
   void ReadSessions();
   void ReadIfDue();
   void OnSessions(const storage::RowReadResult& result);
@@ -62,6 +74,9 @@
   bool m_is_released = false;
   base::TimePoint m_started_at;
   base::TimePoint m_renewed_at;
+  int64_t m_lapse_count = 0;
+  // The number of renewals sent. Only the last one plans the next one.
+  int64_t m_attempts = 0;
   base::TimePoint m_read_at;
   base::Lifetime m_lifetime;
 };
--- /dev/null
+++ b/services/shallotwick-scheduler/tests/outage_test.cc
@@ -0,0 +1,456 @@
+// What callers and targets get while the store is away or turns a host away.
+
+#include <CppUTest/TestHarness.h>
+
+#include <memory>
+#include <optional>
+#include <set>
+#include <vector>
+
+#include "../job_api.h"
+#include "../job_state_lookup.h"
+#include "../job_tables.h"
+#include "../peer_api.h"
+#include "../peer_client.h"
+#include "../pool_runner.h"
+#include "fakes/fake_row_store.h"
+#include "scheduling/job_record.h"
+#include "storage/observed_store.h"
+
+namespace base = shallotwick::base;
+namespace fakes = shallotwick::fakes;
+namespace http = shallotwick::http;
+namespace scheduler = shallotwick::scheduler;
+namespace scheduling = shallotwick::scheduling;
+namespace storage = shallotwick::storage;
+using scheduler::JobCallOutcome;
+using scheduling::JobState;
+using storage::RowCommitStatus;
+
+namespace {
+
+constexpr char kService[] = "quotes";
+constexpr char kJob[] = "5c0e7a21d94b36f8";
+
+scheduling::JobSpec MakeJob(const std::string& id) {
+  scheduling::JobSpec job;
+  job.id = id;
+  job.route = "quote";
+  scheduling::StepSpec step;
+  step.count = 1;
+  step.demand = {2'000, 100, 0};
+  step.estimate_ms = 1'000;
+  job.steps = {step, step};
+  job.steps[1].after = {0};
+  return job;
+}
+
+// A target that accepts all orders. Its runs end when the test says so.
+class ObedientTarget : public scheduling::TargetOrders {
+ public:
+  explicit ObedientTarget(base::EventLoop& loop) : m_loop(loop) {}
+
+  void Start(const scheduling::StartOrder& order,
+             std::function<void(scheduling::OrderResult)> on_done) override {
+    m_running[order.task] = order.run;
+    m_leases.push_back(order.lease_until_ms);
+    m_loop.Post([on_done = std::move(on_done)] {
+      on_done({scheduling::OrderOutcome::kAccepted,
+               GetClockMs(base::RuntimeClock::now())});
+    });
+  }
+  void Stop(const scheduling::StopOrder&,
+            std::function<void(scheduling::OrderResult)>) override {}
+  void Pace(const scheduling::PaceOrder&,
+            std::function<void(scheduling::OrderResult)>) override {}
+  void Report(const scheduling::ReportOrder& order,
+              std::function<void(scheduling::ReportResult)> on_done) override {
+    if (order.lease_until_ms) {
+      m_leases.push_back(*order.lease_until_ms);
+    }
+    if (order.wait_ms > 0) {
+      m_waiting = std::move(on_done);
+      return;
+    }
+    m_loop.Post([this, on_done = std::move(on_done)] { Answer(on_done); });
+  }
+
+  void EndRuns() {
+    for (const auto& [task, run] : m_running) {
+      m_ended.push_back({static_cast<int64_t>(m_ended.size()) + 1, task, run,
+                         scheduling::RunOutcome::kDone, ""});
+    }
+    m_running.clear();
+    if (m_waiting) {
+      Answer(std::exchange(m_waiting, nullptr));
+    }
+  }
+
+  static int64_t GetClockMs(base::TimePoint time) {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+               time.time_since_epoch())
+        .count();
+  }
+
+  std::map<scheduling::TaskName, int64_t> m_running;
+  std::vector<int64_t> m_leases;
+
+ private:
+  void Answer(const std::function<void(scheduling::ReportResult)>& on_done) {
+    scheduling::ReportResult result;
+    result.outcome = scheduling::OrderOutcome::kAccepted;
+    result.report.clock_ms = GetClockMs(base::RuntimeClock::now());
+    result.report.ended = m_ended;
+    for (const auto& [task, run] : m_running) {
+      result.report.running.push_back({task, run, "", 0, 0});
+    }
+    on_done(result);
+  }
+
+  base::EventLoop& m_loop;
+  std::vector<scheduling::ReportedCompletion> m_ended;
+  std::function<void(scheduling::ReportResult)> m_waiting;
+};
+
+// A store that can be switched off: commits are refused and reads fail.
+class SwitchableStore : public fakes::FakeRowStore {
+ public:
+  using FakeRowStore::FakeRowStore;
+
+  void Commit(storage::RowTransaction transaction,
+              std::function<void(storage::RowCommitResult)> on_end) override {
+    if (m_is_away) {
+      on_end({RowCommitStatus::kRefused, storage::kNoVersion, {}, "away"});
+      return;
+    }
+    FakeRowStore::Commit(std::move(transaction), std::move(on_end));
+  }
+  void Read(const storage::RowRange& range,
+            std::function<void(storage::RowReadResult)> on_end) override {
+    if (m_is_away) {
+      on_end({});
+      return;
+    }
+    FakeRowStore::Read(range, std::move(on_end));
+  }
+
+  bool m_is_away = false;
+};
+
+// Answers requests to peers from a PeerApi, or as the test says.
+class FakePeers : public http::RequestSender {
+ public:
+  void Send(const std::string& url, http::Request request,
+            const http::TransferOptions&,
+            http::OnTransferEnd on_done) override {
+    m_urls.push_back(url);
+    http::TransferResult result;
+    if (m_body) {
+      result.outcome = http::TransferOutcome::kComplete;
+      result.response = http::MakeJsonResponse(200, *m_body);
+      on_done(result);
+      return;
+    }
+    m_api.Handle(request, [&result](const http::Response& response) {
+      result.outcome = http::TransferOutcome::kComplete;
+      result.response = response;
+    });
+    on_done(result);
+  }
+
+  scheduler::PeerApi m_api;
+  std::optional<std::string> m_body;
+  std::vector<std::string> m_urls;
+};
+
+}  // namespace
+
+TEST_GROUP(Outage) {
+  base::EventLoop m_loop;
+  SwitchableStore m_store{m_loop};
+  base::MetricRegistry m_metrics;
+  ObedientTarget m_target{m_loop};
+  bool m_is_session_valid = true;
+  int64_t m_lapses = 0;
+  base::TimePoint m_lease_limit = base::TimePoint::max();
+  int m_losses = 0;
+
+  void setup() override { base::RuntimeClock::Pause(); }
+  void teardown() override { base::RuntimeClock::Resume(); }
+
+  void ProcessDueEvents() {
+    m_loop.GetContext().restart();
+    m_loop.GetContext().poll();
+  }
+
+  void Advance(base::Duration by) {
+    constexpr auto kStep = std::chrono::milliseconds(50);
+    for (auto left = by; left > base::Duration(0); left -= kStep) {
+      base::RuntimeClock::Advance(kStep);
+      bool has_ticked = false;
+      m_loop.RunAfter(-std::chrono::hours(1),
+                      [&has_ticked] { has_ticked = true; });
+      while (!has_ticked) {
+        m_loop.GetContext().restart();
+        m_loop.GetContext().run_one();
+      }
+      ProcessDueEvents();
+    }
+  }
+
+  void PutJob(const std::string& id) {
+    const scheduling::JobSpec job = MakeJob(id);
+    m_store.Put(scheduler::MakeProgressKey(kService, id),
+                scheduling::EncodeProgress(scheduling::JobProgress{}));
+    m_store.Put(scheduler::MakeJobKey(kService, id),
+                scheduling::EncodeJobRecord(job));
+    ProcessDueEvents();
+  }
+
+  std::unique_ptr<scheduler::PoolRunner> StartPool() {
+    scheduler::PoolRunnerOptions options;
+    options.service = kService;
+    options.owner_version =
+        m_store.Put(scheduler::MakeOwnerKey(kService), "{}");
+    options.term = 1;
+    options.lease = std::chrono::milliseconds(5'000);
+    auto pool = std::make_unique<scheduler::PoolRunner>(
+        m_loop, m_store, m_target, m_metrics, options);
+    pool->m_is_session_valid = [this] { return m_is_session_valid; };
+    pool->m_get_lapse_count = [this] { return m_lapses; };
+    pool->m_get_lease_limit = [this] { return m_lease_limit; };
+    pool->m_on_lost = [this] { ++m_losses; };
+    scheduling::TargetEntry target;
+    target.id = "t1";
+    target.service = kService;
+    target.address = "10.0.0.1:80";
+    target.capacity = {16'000, 32'000, 0};
+    pool->m_targets_at_start[target.id] = target;
+    pool->Start();
+    Advance(std::chrono::milliseconds(500));
+    CHECK_TRUE(pool->IsLoaded());
+    return pool;
+  }
+
+  // The session of the pool's owner lapses as the store goes away.
+  void LoseStore() {
+    m_store.m_is_away = true;
+    m_is_session_valid = false;
+    m_lease_limit = base::RuntimeClock::now() + std::chrono::seconds(5);
+  }
+
+  void RegainStore() {
+    m_store.m_is_away = false;
+    ++m_lapses;
+    m_is_session_valid = true;
+    m_lease_limit = base::TimePoint::max();
+  }
+};
+
+TEST(Outage, KnownJobsGoOnUntilTheLeasesOfALapsedOwnerEnd) {
+  const auto pool = StartPool();
+  PutJob(kJob);
+  Advance(std::chrono::milliseconds(500));
+  LONGS_EQUAL(1, m_target.m_running.size());
+  LoseStore();
+  m_target.EndRuns();
+  Advance(std::chrono::milliseconds(500));
+  // The second step has started although nothing could be stored.
+  LONGS_EQUAL(1, m_target.m_running.size());
+  LONGS_EQUAL(1, m_target.m_running.begin()->first.step);
+  m_target.EndRuns();
+  Advance(std::chrono::milliseconds(500));
+  CHECK_TRUE(pool->FindState(kJob) == JobState::kCompleted);
+  const int64_t last_lease_ms = ObedientTarget::GetClockMs(m_lease_limit);
+  for (const int64_t lease_ms : m_target.m_leases) {
+    CHECK_TRUE(lease_ms <= last_lease_ms);
+  }
+  RegainStore();
+  Advance(std::chrono::milliseconds(500));
+  CHECK_TRUE(scheduling::DecodeSummary(
+                 m_store.Get(scheduler::MakeProgressKey(kService, kJob)).value)
+                 .state == JobState::kCompleted);
+}
+
+TEST(Outage, LapsedOwnerStartsNothingThatItsLeasesDoNotCover) {
+  const auto pool = StartPool();
+  PutJob(kJob);
+  Advance(std::chrono::milliseconds(500));
+  LoseStore();
+  Advance(std::chrono::milliseconds(4'500));
+  m_target.EndRuns();
+  Advance(std::chrono::milliseconds(1'000));
+  LONGS_EQUAL(0, m_target.m_running.size());
+}
+
+// Another host may have taken over and started such jobs.
+TEST(Outage, LapsedOwnerStartsNewJobsOnlyAfterItsOwnershipIsConfirmed) {
+  const auto pool = StartPool();
+  m_is_session_valid = false;
+  m_lease_limit = base::RuntimeClock::now() + std::chrono::seconds(5);
+  PutJob(kJob);
+  Advance(std::chrono::milliseconds(500));
+  LONGS_EQUAL(0, m_target.m_running.size());
+  CHECK_FALSE(pool->FindState(kJob).has_value());
+  RegainStore();
+  Advance(std::chrono::milliseconds(500));
+  LONGS_EQUAL(1, m_target.m_running.size());
+  LONGS_EQUAL(0, m_losses);
+}
+
+TEST(Outage, LapsedOwnerGivesUpPoolThatAnotherHostHasTaken) {
+  const auto pool = StartPool();
+  m_is_session_valid = false;
+  m_store.Put(scheduler::MakeOwnerKey(kService), R"({"host":"other"})");
+  PutJob(kJob);
+  RegainStore();
+  Advance(std::chrono::milliseconds(500));
+  LONGS_EQUAL(0, m_target.m_running.size());
+  LONGS_EQUAL(1, m_losses);
+}
+
+// The row of an ended job may disappear before the owner learns that its own
+// write took effect.
+TEST(Outage, OwnerNeverConcludesFromMissingRowThatJobWasCancelled) {
+  const auto pool = StartPool();
+  PutJob(kJob);
+  Advance(std::chrono::milliseconds(200));
+  scheduler::JobService jobs(m_loop, m_store);
+  jobs.Cancel({kService}, kJob, [](JobCallOutcome) {});
+  Advance(std::chrono::milliseconds(200));
+  CHECK_FALSE(pool->GetScheduler().IsActive(kJob));
+  CHECK_FALSE(pool->FindState(kJob).has_value());
+}
+
+TEST(Outage, CallersLearnEndedJobsFromOwnerWhileStoreIsAway) {
+  FakePeers sender;
+  scheduler::PeerClient peers(sender);
+  scheduler::JobService jobs(m_loop, m_store);
+  scheduler::JobStateLookup states(m_loop, jobs);
+  sender.m_api.m_find_state =
+      [](const std::string& pool,
+         const std::string& job) -> std::optional<JobState> {
+    return pool == kService && job == kJob ? std::optional(JobState::kCompleted)
+                                           : std::nullopt;
+  };
+  states.m_ask_owner =
+      [&peers](const std::string& pool, const std::string& job,
+               const scheduler::JobStateLookup::OnOwnerState& on_done) {
+        peers.AskState("10.0.0.9:7000", pool, job, on_done);
+      };
+  const auto find = [&](const std::string& job) {
+    std::optional<std::pair<JobCallOutcome, JobState>> found;
+    states.Find({kService}, job,
+                [&found](JobCallOutcome outcome, JobState state) {
+                  found = {outcome, state};
+                });
+    Advance(std::chrono::milliseconds(500));
+    CHECK_TRUE(found.has_value());
+    return *found;
+  };
+  m_store.m_is_away = true;
+  CHECK_TRUE(find(kJob) ==
+             std::pair(JobCallOutcome::kDone, JobState::kCompleted));
+  // A refusal, not an answer that the job does not exist.
+  CHECK_TRUE(find("0000000000000000").first == JobCallOutcome::kRefused);
+  // The store is not asked at all once it is known to be away.
+  states.m_is_store_reachable = [] { return false; };
+  CHECK_TRUE(find(kJob).first == JobCallOutcome::kDone);
+  sender.m_body = R"({"state":"unheard-of"})";
+  CHECK_TRUE(find(kJob).first == JobCallOutcome::kRefused);
+  sender.m_body = "torn";
+  CHECK_TRUE(find(kJob).first == JobCallOutcome::kRefused);
+}
+
+TEST(Outage, OwnerIsNotAskedWhileStoreAnswers) {
+  m_store.Put(scheduler::MakeProgressKey(kService, kJob),
+              R"({"state":"running","route":"quote"})");
+  scheduler::JobService jobs(m_loop, m_store);
+  scheduler::JobStateLookup states(m_loop, jobs);
+  int asked = 0;
+  states.m_ask_owner =
+      [&asked](const std::string&, const std::string&,
+               const scheduler::JobStateLookup::OnOwnerState& on_done) {
+        ++asked;
+        on_done(std::nullopt);
+      };
+  std::optional<JobState> found;
+  states.Find({kService}, kJob,
+              [&found](JobCallOutcome, JobState state) { found = state; });
+  Advance(std::chrono::milliseconds(500));
+  CHECK_TRUE(found == JobState::kRunning);
+  LONGS_EQUAL(0, asked);
+}
+
+TEST(Outage, StoreIsAwayOnceCallsGoUnanswered) {
+  storage::ObservedStore observed(m_store);
+  int returns = 0;
+  observed.m_on_return = [&returns] { ++returns; };
+  const auto read = [&] {
+    observed.Read({}, [](const storage::RowReadResult&) {});
+    ProcessDueEvents();
+  };
+  const auto is_away = [&] {
+    return observed.GetHealth().IsAway(base::RuntimeClock::now());
+  };
+  CHECK_TRUE(is_away());
+  read();
+  CHECK_FALSE(is_away());
+  LONGS_EQUAL(1, returns);
+  // Nobody has asked, so nothing is known.
+  Advance(std::chrono::seconds(5));
+  CHECK_FALSE(is_away());
+  m_store.m_is_away = true;
+  read();
+  CHECK_FALSE(is_away());
+  Advance(std::chrono::milliseconds(400));
+  read();
+  Advance(std::chrono::milliseconds(400));
+  CHECK_TRUE(is_away());
+  Advance(std::chrono::seconds(1));
+  CHECK_TRUE(observed.GetHealth().GetOutageAge(base::RuntimeClock::now()) >=
+             std::chrono::seconds(6));
+  m_store.m_is_away = false;
+  read();
+  CHECK_FALSE(is_away());
+  LONGS_EQUAL(2, returns);
+}
+
+TEST(Outage, SlowStoreIsNotAway) {
+  storage::StoreHealth health;
+  auto now = base::RuntimeClock::now();
+  for (int i = 0; i < 30; ++i) {
+    health.OnSent(now);
+    now += std::chrono::milliseconds(400);
+    health.OnAnswer(now, std::chrono::milliseconds(400));
+  }
+  health.OnSent(now);
+  CHECK_FALSE(health.IsAway(now + std::chrono::milliseconds(1'500)));
+  CHECK_TRUE(health.IsAway(now + std::chrono::milliseconds(2'500)));
+}
+
+// Clients have five attempts. They come back soon after the end of the outage,
+// but not all at once.
+TEST(Outage, RetryAfterGrowsWithOutageAndIsSpread) {
+  LONGS_EQUAL(1, storage::GetRetryAfterSeconds(base::Duration(0), 0));
+  constexpr double kOutageSeconds = 4;
+  constexpr int kClients = 100;
+  std::set<int64_t> returns;
+  for (int client = 0; client < kClients; ++client) {
+    double at = kOutageSeconds * client / kClients;
+    int attempts = 1;
+    for (; at < kOutageSeconds; ++attempts) {
+      const double jitter = client * 37 % kClients / double{kClients};
+      at += static_cast<double>(storage::GetRetryAfterSeconds(
+          std::chrono::duration_cast<base::Duration>(
+              std::chrono::duration<double>(at)),
+          jitter));
+    }
+    CHECK_TRUE(attempts <= 5);
+    CHECK_TRUE(at <= kOutageSeconds + 2);
+    returns.insert(static_cast<int64_t>(at * 4));
+  }
+  CHECK_TRUE(returns.size() >= 4);
+  // A long outage does not keep clients away for much longer than it lasts.
+  LONGS_EQUAL(5, storage::GetRetryAfterSeconds(std::chrono::hours(1), 0));
+}
--- a/services/shallotwick-scheduler/tests/scheduler_test.cc
+++ b/services/shallotwick-scheduler/tests/scheduler_test.cc
@@ -153,7 +153,7 @@
     options.term = 2;
     auto pool = std::make_unique<scheduler::PoolRunner>(
         m_loop, m_store, m_targets, m_metrics, options);
-    pool->m_can_send_orders = [] { return true; };
+    pool->m_is_session_valid = [] { return true; };
     pool->m_on_lost = [] {};
     pool->Start();
     ProcessDueEvents();
@@ -536,7 +536,7 @@
     constexpr auto kStep = std::chrono::milliseconds(250);
     for (auto passed = kStep; passed <= time; passed += kStep) {
       AdvanceTimers(kStep);
-      CHECK_TRUE(session.IsStoreReachable(base::RuntimeClock::now()));
+      CHECK_TRUE(session.HasSession());
     }
   };
   session.Start();
@@ -559,7 +559,9 @@
 // instead.
 TEST(Scheduler, RequestsAreRefusedImmediatelyWhileStoreIsUnreachable) {
   scheduler::JobService jobs(m_loop, m_store);
-  scheduler::JobApi api(jobs, m_metrics);
+  scheduler::JobStateLookup states(m_loop, jobs);
+  states.m_is_store_reachable = [] { return false; };
+  scheduler::JobApi api(jobs, states, m_metrics);
   scheduling::ServingConfig config;
   scheduling::Route route;
   route.name = "quote";
@@ -637,7 +639,7 @@
         m_store, m_hosts, *m_ledger,
         scheduler::WaveCoordinatorOptions{"self/1", std::chrono::seconds(2)});
     m_waves->m_find_pool = [this](const std::string&) { return m_pool.get(); };
-    m_waves->m_is_holder_live = [](const std::string&) { return false; };
+    m_waves->m_is_holder_active = [](const std::string&) { return false; };
     m_waves->SetWave({1, {"m-1"}, 1});
     m_waves->ProcessWaves(base::RuntimeClock::now());
     ProcessDueEvents();
@@ -711,7 +713,7 @@
   scheduler::WaveCoordinator waves(m_store, m_hosts, *ledger,
                                    {"self/1", std::chrono::seconds(2)});
   waves.m_find_pool = [&pool](const std::string&) { return pool.get(); };
-  waves.m_is_holder_live = [](const std::string&) { return true; };
+  waves.m_is_holder_active = [](const std::string&) { return true; };
   waves.m_are_hosts_short = [] { return false; };
   waves.SetWave(wave);
   waves.ProcessWaves(base::RuntimeClock::now());
--- a/services/shallotwick-scheduler/wave_coordinator.cc
+++ b/services/shallotwick-scheduler/wave_coordinator.cc
@@ -158,7 +158,7 @@
     const auto started = m_maintenance_started_at.find(name);
     if (started == m_maintenance_started_at.end()) {
       const bool is_abandoned =
-          holder == m_options.holder || !m_is_holder_live(holder);
+          holder == m_options.holder || !m_is_holder_active(holder);
       if (is_abandoned &&
           ResumeAbandonedMaintenance(wave, host->second, row, record, now)) {
         return true;
--- a/services/shallotwick-scheduler/wave_coordinator.h
+++ b/services/shallotwick-scheduler/wave_coordinator.h
@@ -32,8 +32,9 @@
   // Returns the pool if this host owns it, otherwise null.
   std::function<PoolRunner*(const std::string& pool)> m_find_pool;
 
-  // Returns whether the process named by `holder` may still send operations.
-  std::function<bool(const std::string& holder)> m_is_holder_live;
+  // Returns whether the process named by `holder` takes care of the maintenance
+  // that it has started: it is live and owns a pool.
+  std::function<bool(const std::string& holder)> m_is_holder_active;
 
   // Whether a pool currently has a shortage of hosts.
   std::function<bool()> m_are_hosts_short = [] { return false; };
