Store jobs in batches by the pool's owner while the store is slow

Time-outs follow the observed time of transactions.

Few jobs are still accepted during the slowness itself; what binds there is left open.

--- a/libraries/storage/observed_store.cc
+++ b/libraries/storage/observed_store.cc
@@ -20,6 +20,11 @@
   m_store.Commit(
       std::move(transaction),
       [this, sent, on_end = std::move(on_end)](RowCommitResult result) {
+        if (result.status == RowCommitStatus::kRefused) {
+          m_health.OnTransactionRefused();
+        } else {
+          m_health.OnTransaction(base::RuntimeClock::now() - sent);
+        }
         if (result.status == RowCommitStatus::kCommitted ||
             result.status == RowCommitStatus::kConflict) {
           OnAnswer(sent);
--- a/libraries/storage/store_health.cc
+++ b/libraries/storage/store_health.cc
@@ -8,6 +8,16 @@
 
 // Several calls of a host fall into this time, even of a host without pools.
 constexpr auto kMinSilence = std::chrono::milliseconds(700);
+// A store is slow if transactions take this many times longer than they have
+// taken before, and long enough to matter.
+constexpr int kSlowFactor = 4;
+constexpr auto kMinSlowTime = std::chrono::milliseconds(60);
+// A store refuses transactions that would have to wait for longer.
+constexpr auto kMaxQueueTime = std::chrono::milliseconds(1'000);
+// Most hosts send only one or two transactions a second.
+constexpr double kNewestTransactionWeight = 1.0 / 4;
+// Callers wait for three seconds.
+constexpr auto kMaxTimeout = std::chrono::milliseconds(2'000);
 // Answer times vary by about this factor while a store is slow.
 constexpr int kMaxAnswerFactor = 6;
 constexpr double kNewestWeight = 1.0 / 8;
@@ -28,11 +38,14 @@
 }
 
 void StoreHealth::OnAnswer(base::TimePoint now, base::Duration answer_time) {
-  m_has_answered = true;
   m_last_answer = now;
   m_is_waiting = false;
+  if (!m_has_answered) {
+    m_answer_time = answer_time;
+  }
   m_answer_time += std::chrono::duration_cast<base::Duration>(
       kNewestWeight * (answer_time - m_answer_time));
+  m_has_answered = true;
 }
 
 bool StoreHealth::IsAway(base::TimePoint now) const {
@@ -42,6 +55,31 @@
          (m_is_waiting && now >= m_waiting_since + max_silence);
 }
 
+void StoreHealth::OnTransaction(base::Duration time) {
+  if (m_best_transaction_time == base::Duration::max()) {
+    m_transaction_time = time;
+  }
+  m_transaction_time += std::chrono::duration_cast<base::Duration>(
+      kNewestTransactionWeight * (time - m_transaction_time));
+  m_best_transaction_time =
+      std::min(m_best_transaction_time, m_transaction_time);
+}
+
+void StoreHealth::OnTransactionRefused() { OnTransaction(kMaxQueueTime); }
+
+bool StoreHealth::IsSlow() const {
+  return m_transaction_time >= kMinSlowTime &&
+         m_transaction_time / kSlowFactor >= m_best_transaction_time;
+}
+
+std::chrono::milliseconds StoreHealth::GetTimeout(
+    std::chrono::milliseconds min) const {
+  const auto timeout = std::chrono::duration_cast<std::chrono::milliseconds>(
+      kMaxAnswerFactor * std::max(m_answer_time, m_transaction_time));
+  return std::clamp(timeout, min,
+                    std::max<std::chrono::milliseconds>(min, kMaxTimeout));
+}
+
 base::Duration StoreHealth::GetOutageAge(base::TimePoint now) const {
   return m_has_answered && IsAway(now) ? now - m_last_answer
                                        : base::Duration(0);
--- a/libraries/storage/store_health.h
+++ b/libraries/storage/store_health.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 
 #include "base/runtime_clock.h"
@@ -14,10 +15,21 @@
   // A call sent at `sent` was carried out. `answer_time` excludes the time for
   // which the store was asked to wait.
   void OnAnswer(base::TimePoint now, base::Duration answer_time);
+  // A transaction ended after `time`, with any outcome.
+  void OnTransaction(base::Duration time);
+  // A transaction was refused: too many others wait before it.
+  void OnTransactionRefused();
 
   // Returns whether calls have gone unanswered or were refused for longer than
   // an answer takes, so that the next call would most likely fail too.
   bool IsAway(base::TimePoint now) const;
+  // Returns whether the store answers, but takes much longer for transactions
+  // than it has shown to need.
+  bool IsSlow() const;
+  // Returns how long to wait for an answer; at least `min`. Transactions that
+  // are given up too early are carried out all the same, and their repetitions
+  // keep the store slow.
+  std::chrono::milliseconds GetTimeout(std::chrono::milliseconds min) const;
   // Returns how long the store has been away; zero if it is not.
   base::Duration GetOutageAge(base::TimePoint now) const;
 
@@ -28,7 +40,11 @@
   // it.
   bool m_is_waiting = false;
   base::TimePoint m_waiting_since;
+  // Moving averages.
   base::Duration m_answer_time{0};
+  base::Duration m_transaction_time{0};
+  // The lowest average so far.
+  base::Duration m_best_transaction_time{base::Duration::max()};
 };
 
 // Returns after how many whole seconds a client that is refused now should come
--- a/services/shallotwick-scheduler/capacity_broker.cc
+++ b/services/shallotwick-scheduler/capacity_broker.cc
@@ -24,6 +24,7 @@
     storage::kMaxTransactionEntries / 2 - 1;
 // Minimum interval between writes of a pool's demand.
 constexpr auto kDemandWritePeriod = std::chrono::milliseconds(100);
+constexpr auto kSlowStoreDemandWritePeriod = std::chrono::milliseconds(1'000);
 // Minimum time for which a surplus must last before hosts are switched off:
 // lulls of this length are common in a queue's demand.
 constexpr auto kMinSurplusDuration = std::chrono::milliseconds(2'000);
@@ -207,8 +208,9 @@
                                  base::TimePoint now) {
   const storage::VersionedRow row = m_ledger.GetSharedRow(kDemandPrefix + pool);
   base::TimePoint& written = m_demand_written_at[pool];
-  const bool is_due =
-      now >= written + kDemandWritePeriod && demand != ReadDemand(row);
+  const base::Duration period =
+      m_is_store_slow() ? kSlowStoreDemandWritePeriod : kDemandWritePeriod;
+  const bool is_due = now >= written + period && demand != ReadDemand(row);
   if (is_due) {
     written = now;
     m_ledger.WriteSharedRow(row, hosts::EncodeCapacityDemand(demand));
--- a/services/shallotwick-scheduler/capacity_broker.h
+++ b/services/shallotwick-scheduler/capacity_broker.h
@@ -29,6 +29,9 @@
   // Returns the pools that this host owns.
   std::function<std::map<std::string, PoolRunner*>()> m_get_pools;
   std::function<bool(const std::string& host)> m_is_reserved;
+  // Whether the store takes long for transactions, so that demands are written
+  // less often.
+  std::function<bool()> m_is_store_slow = [] { return false; };
 
   void SetStandbyPools(std::set<std::string> pools) {
     m_standby_pools = std::move(pools);
--- a/services/shallotwick-scheduler/job_api.cc
+++ b/services/shallotwick-scheduler/job_api.cc
@@ -50,7 +50,15 @@
 
 JobApi::JobApi(JobService& jobs, JobStateLookup& states,
                base::MetricRegistry& metrics)
-    : m_jobs(jobs), m_states(states), m_metrics(metrics) {}
+    : m_can_submit(
+          [this](const std::string&) { return m_is_store_reachable(); }),
+      m_submit([this](const std::string& pool, const scheduling::JobSpec& job,
+                      JobService::OnOutcome on_done) {
+        m_jobs.Submit(pool, job, std::move(on_done));
+      }),
+      m_jobs(jobs),
+      m_states(states),
+      m_metrics(metrics) {}
 
 void JobApi::Handle(const http::Request& request,
                     const http::Respond& respond) {
@@ -71,8 +79,11 @@
   const bool is_read = request.method == "GET" || request.method == "HEAD";
   // Without the store, other requests cannot be served here; another host may
   // be able to reach it.
-  const bool is_state_request = is_read && IsJobIdentifier(id);
-  if (!is_state_request && !m_is_store_reachable()) {
+  const bool can_serve = is_read && IsJobIdentifier(id) ? true
+                         : request.method == "POST"
+                             ? m_can_submit(route->service)
+                             : m_is_store_reachable();
+  if (!can_serve) {
     base::Log(base::events::kJobRefused, {{"route", route->name},
                                           {"call", request.method},
                                           {"path", path},
@@ -120,18 +131,18 @@
   job.id = id;
   job.route = route.name;
   job.accepted_ms = m_get_unix_ms();
-  m_jobs.Submit(route.service, job,
-                [this, id, name = route.name, service = route.service,
-                 shape = DescribeSteps(job), respond](JobCallOutcome outcome) {
-                  if (outcome == JobCallOutcome::kDone) {
-                    base::Log(base::events::kJobAccepted, {{"job", id},
-                                                           {"route", name},
-                                                           {"pool", service},
-                                                           {"steps", shape}});
-                  }
-                  respond(MakeResponse("submit", id, outcome,
-                                       http::MakeJsonResponse(200, "{}")));
-                });
+  m_submit(route.service, job,
+           [this, id, name = route.name, service = route.service,
+            shape = DescribeSteps(job), respond](JobCallOutcome outcome) {
+             if (outcome == JobCallOutcome::kDone) {
+               base::Log(base::events::kJobAccepted, {{"job", id},
+                                                      {"route", name},
+                                                      {"pool", service},
+                                                      {"steps", shape}});
+             }
+             respond(MakeResponse("submit", id, outcome,
+                                  http::MakeJsonResponse(200, "{}")));
+           });
 }
 
 void JobApi::Show(const scheduling::Route& route, const std::string& id,
--- a/services/shallotwick-scheduler/job_api.h
+++ b/services/shallotwick-scheduler/job_api.h
@@ -24,14 +24,22 @@
   // Returns the current configuration, or null before the first one is
   // received.
   std::function<const scheduling::ServingConfig*()> m_get_config;
-  // Whether the store is reachable. If not, only the states of jobs are shown;
-  // other requests are refused immediately.
+  // Whether the store is reachable. If not, states of jobs are shown and jobs
+  // accepted with the help of other hosts; other requests are refused
+  // immediately.
   std::function<bool()> m_is_store_reachable;
   // How long the store has been away; zero if it is not.
   std::function<base::Duration()> m_get_outage_age = [] {
     return base::Duration(0);
   };
 
+  // Returns whether a job of the pool can be stored at present.
+  std::function<bool(const std::string& pool)> m_can_submit;
+  // Stores an accepted job.
+  std::function<void(const std::string& pool, const scheduling::JobSpec& job,
+                     JobService::OnOutcome on_done)>
+      m_submit;
+
   void Handle(const http::Request& request, const http::Respond& respond);
 
  private:
--- a/services/shallotwick-scheduler/job_service.cc
+++ b/services/shallotwick-scheduler/job_service.cc
@@ -25,17 +25,23 @@
 JobService::JobService(base::EventLoop& loop, storage::RowStore& store)
     : m_loop(loop), m_store(store) {}
 
-void JobService::Submit(const std::string& service,
-                        const scheduling::JobSpec& job, OnOutcome on_done) {
-  storage::RowTransaction transaction;
+void JobService::AddSubmission(const std::string& service,
+                               const scheduling::JobSpec& job,
+                               storage::RowTransaction& transaction) {
   // The progress row outlives the job, so a repeated submission is detected.
   const storage::RowKey progress = MakeProgressKey(service, job.id);
   scheduling::JobProgress initial;
   initial.route = job.route;
-  transaction.expected = {{progress, storage::kNoVersion}};
-  transaction.writes = {
-      {MakeJobKey(service, job.id), scheduling::EncodeJobRecord(job)},
-      {progress, scheduling::EncodeProgress(initial)}};
+  transaction.expected.push_back({progress, storage::kNoVersion});
+  transaction.writes.push_back(
+      {MakeJobKey(service, job.id), scheduling::EncodeJobRecord(job)});
+  transaction.writes.push_back({progress, scheduling::EncodeProgress(initial)});
+}
+
+void JobService::Submit(const std::string& service,
+                        const scheduling::JobSpec& job, OnOutcome on_done) {
+  storage::RowTransaction transaction;
+  AddSubmission(service, job, transaction);
   TrySubmit(service, transaction, 1, std::move(on_done));
 }
 
--- a/services/shallotwick-scheduler/job_service.h
+++ b/services/shallotwick-scheduler/job_service.h
@@ -37,6 +37,11 @@
   using OnState = std::function<void(JobCallOutcome, scheduling::JobState)>;
   using OnCount = std::function<void(JobCallOutcome, int64_t)>;
 
+  // Adds the entries to a transaction that store a job, unless it is stored
+  // already.
+  static void AddSubmission(const std::string& service,
+                            const scheduling::JobSpec& job,
+                            storage::RowTransaction& transaction);
   // Stores a job; repeating the call has no further effect.
   void Submit(const std::string& service, const scheduling::JobSpec& job,
               OnOutcome on_done);
--- a/services/shallotwick-scheduler/job_state_lookup.cc
+++ b/services/shallotwick-scheduler/job_state_lookup.cc
@@ -37,11 +37,23 @@
   lookup->on_done = std::move(on_done);
   if (!m_is_store_reachable()) {
     lookup->has_store_failed = true;
-    AskOwner(lookup);
-    return;
+    AskOwner(lookup, [] {});
+  } else if (m_is_store_slow()) {
+    AskOwner(lookup, [this, pools, lookup] { AskStore(pools, lookup); });
+  } else {
+    AskStore(pools, lookup);
+    m_loop.RunAfter(kOwnerAskDelay, m_lifetime.Guard([this, lookup] {
+      if (lookup->on_done && !lookup->is_owner_asked) {
+        AskOwner(lookup, [] {});
+      }
+    }));
   }
+}
+
+void JobStateLookup::AskStore(const std::vector<std::string>& pools,
+                              const std::shared_ptr<Lookup>& lookup) {
   m_jobs.FindState(
-      pools, job,
+      pools, lookup->job,
       [this, lookup](JobCallOutcome outcome, scheduling::JobState state) {
         const bool is_answered = outcome == JobCallOutcome::kDone ||
                                  outcome == JobCallOutcome::kNotFound;
@@ -51,31 +63,29 @@
         }
         lookup->has_store_failed = true;
         if (!lookup->is_owner_asked) {
-          AskOwner(lookup);
+          AskOwner(lookup, [] {});
         } else if (!lookup->is_owner_pending) {
           lookup->Finish(JobCallOutcome::kRefused, {});
         }
       });
-  m_loop.RunAfter(kOwnerAskDelay, m_lifetime.Guard([this, lookup] {
-    if (lookup->on_done && !lookup->is_owner_asked) {
-      AskOwner(lookup);
-    }
-  }));
 }
 
-void JobStateLookup::AskOwner(const std::shared_ptr<Lookup>& lookup) {
+void JobStateLookup::AskOwner(const std::shared_ptr<Lookup>& lookup,
+                              std::function<void()> on_unknown) {
   lookup->is_owner_asked = true;
   lookup->is_owner_pending = true;
-  m_ask_owner(
-      lookup->pool, lookup->job,
-      m_lifetime.Guard([lookup](std::optional<scheduling::JobState> state) {
-        lookup->is_owner_pending = false;
-        if (state) {
-          lookup->Finish(JobCallOutcome::kDone, *state);
-        } else if (lookup->has_store_failed) {
-          lookup->Finish(JobCallOutcome::kRefused, {});
-        }
-      }));
+  m_ask_owner(lookup->pool, lookup->job,
+              m_lifetime.Guard([lookup, on_unknown = std::move(on_unknown)](
+                                   std::optional<scheduling::JobState> state) {
+                lookup->is_owner_pending = false;
+                if (state) {
+                  lookup->Finish(JobCallOutcome::kDone, *state);
+                } else if (lookup->has_store_failed) {
+                  lookup->Finish(JobCallOutcome::kRefused, {});
+                } else {
+                  on_unknown();
+                }
+              }));
 }
 
 }  // namespace shallotwick::scheduler
--- a/services/shallotwick-scheduler/job_state_lookup.h
+++ b/services/shallotwick-scheduler/job_state_lookup.h
@@ -23,6 +23,8 @@
 
   // Whether the store is reachable; if not, only the owner is asked.
   std::function<bool()> m_is_store_reachable = [] { return true; };
+  // Whether the store is slow; the owner is then asked first.
+  std::function<bool()> m_is_store_slow = [] { return false; };
   // Asks the owner of a pool for the state of a job.
   std::function<void(const std::string& pool, const std::string& job,
                      OnOwnerState on_done)>
@@ -36,7 +38,11 @@
  private:
   struct Lookup;
 
-  void AskOwner(const std::shared_ptr<Lookup>& lookup);
+  void AskStore(const std::vector<std::string>& pools,
+                const std::shared_ptr<Lookup>& lookup);
+  // `on_unknown` is called if the owner does not know the state.
+  void AskOwner(const std::shared_ptr<Lookup>& lookup,
+                std::function<void()> on_unknown);
 
   base::EventLoop& m_loop;
   JobService& m_jobs;
--- a/services/shallotwick-scheduler/peer_api.cc
+++ b/services/shallotwick-scheduler/peer_api.cc
@@ -1,8 +1,12 @@
 #include "peer_api.h"
 
+#include <stdexcept>
 #include <vector>
 
+#include "base/log.h"
+#include "base/log_catalogue.h"
 #include "peer_client.h"
+#include "scheduling/job_record.h"
 
 namespace shallotwick::scheduler {
 
@@ -10,14 +14,20 @@
                      const http::Respond& respond) const {
   const std::vector<std::string> segments =
       http::SplitPath(http::GetPath(request.target));
-  const bool is_state_request = request.method == "GET" &&
-                                segments.size() == 3 &&
-                                segments[0] == kJobStatePath;
-  if (!is_state_request) {
+  const std::string call =
+      segments.size() == 3 ? request.method + " " + segments[0] : "";
+  if (call == std::string("GET ") + kJobStatePath) {
+    ShowState(segments[1], segments[2], respond);
+  } else if (call == std::string("POST ") + kJobPath) {
+    Submit(segments[1], request.body, respond);
+  } else {
     respond(http::MakeProblem(404, "no-such-call", "There is no such call."));
-    return;
   }
-  const auto state = m_find_state(segments[1], segments[2]);
+}
+
+void PeerApi::ShowState(const std::string& pool, const std::string& job,
+                        const http::Respond& respond) const {
+  const auto state = m_find_state(pool, job);
   if (!state) {
     respond(http::MakeProblem(404, "no-such-job",
                               "This host does not know the job's state."));
@@ -28,4 +38,31 @@
   respond(http::MakeJsonResponse(200, scheduling::EncodeProgress(progress)));
 }
 
+void PeerApi::Submit(const std::string& pool, const std::string& body,
+                     const http::Respond& respond) const {
+  scheduling::JobSpec job;
+  try {
+    job = scheduling::DecodeJobRecord(body);
+  } catch (const std::runtime_error& error) {
+    base::Log(base::events::kMalformedFrame,
+              {{"pool", pool}, {"fault", error.what()}});
+    respond(http::MakeProblem(400, "bad-job", error.what()));
+    return;
+  }
+  m_submit(pool, job, [respond](JobCallOutcome outcome) {
+    switch (outcome) {
+      case JobCallOutcome::kDone:
+        respond(http::MakeJsonResponse(kStoredStatus, "{}"));
+        return;
+      case JobCallOutcome::kRefused:
+        respond(http::MakeProblem(kRefusedStatus, "store-refused",
+                                  "The job is not stored."));
+        return;
+      default:
+        respond(http::MakeProblem(kUnknownStatus, "outcome-unknown",
+                                  "The store did not answer."));
+    }
+  });
+}
+
 }  // namespace shallotwick::scheduler
--- a/services/shallotwick-scheduler/peer_client.cc
+++ b/services/shallotwick-scheduler/peer_client.cc
@@ -5,6 +5,7 @@
 
 #include "base/log.h"
 #include "base/log_catalogue.h"
+#include "scheduling/job_record.h"
 
 namespace shallotwick::scheduler {
 namespace {
@@ -12,8 +13,48 @@
 // Peers answer from memory. A busy host takes some tens of milliseconds.
 constexpr auto kAnswerTimeout = std::chrono::milliseconds(500);
 
+// A slow store answers within about a second, and callers wait for three.
+constexpr auto kSubmissionTimeout = std::chrono::milliseconds(2'200);
+
+JobCallOutcome DecodeSubmission(const http::TransferResult& result) {
+  if (result.outcome == http::TransferOutcome::kNotSent) {
+    return JobCallOutcome::kRefused;
+  }
+  if (result.outcome != http::TransferOutcome::kComplete) {
+    return JobCallOutcome::kUnknown;
+  }
+  switch (result.response.status) {
+    case kStoredStatus:
+      return JobCallOutcome::kDone;
+    case kRefusedStatus:
+      return JobCallOutcome::kRefused;
+    default:
+      return JobCallOutcome::kUnknown;
+  }
+}
+
 }  // namespace
 
+void PeerClient::Submit(const std::string& address, const std::string& pool,
+                        const scheduling::JobSpec& job,
+                        JobService::OnOutcome on_done) {
+  http::Request request;
+  request.method = "POST";
+  request.target = std::string("/") + kJobPath + "/" +
+                   http::PercentEncode(pool) + "/" +
+                   http::PercentEncode(job.id);
+  request.headers = {{"Content-Type", "application/json"}};
+  request.body = scheduling::EncodeJobRecord(job);
+  const std::string url = "http://" + address + request.target;
+  auto options = http::TransferOptions::WithTimeout(kSubmissionTimeout);
+  options.connect_timeout = kAnswerTimeout;
+  m_client.Send(url, std::move(request), options,
+                m_lifetime.Guard([on_done = std::move(on_done)](
+                                     const http::TransferResult& result) {
+                  on_done(DecodeSubmission(result));
+                }));
+}
+
 void PeerClient::AskState(const std::string& address, const std::string& pool,
                           const std::string& job, OnState on_done) {
   http::Request request;
--- a/services/shallotwick-scheduler/peer_client.h
+++ b/services/shallotwick-scheduler/peer_client.h
@@ -6,12 +6,20 @@
 
 #include "base/event_loop.h"
 #include "http/request_sender.h"
+#include "job_service.h"
 #include "scheduling/progress.h"
 
 namespace shallotwick::scheduler {
 
-// The path of a job's state is /job-states/POOL/JOB.
+// Paths are /job-states/POOL/JOB and /jobs/POOL/JOB.
 inline constexpr char kJobStatePath[] = "job-states";
+inline constexpr char kJobPath[] = "jobs";
+
+// The statuses of an answer to a submission: the job is stored, or it is not
+// and never will be. All others leave it open.
+inline constexpr int kStoredStatus = 200;
+inline constexpr int kRefusedStatus = 503;
+inline constexpr int kUnknownStatus = 504;
 
 // Calls the PeerApi of other hosts.
 class PeerClient {
@@ -26,6 +34,11 @@
   void AskState(const std::string& address, const std::string& pool,
                 const std::string& job, OnState on_done);
 
+  // Hands a job over to the owner of its pool, which stores it. The outcome is
+  // unknown if the owner may have received the job but gave no valid answer.
+  void Submit(const std::string& address, const std::string& pool,
+              const scheduling::JobSpec& job, JobService::OnOutcome on_done);
+
  private:
   http::RequestSender& m_client;
   base::Lifetime m_lifetime;
--- a/services/shallotwick-scheduler/scheduler_process.cc
+++ b/services/shallotwick-scheduler/scheduler_process.cc
@@ -112,6 +112,7 @@
       m_api(m_jobs, m_job_states, m_metrics),
       m_peer_connections(m_loop.GetContext(), kConnectionsPerPeer),
       m_peers(m_peer_connections),
+      m_submissions(m_loop, m_store, m_jobs, m_peers),
       m_lease(std::min(base::Duration(kRequestedLease),
                        GetMilliseconds(settings, "longest-lease-ms"))),
       m_max_stop_time(GetMilliseconds(settings, "longest-stop-ms")),
@@ -217,12 +218,39 @@
   m_api.m_get_outage_age = [this] {
     return m_store.GetHealth().GetOutageAge(base::RuntimeClock::now());
   };
+  const auto is_store_slow = [this] { return m_store.GetHealth().IsSlow(); };
+  m_session.m_is_store_slow = is_store_slow;
+  m_capacity.m_is_store_slow = is_store_slow;
+  m_job_states.m_is_store_slow = is_store_slow;
   m_job_states.m_is_store_reachable = m_api.m_is_store_reachable;
   m_job_states.m_ask_owner = [this](const std::string& pool,
                                     const std::string& job,
                                     JobStateLookup::OnOwnerState on_done) {
     AskOwner(pool, job, std::move(on_done));
   };
+  m_row_store.m_get_timeout =
+      [this, min = GetTimeout(settings, "platform-timeout-ms")] {
+        return m_store.GetHealth().GetTimeout(min);
+      };
+  m_submissions.m_get_health = [this]() -> const storage::StoreHealth& {
+    return m_store.GetHealth();
+  };
+  m_submissions.m_find_owner = [this](const std::string& pool) {
+    return FindOwner(pool);
+  };
+  m_api.m_can_submit = [this](const std::string& pool) {
+    return m_submissions.CanSubmit(pool);
+  };
+  m_api.m_submit = [this](const std::string& pool,
+                          const scheduling::JobSpec& job,
+                          JobService::OnOutcome on_done) {
+    m_submissions.Submit(pool, job, std::move(on_done));
+  };
+  m_peer_api.m_submit = [this](const std::string& pool,
+                               const scheduling::JobSpec& job,
+                               JobService::OnOutcome on_done) {
+    m_submissions.SubmitForPeer(pool, job, std::move(on_done));
+  };
   m_peer_api.m_find_state = [this](const std::string& pool,
                                    const std::string& job) {
     return FindOwnState(pool, job);
@@ -314,18 +342,24 @@
 
 void SchedulerProcess::AskOwner(const std::string& pool, const std::string& job,
                                 JobStateLookup::OnOwnerState on_done) {
-  const auto owner = m_ownership.FindOwner(pool);
-  if (owner && *owner == m_session.GetSelf()) {
+  const SubmissionRouter::Owner owner = FindOwner(pool);
+  if (owner.is_self) {
     on_done(FindOwnState(pool, job));
-    return;
-  }
-  const std::string address =
-      owner ? m_session.GetMonitor().GetPeerAddress(*owner) : std::string();
-  if (address.empty()) {
+  } else if (owner.address.empty()) {
     on_done(std::nullopt);
-    return;
+  } else {
+    m_peers.AskState(owner.address, pool, job, std::move(on_done));
+  }
+}
+
+SubmissionRouter::Owner SchedulerProcess::FindOwner(
+    const std::string& pool) const {
+  const auto owner = m_ownership.FindOwner(pool);
+  if (!owner) {
+    return {};
   }
-  m_peers.AskState(address, pool, job, std::move(on_done));
+  return {*owner == m_session.GetSelf(),
+          m_session.GetMonitor().GetPeerAddress(*owner)};
 }
 
 bool SchedulerProcess::IsReady() const {
--- a/services/shallotwick-scheduler/scheduler_process.h
+++ b/services/shallotwick-scheduler/scheduler_process.h
@@ -26,6 +26,7 @@
 #include "pool_runner.h"
 #include "session_renewer.h"
 #include "storage/observed_store.h"
+#include "submission_router.h"
 #include "table_follower.h"
 #include "wave_coordinator.h"
 
@@ -61,6 +62,7 @@
   // Returns the state of a job of a pool that this host owns.
   std::optional<scheduling::JobState> FindOwnState(
       const std::string& pool, const std::string& job) const;
+  SubmissionRouter::Owner FindOwner(const std::string& pool) const;
   // Asks the owner of the pool, which may be this host.
   void AskOwner(const std::string& pool, const std::string& job,
                 JobStateLookup::OnOwnerState on_done);
@@ -97,6 +99,7 @@
   http::ConnectionPool m_peer_connections;
   PeerClient m_peers;
   PeerApi m_peer_api;
+  SubmissionRouter m_submissions;
   base::Duration m_lease;
   base::Duration m_max_stop_time;
   base::Duration m_retention;
--- a/services/shallotwick-scheduler/session_renewer.cc
+++ b/services/shallotwick-scheduler/session_renewer.cc
@@ -13,11 +13,18 @@
 
 constexpr auto kRenewPeriod = std::chrono::milliseconds(500);
 constexpr auto kRetryPeriod = std::chrono::milliseconds(150);
+// While the store is slow, frequent retries would use up the transactions that
+// it accepts.
+constexpr auto kSlowStoreRetryPeriod = std::chrono::milliseconds(400);
 constexpr auto kReadPeriod = std::chrono::milliseconds(400);
 // Periods for a host that owns no pool and ranks last for taking one over. Its
 // renewals still detect whether the store is reachable.
 constexpr auto kRelaxedRenewPeriod = std::chrono::milliseconds(1'250);
 constexpr auto kRelaxedReadPeriod = std::chrono::milliseconds(3'000);
+// For the same hosts while the store is slow: the renewals of all hosts wait in
+// one queue, before those of the owners. Such hosts may not take over pools
+// then.
+constexpr auto kSlowStoreRenewPeriod = std::chrono::milliseconds(5'000);
 // When all hosts start at the same time, each must first discover the others.
 constexpr auto kStartupWindow = std::chrono::milliseconds(4'000);
 // A session that is not renewed for this long has expired. Several renewals fit
@@ -92,13 +99,15 @@
 // renews more often.
 void SessionRenewer::RenewIfDue() {
   const auto now = base::RuntimeClock::now();
+  const base::Duration relaxed_period =
+      m_is_store_slow() ? kSlowStoreRenewPeriod : kRelaxedRenewPeriod;
   const bool is_due = !m_has_session || MustWatchClosely(now) ||
-                      now >= m_renewed_at + kRelaxedRenewPeriod;
+                      now >= m_renewed_at + relaxed_period;
   if (is_due) {
     Renew();
   } else {
-    RenewAfter(std::min<base::Duration>(
-        kRenewPeriod, m_renewed_at + kRelaxedRenewPeriod - now));
+    RenewAfter(std::min<base::Duration>(kRenewPeriod,
+                                        m_renewed_at + relaxed_period - now));
   }
 }
 
@@ -126,7 +135,8 @@
 
 void SessionRenewer::OnRenewed(const storage::RowCommitResult& result,
                                base::TimePoint sent, int64_t attempt) {
-  auto next = base::Duration(kRetryPeriod);
+  auto next =
+      base::Duration(m_is_store_slow() ? kSlowStoreRetryPeriod : kRetryPeriod);
   if (result.status == storage::RowCommitStatus::kCommitted) {
     m_version = result.version;
     if (m_has_session && base::RuntimeClock::now() >= GetValidUntil()) {
--- a/services/shallotwick-scheduler/session_renewer.h
+++ b/services/shallotwick-scheduler/session_renewer.h
@@ -24,6 +24,9 @@
   std::function<void()> m_on_sessions_read;
   // Whether this host must detect the loss of another host without delay.
   std::function<bool()> m_must_watch_closely = [] { return true; };
+  // Whether the store takes long for transactions, so that hosts without pools
+  // renew their sessions less often.
+  std::function<bool()> m_is_store_slow = [] { return false; };
   // This host's time of day minus the store's clock in milliseconds, if known.
   std::function<std::optional<int64_t>()> m_get_clock_offset = [] {
     return std::nullopt;
--- /dev/null
+++ b/services/shallotwick-scheduler/submission_batcher.cc
@@ -0,0 +1,106 @@
+#include "submission_batcher.h"
+
+#include <memory>
+#include <set>
+#include <utility>
+
+#include "job_tables.h"
+#include "scheduling/job_record.h"
+
+namespace shallotwick::scheduler {
+namespace {
+
+// A job takes three entries of a transaction.
+constexpr size_t kMaxJobsPerTransaction = storage::kMaxTransactionEntries / 3;
+// The owner's own transactions wait in the same queue.
+constexpr int kMaxBatchesInFlight = 3;
+// Callers wait for three seconds, and a transaction takes up to one.
+constexpr auto kMaxWait = std::chrono::milliseconds(1'500);
+constexpr auto kRefusalDelay = std::chrono::milliseconds(100);
+
+}  // namespace
+
+void SubmissionBatcher::Submit(const scheduling::JobSpec& job,
+                               JobService::OnOutcome on_done) {
+  m_waiting.push_back(
+      {job, std::move(on_done), false, base::RuntimeClock::now() + kMaxWait});
+  SendBatch();
+}
+
+void SubmissionBatcher::SendBatch() {
+  const auto now = base::RuntimeClock::now();
+  if (m_batches_in_flight >= kMaxBatchesInFlight || m_waiting.empty() ||
+      now < m_not_before) {
+    return;
+  }
+  ++m_batches_in_flight;
+  std::vector<Submission> batch;
+  std::vector<Submission> repeated;
+  std::set<std::string> jobs;
+  storage::RowTransaction transaction;
+  while (!m_waiting.empty() && batch.size() < kMaxJobsPerTransaction) {
+    Submission submission = std::move(m_waiting.front());
+    m_waiting.pop_front();
+    const scheduling::JobSpec& job = submission.job;
+    // A transaction names each row once.
+    if (!jobs.insert(job.id).second) {
+      repeated.push_back(std::move(submission));
+      continue;
+    }
+    JobService::AddSubmission(m_pool, job, transaction);
+    batch.push_back(std::move(submission));
+  }
+  for (Submission& submission : repeated) {
+    m_waiting.push_front(std::move(submission));
+  }
+  m_store.Commit(
+      std::move(transaction),
+      m_lifetime.Guard([this, batch = std::move(batch)](
+                           const storage::RowCommitResult& result) mutable {
+        --m_batches_in_flight;
+        OnCommitted(result, std::move(batch));
+        SendBatch();
+      }));
+}
+
+void SubmissionBatcher::OnCommitted(const storage::RowCommitResult& result,
+                                    std::vector<Submission> batch) {
+  const auto now = base::RuntimeClock::now();
+  if (result.status == storage::RowCommitStatus::kRefused) {
+    m_not_before = now + kRefusalDelay;
+    m_loop.RunAfter(kRefusalDelay, m_lifetime.Guard([this] { SendBatch(); }));
+  }
+  std::set<std::string> stored;
+  for (const storage::VersionedRow& row : result.current) {
+    if (row.version != storage::kNoVersion && !row.is_removed) {
+      stored.insert(row.key.key);
+    }
+  }
+  for (Submission& submission : batch) {
+    switch (result.status) {
+      case storage::RowCommitStatus::kCommitted:
+        submission.on_done(JobCallOutcome::kDone);
+        continue;
+      case storage::RowCommitStatus::kConflict:
+        // The jobs that exist already made the others fail.
+        if (stored.count(submission.job.id) > 0) {
+          submission.on_done(JobCallOutcome::kDone);
+          continue;
+        }
+        break;
+      case storage::RowCommitStatus::kRefused:
+        break;
+      case storage::RowCommitStatus::kUnknown:
+        submission.may_be_stored = true;
+        break;
+    }
+    if (now >= submission.deadline) {
+      submission.on_done(submission.may_be_stored ? JobCallOutcome::kUnknown
+                                                  : JobCallOutcome::kRefused);
+      continue;
+    }
+    m_waiting.push_front(std::move(submission));
+  }
+}
+
+}  // namespace shallotwick::scheduler
--- a/services/shallotwick-scheduler/tests/outage_test.cc
+++ b/services/shallotwick-scheduler/tests/outage_test.cc
@@ -13,7 +13,9 @@
 #include "../peer_api.h"
 #include "../peer_client.h"
 #include "../pool_runner.h"
+#include "../submission_router.h"
 #include "fakes/fake_row_store.h"
+#include "routing/submission_path.h"
 #include "scheduling/job_record.h"
 #include "storage/observed_store.h"
 
@@ -146,8 +148,8 @@
     m_urls.push_back(url);
     http::TransferResult result;
     if (m_body) {
-      result.outcome = http::TransferOutcome::kComplete;
-      result.response = http::MakeJsonResponse(200, *m_body);
+      result.outcome = m_outcome;
+      result.response = http::MakeJsonResponse(m_status, *m_body);
       on_done(result);
       return;
     }
@@ -160,6 +162,8 @@
 
   scheduler::PeerApi m_api;
   std::optional<std::string> m_body;
+  int m_status = 200;
+  http::TransferOutcome m_outcome = http::TransferOutcome::kComplete;
   std::vector<std::string> m_urls;
 };
 
@@ -454,3 +458,224 @@
   // A long outage does not keep clients away for much longer than it lasts.
   LONGS_EQUAL(5, storage::GetRetryAfterSeconds(std::chrono::hours(1), 0));
 }
+
+TEST_GROUP_BASE(Submission, TEST_GROUP_CppUTestGroupOutage) {
+  FakePeers m_sender;
+  scheduler::PeerClient m_peers{m_sender};
+  scheduler::JobService m_jobs{m_loop, m_store};
+  scheduler::SubmissionRouter m_submissions{m_loop, m_store, m_jobs, m_peers};
+  storage::StoreHealth m_health;
+  scheduler::SubmissionRouter::Owner m_owner;
+
+  void setup() override {
+    TEST_GROUP_CppUTestGroupOutage::setup();
+    m_submissions.m_get_health = [this]() -> const storage::StoreHealth& {
+      return m_health;
+    };
+    m_submissions.m_find_owner = [this](const std::string&) { return m_owner; };
+    ObserveAnswers(std::chrono::milliseconds(4));
+  }
+
+  void ObserveAnswers(base::Duration answer_time) {
+    for (int i = 0; i < 30; ++i) {
+      m_health.OnSent(base::RuntimeClock::now());
+      m_health.OnAnswer(base::RuntimeClock::now(), answer_time);
+      m_health.OnTransaction(answer_time);
+    }
+  }
+
+  // Calls to the store go unanswered for a second.
+  void LoseStoreForThisHost() {
+    m_health.OnSent(base::RuntimeClock::now());
+    Advance(std::chrono::seconds(1));
+  }
+
+  JobCallOutcome Submit(const std::string& id) {
+    std::optional<JobCallOutcome> outcome;
+    m_submissions.Submit(
+        kService, MakeJob(id),
+        [&outcome](JobCallOutcome result) { outcome = result; });
+    ProcessDueEvents();
+    return outcome.value();
+  }
+
+  bool IsStored(const std::string& id) const {
+    return m_store.Get(scheduler::MakeJobKey(kService, id)).version !=
+           storage::kNoVersion;
+  }
+};
+
+// At a store that carries out eleven transactions a second, jobs of many hosts
+// can be stored only together.
+TEST(Submission, OwnerStoresManyJobsPerTransaction) {
+  m_owner.is_self = true;
+  ObserveAnswers(std::chrono::milliseconds(400));
+  constexpr int kJobs = 100;
+  int stored = 0;
+  const uint64_t version_before = m_store.Put({"other", "", "row"}, "");
+  for (int i = 0; i < kJobs; ++i) {
+    m_submissions.Submit(kService, MakeJob("job" + std::to_string(1'000 + i)),
+                         [&stored](JobCallOutcome outcome) {
+                           stored += outcome == JobCallOutcome::kDone ? 1 : 0;
+                         });
+  }
+  ProcessDueEvents();
+  LONGS_EQUAL(kJobs, stored);
+  const uint64_t version_after = m_store.Put({"other", "", "row"}, "");
+  // The first three jobs go alone, then 33 at a time.
+  CHECK_TRUE(version_after - version_before <= 7);
+}
+
+TEST(Submission, BatchWithRepeatedJobStoresTheOthers) {
+  m_owner.is_self = true;
+  ObserveAnswers(std::chrono::milliseconds(400));
+  CHECK_TRUE(Submit("job1") == JobCallOutcome::kDone);
+  int done = 0;
+  for (const char* id : {"job0", "job1", "job2", "job2"}) {
+    m_submissions.Submit(kService, MakeJob(id),
+                         [&done](JobCallOutcome outcome) {
+                           done += outcome == JobCallOutcome::kDone ? 1 : 0;
+                         });
+  }
+  ProcessDueEvents();
+  LONGS_EQUAL(4, done);
+  CHECK_TRUE(IsStored("job0") && IsStored("job2"));
+}
+
+// A refused batch is sent again while its callers wait.
+TEST(Submission, BatchReportsUnknownOnlyIfItMayBeStored) {
+  m_owner.is_self = true;
+  ObserveAnswers(std::chrono::milliseconds(400));
+  const auto submit = [this](const char* id, int refusals,
+                             fakes::FakeRowStore::Fault first) {
+    m_store.m_faults = {first};
+    m_store.m_faults.insert(m_store.m_faults.end(),
+                            static_cast<size_t>(refusals),
+                            {RowCommitStatus::kRefused, false});
+    std::optional<JobCallOutcome> outcome;
+    m_submissions.Submit(
+        kService, MakeJob(id),
+        [&outcome](JobCallOutcome result) { outcome = result; });
+    Advance(std::chrono::seconds(2));
+    m_store.m_faults.clear();
+    return outcome.value();
+  };
+  const fakes::FakeRowStore::Fault refused{RowCommitStatus::kRefused, false};
+  CHECK_TRUE(submit("job1", 3, refused) == JobCallOutcome::kDone);
+  CHECK_TRUE(submit("job2", 50, refused) == JobCallOutcome::kRefused);
+  CHECK_FALSE(IsStored("job2"));
+  CHECK_TRUE(submit("job3", 50, {RowCommitStatus::kUnknown, false}) ==
+             JobCallOutcome::kUnknown);
+  CHECK_TRUE(submit("job4", 0, {RowCommitStatus::kUnknown, true}) ==
+             JobCallOutcome::kDone);
+}
+
+// The store turns this host away, but not the owner of the pool.
+TEST(Submission, HostWithoutStoreHandsJobToOwnerOnce) {
+  m_sender.m_api.m_submit =
+      [this](const std::string& pool, const scheduling::JobSpec& job,
+             const scheduler::JobService::OnOutcome& on_done) {
+        m_jobs.Submit(pool, job, on_done);
+        ProcessDueEvents();
+      };
+  m_owner.address = "10.0.0.9:7000";
+  LoseStoreForThisHost();
+  CHECK_TRUE(m_submissions.CanSubmit(kService));
+  CHECK_TRUE(Submit("job1") == JobCallOutcome::kDone);
+  CHECK_TRUE(IsStored("job1"));
+  LONGS_EQUAL(1, m_sender.m_urls.size());
+}
+
+TEST(Submission, RefusalOfOwnerIsRelayedAndOwnerIsLeftAloneForAWhile) {
+  m_sender.m_api.m_submit =
+      [](const std::string&, const scheduling::JobSpec&,
+         const scheduler::JobService::OnOutcome& on_done) {
+        on_done(JobCallOutcome::kRefused);
+      };
+  m_owner.address = "10.0.0.9:7000";
+  LoseStoreForThisHost();
+  CHECK_TRUE(Submit("job1") == JobCallOutcome::kRefused);
+  CHECK_FALSE(m_submissions.CanSubmit(kService));
+  CHECK_TRUE(Submit("job2") == JobCallOutcome::kRefused);
+  LONGS_EQUAL(1, m_sender.m_urls.size());
+  Advance(std::chrono::milliseconds(500));
+  CHECK_TRUE(m_submissions.CanSubmit(kService));
+}
+
+// Neither is a refusal: the owner may have stored the job.
+TEST(Submission, InvalidOrMissingAnswerOfOwnerIsUnknown) {
+  m_owner.address = "10.0.0.9:7000";
+  LoseStoreForThisHost();
+  m_sender.m_status = 418;
+  m_sender.m_body = "torn";
+  CHECK_TRUE(Submit("job1") == JobCallOutcome::kUnknown);
+  m_sender.m_outcome = http::TransferOutcome::kUnknown;
+  CHECK_TRUE(Submit("job2") == JobCallOutcome::kUnknown);
+  // The owner cannot have received it.
+  m_sender.m_outcome = http::TransferOutcome::kNotSent;
+  CHECK_TRUE(Submit("job3") == JobCallOutcome::kRefused);
+}
+
+TEST(Submission, MalformedJobOfPeerIsRejected) {
+  int submitted = 0;
+  m_sender.m_api.m_submit =
+      [&submitted](const std::string&, const scheduling::JobSpec&,
+                   const scheduler::JobService::OnOutcome& on_done) {
+        ++submitted;
+        on_done(JobCallOutcome::kDone);
+      };
+  for (const char* body : {"", "7", "{}", R"({"id":4})"}) {
+    http::Request request;
+    request.method = "POST";
+    request.target = "/jobs/quotes/job1";
+    request.body = body;
+    int status = 0;
+    m_sender.m_api.Handle(request, [&status](const http::Response& response) {
+      status = response.status;
+    });
+    LONGS_EQUAL(400, status);
+  }
+  LONGS_EQUAL(0, submitted);
+}
+
+TEST(Submission, PathFollowsHealthOfStoreAndOwnership) {
+  using shallotwick::routing::ChooseSubmissionPath;
+  using shallotwick::routing::SubmissionPath;
+  using shallotwick::routing::SubmissionRoutes;
+  const auto choose = [](bool away, bool slow, bool owner, bool known,
+                         bool refusing) {
+    return ChooseSubmissionPath(
+        SubmissionRoutes{away, slow, owner, known, refusing});
+  };
+  CHECK_TRUE(choose(false, false, false, true, false) ==
+             SubmissionPath::kStore);
+  CHECK_TRUE(choose(false, false, true, true, false) == SubmissionPath::kStore);
+  CHECK_TRUE(choose(false, true, true, true, false) ==
+             SubmissionPath::kOwnBatch);
+  CHECK_TRUE(choose(false, true, false, true, false) == SubmissionPath::kOwner);
+  CHECK_TRUE(choose(false, true, false, true, true) == SubmissionPath::kNone);
+  CHECK_TRUE(choose(false, true, false, false, false) ==
+             SubmissionPath::kStore);
+  CHECK_TRUE(choose(true, false, false, true, false) == SubmissionPath::kOwner);
+  CHECK_TRUE(choose(true, true, false, false, false) == SubmissionPath::kNone);
+  CHECK_TRUE(choose(true, false, true, true, false) == SubmissionPath::kNone);
+}
+
+TEST(Submission, TimeoutFollowsAnswerTimeWithinBounds) {
+  constexpr auto kMin = std::chrono::milliseconds(900);
+  storage::StoreHealth health;
+  LONGS_EQUAL(900, health.GetTimeout(kMin).count());
+  health.OnAnswer(base::RuntimeClock::now(), std::chrono::hours(10));
+  health.OnTransaction(std::chrono::hours(10));
+  LONGS_EQUAL(2'000, health.GetTimeout(kMin).count());
+  CHECK_FALSE(health.IsSlow());
+  LONGS_EQUAL(900, m_health.GetTimeout(kMin).count());
+  ObserveAnswers(std::chrono::milliseconds(240));
+  CHECK_TRUE(m_health.IsSlow());
+  CHECK_TRUE(m_health.GetTimeout(kMin) > std::chrono::milliseconds(1'300));
+  ObserveAnswers(std::chrono::milliseconds(4));
+  CHECK_FALSE(m_health.IsSlow());
+  // A refused transaction shows at once that others wait too long.
+  m_health.OnTransactionRefused();
+  CHECK_TRUE(m_health.IsSlow());
+}
