Judge a store as slow by answered transactions only

Now lost answers say nothing, refusals count only unless the store is away, and a sample has twice the weight.

--- a/libraries/storage/observed_store.cc
+++ b/libraries/storage/observed_store.cc
@@ -21,12 +21,9 @@
       std::move(transaction),
       [this, sent, on_end = std::move(on_end)](RowCommitResult result) {
         if (result.status == RowCommitStatus::kRefused) {
-          m_health.OnTransactionRefused();
-        } else {
+          m_health.OnTransactionRefused(base::RuntimeClock::now());
+        } else if (result.status != RowCommitStatus::kUnknown) {
           m_health.OnTransaction(base::RuntimeClock::now() - sent);
-        }
-        if (result.status == RowCommitStatus::kCommitted ||
-            result.status == RowCommitStatus::kConflict) {
           OnAnswer(sent);
         }
         on_end(std::move(result));
--- a/libraries/storage/store_health.cc
+++ b/libraries/storage/store_health.cc
@@ -15,7 +15,7 @@
 // A store refuses transactions that would have to wait for longer.
 constexpr auto kMaxQueueTime = std::chrono::milliseconds(1'000);
 // Most hosts send only one or two transactions a second.
-constexpr double kNewestTransactionWeight = 1.0 / 4;
+constexpr double kNewestTransactionWeight = 1.0 / 2;
 // Callers wait for three seconds.
 constexpr auto kMaxTimeout = std::chrono::milliseconds(2'000);
 // Answer times vary by about this factor while a store is slow.
@@ -65,7 +65,11 @@
       std::min(m_best_transaction_time, m_transaction_time);
 }
 
-void StoreHealth::OnTransactionRefused() { OnTransaction(kMaxQueueTime); }
+void StoreHealth::OnTransactionRefused(base::TimePoint now) {
+  if (!IsAway(now)) {
+    OnTransaction(kMaxQueueTime);
+  }
+}
 
 bool StoreHealth::IsSlow() const {
   return m_transaction_time >= kMinSlowTime &&
--- a/libraries/storage/store_health.h
+++ b/libraries/storage/store_health.h
@@ -15,10 +15,12 @@
   // A call sent at `sent` was carried out. `answer_time` excludes the time for
   // which the store was asked to wait.
   void OnAnswer(base::TimePoint now, base::Duration answer_time);
-  // A transaction ended after `time`, with any outcome.
+  // A transaction was answered after `time`. Lost answers say nothing about the
+  // time that transactions take.
   void OnTransaction(base::Duration time);
-  // A transaction was refused: too many others wait before it.
-  void OnTransactionRefused();
+  // A transaction was refused. Unless the store is away, too many others wait
+  // before it.
+  void OnTransactionRefused(base::TimePoint now);
 
   // Returns whether calls have gone unanswered or were refused for longer than
   // an answer takes, so that the next call would most likely fail too.
--- a/services/shallotwick-scheduler/tests/outage_test.cc
+++ b/services/shallotwick-scheduler/tests/outage_test.cc
@@ -676,6 +676,15 @@
   ObserveAnswers(std::chrono::milliseconds(4));
   CHECK_FALSE(m_health.IsSlow());
   // A refused transaction shows at once that others wait too long.
-  m_health.OnTransactionRefused();
+  m_health.OnTransactionRefused(base::RuntimeClock::now());
   CHECK_TRUE(m_health.IsSlow());
 }
+
+// An outage is not slowness: after it, jobs are stored as usual at once.
+TEST(Submission, StoreThatWasAwayIsNotSlow) {
+  LoseStoreForThisHost();
+  for (int i = 0; i < 10; ++i) {
+    m_health.OnTransactionRefused(base::RuntimeClock::now());
+  }
+  CHECK_FALSE(m_health.IsSlow());
+}
