--- a/libraries/hosts/capacity_plan.cc
+++ b/libraries/hosts/capacity_plan.cc
@@ -74,68 +74,81 @@
   return demands;
 }
 
-}  // namespace
-
-int CapacityPlan::CountTransfersFrom(const std::string& pool) const {
-  const auto found = transfers.find(pool);
-  if (found == transfers.end()) {
-    return 0;
-  }
-  return std::accumulate(
-      found->second.begin(), found->second.end(), 0,
-      [](int sum, const auto& entry) { return sum + entry.second; });
-}
-
-CapacityPlan PlanCapacity(const std::map<std::string, PoolCapacity>& pools,
-                          int standby_hosts) {
-  int fleet = standby_hosts;
-  for (const auto& [name, pool] : pools) {
-    fleet += pool.supplied;
-  }
-  CapacityPlan plan;
-  plan.shares = AllocateShares(pools, fleet);
-
+// Plans hosts for work that can meet its deadline. Returns whether no pool
+// remains short of them. Reduces `standby_hosts`.
+bool CoverTimelyWork(const std::map<std::string, PoolCapacity>& pools,
+                     int& standby_hosts, CapacityPlan& plan) {
   HostCounts shortages;
   HostCounts idle;
   HostCounts busy;
   for (const auto& [name, pool] : pools) {
-    const int share = plan.shares[name];
-    const int surplus = pool.supplied - std::max(kMinHosts, share);
+    const int share = plan.shares.at(name);
+    const int surplus = std::max(0, pool.supplied - std::max(kMinHosts, share));
     shortages[name] = std::max(0, share - pool.supplied);
-    idle[name] = std::clamp(pool.demand.idle, 0, std::max(0, surplus));
+    idle[name] = std::clamp(pool.demand.idle, 0, surplus);
     busy[name] = std::clamp(pool.demand.movable - pool.demand.idle, 0,
-                            std::max(0, surplus) - idle[name]);
+                            surplus - idle[name]);
   }
   plan.activations = Cover(shortages, standby_hosts);
   CoverFromPools(shortages, idle, plan);
   CoverFromPools(shortages, busy, plan);
+  return std::all_of(shortages.begin(), shortages.end(),
+                     [](const auto& shortage) { return shortage.second == 0; });
+}
 
-  const bool is_timely_work_covered =
-      std::all_of(shortages.begin(), shortages.end(),
-                  [](const auto& shortage) { return shortage.second == 0; });
-  if (!is_timely_work_covered) {
-    return plan;
-  }
+// Plans the hosts that are left for overdue work.
+void CoverBacklogs(const std::map<std::string, PoolCapacity>& pools, int fleet,
+                   int standby_hosts, CapacityPlan& plan) {
   HostCounts backlogs;
   HostCounts unused;
   for (const auto& [name, pool] : pools) {
-    const auto activated = plan.activations.find(name);
-    int supplied =
-        pool.supplied - plan.CountTransfersFrom(name) +
-        (activated == plan.activations.end() ? 0 : activated->second);
-    for (const auto& [donor, recipients] : plan.transfers) {
-      const auto received = recipients.find(name);
-      supplied += received == recipients.end() ? 0 : received->second;
-    }
+    const int supplied = pool.supplied + plan.CountTransfersTo(name) -
+                         plan.CountTransfersFrom(name);
     const int wanted = std::clamp(pool.demand.wanted, 0, fleet);
     backlogs[name] = std::max(0, wanted - supplied);
-    unused[name] = std::clamp(pool.demand.idle - plan.CountTransfersFrom(name),
-                              0, std::max(0, supplied - wanted));
+    unused[name] =
+        std::clamp(pool.demand.idle - plan.CountTransfersFrom(name), 0,
+                   std::max(0, supplied - std::max(kMinHosts, wanted)));
   }
   for (const auto& [name, count] : Cover(backlogs, standby_hosts)) {
     plan.activations[name] += count;
   }
   CoverFromPools(backlogs, unused, plan);
+}
+
+}  // namespace
+
+int CapacityPlan::CountTransfersTo(const std::string& pool) const {
+  const auto activated = activations.find(pool);
+  int count = activated == activations.end() ? 0 : activated->second;
+  for (const auto& [donor, recipients] : transfers) {
+    const auto received = recipients.find(pool);
+    count += received == recipients.end() ? 0 : received->second;
+  }
+  return count;
+}
+
+int CapacityPlan::CountTransfersFrom(const std::string& pool) const {
+  const auto found = transfers.find(pool);
+  if (found == transfers.end()) {
+    return 0;
+  }
+  return std::accumulate(
+      found->second.begin(), found->second.end(), 0,
+      [](int sum, const auto& entry) { return sum + entry.second; });
+}
+
+CapacityPlan PlanCapacity(const std::map<std::string, PoolCapacity>& pools,
+                          int standby_hosts) {
+  int fleet = standby_hosts;
+  for (const auto& [name, pool] : pools) {
+    fleet += pool.supplied;
+  }
+  CapacityPlan plan;
+  plan.shares = AllocateShares(pools, fleet);
+  if (CoverTimelyWork(pools, standby_hosts, plan)) {
+    CoverBacklogs(pools, fleet, standby_hosts, plan);
+  }
   return plan;
 }
 
--- a/libraries/hosts/capacity_plan.h
+++ b/libraries/hosts/capacity_plan.h
@@ -30,6 +30,8 @@
   // Hosts to transfer, by the pool that gives them up.
   std::map<std::string, HostCounts> transfers;
 
+  // Returns how many hosts the pool is to get in total, standby hosts included.
+  int CountTransfersTo(const std::string& pool) const;
   // Returns how many hosts the pool is to give up in total.
   int CountTransfersFrom(const std::string& pool) const;
 
--- a/libraries/hosts/tests/capacity_plan_test.cc
+++ b/libraries/hosts/tests/capacity_plan_test.cc
@@ -249,22 +249,13 @@
           MakePool(timely, timely + draw(50), supplied, movable, draw(movable));
     }
     const auto plan = hosts::PlanCapacity(pools, draw(20));
-    std::map<std::string, int> received;
-    for (const auto& [donor, recipients] : plan.transfers) {
-      for (const auto& [recipient, count] : recipients) {
-        received[recipient] += count;
-      }
-    }
     bool is_any_short = false;
     bool has_idle_surplus = false;
     for (const auto& [name, pool] : pools) {
       const int given = plan.CountTransfersFrom(name);
       CHECK_TRUE(given <= pool.demand.movable);
       CHECK_TRUE(given <= std::max(0, pool.supplied - 1));
-      const auto activated = plan.activations.find(name);
-      const int supplied =
-          pool.supplied + received[name] - given +
-          (activated == plan.activations.end() ? 0 : activated->second);
+      const int supplied = pool.supplied + plan.CountTransfersTo(name) - given;
       is_any_short = is_any_short || supplied < plan.shares.at(name);
       has_idle_surplus =
           has_idle_surplus || (pool.demand.idle > given &&
--- a/services/shallotwick-scheduler/job_api.cc
+++ b/services/shallotwick-scheduler/job_api.cc
@@ -77,13 +77,8 @@
   }
   const std::string id = path.substr(route->prefix.size());
   const bool is_read = request.method == "GET" || request.method == "HEAD";
-  // Without the store, other requests cannot be served here; another host may
-  // be able to reach it.
-  const bool can_serve = is_read && IsJobIdentifier(id) ? true
-                         : request.method == "POST"
-                             ? m_can_submit(route->service)
-                             : m_is_store_reachable();
-  if (!can_serve) {
+  // Another host may be able to reach the store.
+  if (!CanServe(request, *route, id)) {
     base::Log(base::events::kJobRefused, {{"route", route->name},
                                           {"call", request.method},
                                           {"path", path},
@@ -106,6 +101,19 @@
   }
 }
 
+bool JobApi::CanServe(const http::Request& request,
+                      const scheduling::Route& route,
+                      const std::string& id) const {
+  if (request.method == "POST") {
+    return m_can_submit(route.service);
+  }
+  // The pool's owner can tell the state of a job.
+  const bool is_state_request =
+      IsJobIdentifier(id) &&
+      (request.method == "GET" || request.method == "HEAD");
+  return is_state_request || m_is_store_reachable();
+}
+
 void JobApi::Submit(const scheduling::Route& route, const std::string& id,
                     const http::Request& request,
                     const http::Respond& respond) {
--- a/services/shallotwick-scheduler/job_api.h
+++ b/services/shallotwick-scheduler/job_api.h
@@ -43,6 +43,10 @@
   void Handle(const http::Request& request, const http::Respond& respond);
 
  private:
+  // Returns whether the request can be served without waiting for the store to
+  // come back.
+  bool CanServe(const http::Request& request, const scheduling::Route& route,
+                const std::string& id) const;
   void Submit(const scheduling::Route& route, const std::string& id,
               const http::Request& request, const http::Respond& respond);
   void Show(const scheduling::Route& route, const std::string& id,
--- a/services/shallotwick-scheduler/scheduler_process.cc
+++ b/services/shallotwick-scheduler/scheduler_process.cc
@@ -223,15 +223,48 @@
   m_capacity.m_is_store_slow = is_store_slow;
   m_job_states.m_is_store_slow = is_store_slow;
   m_job_states.m_is_store_reachable = m_api.m_is_store_reachable;
+  m_row_store.m_get_timeout =
+      [this, min = GetTimeout(settings, "platform-timeout-ms")] {
+        return m_store.GetHealth().GetTimeout(min);
+      };
+  m_job_server = std::make_unique<http::Server>(
+      MakeServerOptions(settings.GetString("listen")),
+      [this](http::Request request, http::Respond respond) {
+        m_loop.Post(
+            [this, request = std::move(request), respond = std::move(respond)] {
+              m_api.Handle(request, respond);
+            });
+      });
+  m_readiness_server = std::make_unique<http::Server>(
+      MakeServerOptions(settings.GetString("ready-listen")),
+      [this](const http::Request& request, http::Respond respond) {
+        m_loop.Post([this, path = http::GetPath(request.target),
+                     respond = std::move(respond)] {
+          if (path == "/metrics") {
+            http::Response response;
+            response.body = m_metrics.FormatExposition();
+            respond(response);
+            return;
+          }
+          respond(http::MakeJsonResponse(IsReady() ? 200 : 503, "{}"));
+        });
+      });
+  ConnectToPeers(settings);
+  m_job_endpoint = base::ParseEndpoint(settings.GetString("listen"));
+  m_job_endpoint.port = m_job_server->GetPort();
+  m_readiness_endpoint =
+      base::ParseEndpoint(settings.GetString("ready-listen"));
+  m_readiness_endpoint.port = m_readiness_server->GetPort();
+}
+
+// Joins what hosts do for each other: the owner of a pool tells states of its
+// jobs and stores jobs for callers of other hosts.
+void SchedulerProcess::ConnectToPeers(const base::Settings& settings) {
   m_job_states.m_ask_owner = [this](const std::string& pool,
                                     const std::string& job,
                                     JobStateLookup::OnOwnerState on_done) {
     AskOwner(pool, job, std::move(on_done));
   };
-  m_row_store.m_get_timeout =
-      [this, min = GetTimeout(settings, "platform-timeout-ms")] {
-        return m_store.GetHealth().GetTimeout(min);
-      };
   m_submissions.m_get_health = [this]() -> const storage::StoreHealth& {
     return m_store.GetHealth();
   };
@@ -255,28 +288,6 @@
                                    const std::string& job) {
     return FindOwnState(pool, job);
   };
-  m_job_server = std::make_unique<http::Server>(
-      MakeServerOptions(settings.GetString("listen")),
-      [this](http::Request request, http::Respond respond) {
-        m_loop.Post(
-            [this, request = std::move(request), respond = std::move(respond)] {
-              m_api.Handle(request, respond);
-            });
-      });
-  m_readiness_server = std::make_unique<http::Server>(
-      MakeServerOptions(settings.GetString("ready-listen")),
-      [this](const http::Request& request, http::Respond respond) {
-        m_loop.Post([this, path = http::GetPath(request.target),
-                     respond = std::move(respond)] {
-          if (path == "/metrics") {
-            http::Response response;
-            response.body = m_metrics.FormatExposition();
-            respond(response);
-            return;
-          }
-          respond(http::MakeJsonResponse(IsReady() ? 200 : 503, "{}"));
-        });
-      });
   m_peer_server = std::make_unique<http::Server>(
       MakeServerOptions(settings.GetString("peer-listen")),
       [this](http::Request request, http::Respond respond) {
@@ -289,11 +300,6 @@
       base::ParseEndpoint(settings.GetString("peer-listen"));
   peer_endpoint.port = m_peer_server->GetPort();
   m_session.m_peer_address = base::FormatEndpoint(peer_endpoint);
-  m_job_endpoint = base::ParseEndpoint(settings.GetString("listen"));
-  m_job_endpoint.port = m_job_server->GetPort();
-  m_readiness_endpoint =
-      base::ParseEndpoint(settings.GetString("ready-listen"));
-  m_readiness_endpoint.port = m_readiness_server->GetPort();
 }
 
 SchedulerProcess::~SchedulerProcess() = default;
--- a/services/shallotwick-scheduler/scheduler_process.h
+++ b/services/shallotwick-scheduler/scheduler_process.h
@@ -43,6 +43,7 @@
   void Run();
 
  private:
+  void ConnectToPeers(const base::Settings& settings);
   void WaitForSignal();
   void OnOperatorRow(const storage::VersionedRow& row);
   void SetConfig(const std::string& text);
