--- a/libraries/hosts/capacity_plan.cc
+++ b/libraries/hosts/capacity_plan.cc
@@ -66,7 +66,7 @@
     demands[name] = std::clamp(pool.demand.timely, 0, std::max(0, hosts));
     total += demands[name];
   }
-  if (total > hosts) {
+  if (total > 0 && total > hosts) {
     for (auto& [name, share] : demands) {
       share = static_cast<int>(int64_t{share} * hosts / total);
     }
--- a/libraries/hosts/tests/capacity_plan_test.cc
+++ b/libraries/hosts/tests/capacity_plan_test.cc
@@ -71,7 +71,9 @@
     int busy_until = 0;
   };
 
-  static std::string Name(int pool) { return std::string(1, 'a' + pool); }
+  static std::string Name(int pool) {
+    return std::string(1, static_cast<char>('a' + pool));
+  }
   bool IsUsable(const Host& host) const { return host.arrives_at <= m_step; }
   bool IsIdle(const Host& host) const {
     return IsUsable(host) && host.busy_until <= m_step;
