--- a/services/shallotwick-scheduler/capacity_broker.cc
+++ b/services/shallotwick-scheduler/capacity_broker.cc
@@ -232,6 +232,12 @@
   return pending;
 }
 
+const std::string& CapacityBroker::GetPool(const hosts::FleetHost& host) const {
+  const auto transfer = m_pending_transfers.find(host.name);
+  return transfer == m_pending_transfers.end() ? host.pool
+                                               : transfer->second.to;
+}
+
 CapacityBroker::Pools CapacityBroker::ReadPools() const {
   const std::string prefix = kDemandPrefix;
   Pools pools;
@@ -243,10 +249,7 @@
     }
   }
   for (const auto& [name, host] : m_ledger.GetHosts()) {
-    const auto transfer = m_pending_transfers.find(name);
-    const auto pool =
-        pools.find(transfer == m_pending_transfers.end() ? host.pool
-                                                         : transfer->second.to);
+    const auto pool = pools.find(GetPool(host));
     if (pool != pools.end() && IsOn(host)) {
       ++pool->second.supplied;
     }
@@ -333,10 +336,7 @@
                                              base::TimePoint now) const {
   int switched_on = 0;
   for (const auto& [name, host] : m_ledger.GetHosts()) {
-    const auto transfer = m_pending_transfers.find(name);
-    const std::string& pool =
-        transfer == m_pending_transfers.end() ? host.pool : transfer->second.to;
-    switched_on += m_standby_pools.count(pool) == 0 ? 1 : 0;
+    switched_on += m_standby_pools.count(GetPool(host)) == 0 ? 1 : 0;
   }
   const int excess =
       switched_on - m_standby_policy.CountRetainedHosts(switched_on, now);
--- a/services/shallotwick-scheduler/capacity_broker.h
+++ b/services/shallotwick-scheduler/capacity_broker.h
@@ -65,6 +65,8 @@
   // Returns the transfers of all owners that the list of hosts does not show
   // yet.
   hosts::HostTransfers ReadPendingTransfers() const;
+  // Returns the pool that the host is in, or on its way to.
+  const std::string& GetPool(const hosts::FleetHost& host) const;
   // Returns the hosts of a standby pool that this owner may activate now.
   std::vector<std::string> FindStandbyHosts(base::TimePoint now) const;
   void ActivateStandbyHosts(const std::string& pool,
