Log how the owner knew that a run is gone, and in which incarnation

run-lost had one reason, "target ended", for six sources: registry, report, another incarnation's answer, host list, host operation, expired lease. Event 520 now names the source, the incarnation of the target that the owner believed to be up, and the state of the run until then; start-unanswered is logged when a start has had no response. No change of behaviour.

--- a/libraries/scheduling/pool_decisions.cc
+++ b/libraries/scheduling/pool_decisions.cc
@@ -285,7 +285,7 @@
     target->ObserveClock(*result.clock_ms, now);
   }
   if (result.outcome == OrderOutcome::kOtherIncarnation) {
-    OnTargetEnded(order.target);
+    OnTargetEnded(order.target, "another incarnation answered a start order");
     return;
   }
   const auto found = target->GetRuns().find(order.task);
@@ -309,6 +309,8 @@
     if (run.state == RunState::kStarting) {
       run.state = RunState::kUncertain;
       run.last_state_change = now;
+      LogDecision("start-unanswered", order.task, order.run, order.target,
+                  "no response");
     }
     return;
   }
--- a/libraries/scheduling/pool_interventions.cc
+++ b/libraries/scheduling/pool_interventions.cc
@@ -115,7 +115,7 @@
     return;
   }
   if (result.outcome == OrderOutcome::kOtherIncarnation) {
-    OnTargetEnded(order.target);
+    OnTargetEnded(order.target, "another incarnation answered a stop order");
     return;
   }
   TargetLedger* target = FindTarget(order.target);
--- a/libraries/scheduling/pool_reports.cc
+++ b/libraries/scheduling/pool_reports.cc
@@ -125,7 +125,7 @@
     return;
   }
   if (outcome == OrderOutcome::kOtherIncarnation) {
-    OnTargetEnded(order.target);
+    OnTargetEnded(order.target, "another incarnation answered a report order");
     target = FindTarget(order.target);
     if (target == nullptr) {
       return;
@@ -153,7 +153,7 @@
       target->m_reported_born_ms != 0 &&
       report.incarnation_started_ms > target->m_reported_born_ms;
   if (is_restarted) {
-    DropLostRuns(*target);
+    DropLostRuns(*target, "a report is from a new incarnation");
     ResetIncarnation(*target);
   }
   if (!target->m_is_responsive || !target->m_has_accepted_token) {
--- a/libraries/scheduling/pool_scheduler.cc
+++ b/libraries/scheduling/pool_scheduler.cc
@@ -82,7 +82,7 @@
   target.m_entry = entry;
   target.m_is_registered = true;
   if (is_restarted) {
-    DropLostRuns(target);
+    DropLostRuns(target, "the registry shows a new incarnation");
     ResetIncarnation(target);
   }
 }
@@ -101,12 +101,12 @@
   }
 }
 
-void PoolScheduler::OnTargetEnded(const std::string& id) {
+void PoolScheduler::OnTargetEnded(const std::string& id, const char* reason) {
   TargetLedger* target = FindTarget(id);
   if (target == nullptr) {
     return;
   }
-  DropLostRuns(*target);
+  DropLostRuns(*target, reason);
   ResetIncarnation(*target);
   target->m_lease_bound = base::TimePoint{};
   if (!target->m_is_registered) {
@@ -155,14 +155,14 @@
   target = std::move(reset);
 }
 
-void PoolScheduler::DropLostRuns(TargetLedger& target) {
+void PoolScheduler::DropLostRuns(TargetLedger& target, const char* reason) {
   std::vector<TaskName> names;
   for (const auto& [name, run] : target.GetRuns()) {
     names.push_back(name);
   }
   for (const TaskName& name : names) {
     LogDecision("run-lost", name, target.GetRuns()[name].number,
-                target.m_entry.id, "target ended");
+                target.m_entry.id, reason);
     DropRun(target, name);
   }
 }
@@ -174,7 +174,7 @@
       continue;
     }
     if (!target.GetRuns().empty()) {
-      DropLostRuns(target);
+      DropLostRuns(target, "the lease has expired");
     }
     if (!target.m_is_registered && m_reports_in_flight.count(id) == 0) {
       expired.push_back(id);
@@ -328,9 +328,26 @@
 void PoolScheduler::LogDecision(const char* what, const TaskName& task,
                                 int64_t run, const std::string& target,
                                 const char* reason) const {
-  if (m_on_decision) {
-    m_on_decision(SchedulingDecision{what, task, run, target, reason});
+  if (!m_on_decision) {
+    return;
+  }
+  SchedulingDecision decision;
+  decision.what = what;
+  decision.task = task;
+  decision.run = run;
+  decision.target = target;
+  decision.reason = reason;
+  const auto found = m_targets.find(target);
+  if (found != m_targets.end()) {
+    const TargetLedger& ledger = found->second;
+    decision.incarnation_started_ms = std::max(
+        ledger.m_entry.incarnation_started_ms, ledger.m_reported_born_ms);
+    const auto known = ledger.GetRuns().find(task);
+    if (known != ledger.GetRuns().end() && known->second.number == run) {
+      decision.state = NameOf(known->second.state);
+    }
   }
+  m_on_decision(decision);
 }
 
 }  // namespace shallotwick::scheduling
--- a/libraries/scheduling/pool_scheduler.h
+++ b/libraries/scheduling/pool_scheduler.h
@@ -53,6 +53,11 @@
   TaskName task;
   int64_t run = 0;
   std::string target;
+  // When the incarnation of the target started that the owner believes to be
+  // up, in milliseconds since the Unix epoch; 0 if not known.
+  int64_t incarnation_started_ms = 0;
+  // The owner's view of the run before the decision; empty if it had none.
+  std::string state;
   std::string reason;
 };
 
@@ -93,7 +98,8 @@
   // until its lease expires.
   void RemoveTarget(const std::string& id, base::TimePoint now);
   // Handles the confirmed end of a target, and with it the end of all its runs.
-  void OnTargetEnded(const std::string& id);
+  // `reason` is used for logging.
+  void OnTargetEnded(const std::string& id, const char* reason);
   // Returns the unresponsive targets without a report since `since` that may
   // have runs.
   std::vector<std::string> ListUnresponsiveTargets(base::TimePoint since) const;
@@ -179,7 +185,7 @@
   ActiveTask* FindTask(const TaskName& name);
 
   void ResetIncarnation(TargetLedger& target);
-  void DropLostRuns(TargetLedger& target);
+  void DropLostRuns(TargetLedger& target, const char* reason);
   void DropExpiredTargets(base::TimePoint now);
   void ApplyCompletions(TargetLedger& target, const TargetReport& report,
                         base::TimePoint now);
--- a/libraries/scheduling/target_ledger.cc
+++ b/libraries/scheduling/target_ledger.cc
@@ -4,6 +4,20 @@
 
 namespace shallotwick::scheduling {
 
+const char* NameOf(RunState state) {
+  switch (state) {
+    case RunState::kStarting:
+      return "starting";
+    case RunState::kUncertain:
+      return "uncertain";
+    case RunState::kPresent:
+      return "present";
+    case RunState::kStopping:
+      return "stopping";
+  }
+  return "";
+}
+
 Run MakeRun(int64_t number, const StepSpec* step, base::TimePoint now) {
   Run run;
   run.number = number;
--- a/libraries/scheduling/target_ledger.h
+++ b/libraries/scheduling/target_ledger.h
@@ -22,6 +22,9 @@
   kStopping,
 };
 
+// Returns the name of a state for the log.
+const char* NameOf(RunState state);
+
 // The owner's view of a run.
 struct Run {
   int64_t number = 0;
--- a/services/shallotwick-scheduler/pool_runner.cc
+++ b/services/shallotwick-scheduler/pool_runner.cc
@@ -327,7 +327,7 @@
                {"runs", std::to_string(m_scheduler.CountRuns(id))},
                {"reason",
                 "missing from two consecutive lists of hosts that are up"}});
-    m_scheduler.OnTargetEnded(id);
+    m_scheduler.OnTargetEnded(id, "missing from the host lists");
     Wake();
   }
   m_unlisted_targets = std::move(missing);
@@ -492,6 +492,8 @@
              {"index", std::to_string(note.task.index)},
              {"run", std::to_string(note.run)},
              {"target", note.target},
+             {"incarnation", std::to_string(note.incarnation_started_ms)},
+             {"state", note.state},
              {"reason", note.reason},
              {"fence", std::to_string(m_options.owner_version)}});
 }
--- a/services/shallotwick-scheduler/wave_coordinator.cc
+++ b/services/shallotwick-scheduler/wave_coordinator.cc
@@ -240,7 +240,8 @@
     if (is_unchanged) {
       ResumeScheduling(*pool, repeated.host.target);
     } else {
-      pool->GetScheduler().OnTargetEnded(repeated.host.target);
+      pool->GetScheduler().OnTargetEnded(repeated.host.target,
+                                         "its host is down for maintenance");
       pool->Wake();
     }
   }
@@ -371,7 +372,8 @@
     if (!is_first_request) {
       m_repeated_requests[host.name] = {host, base::RuntimeClock::now()};
     } else if (pool != nullptr) {
-      pool->GetScheduler().OnTargetEnded(host.target);
+      pool->GetScheduler().OnTargetEnded(host.target,
+                                         "maintenance of its host has begun");
       pool->Wake();
     }
     return;
