--- a/libraries/scheduling/tests/pool_model.cc
+++ b/libraries/scheduling/tests/pool_model.cc
@@ -113,6 +113,7 @@
   m_options.lost_share = 0;
   m_options.late_share = 0;
   m_options.crash_chance = 0;
+  m_options.restart_chance = 0;
   m_options.partition_chance = 0;
   m_options.takeover_chance = 0;
   m_options.lapsed_owner_chance = 0;
@@ -164,9 +165,12 @@
   const auto outage = std::chrono::milliseconds(
       std::uniform_int_distribution<int>(500, 9'000)(m_random));
   if (Draw(m_options.crash_chance) && target.is_up) {
-    Crash(target);
-    target.is_up = false;
-    target.back_at = m_now + outage;
+    Crash(target, outage);
+  }
+  if (m_options.restart_chance > 0 && Draw(m_options.restart_chance) &&
+      target.is_up) {
+    Crash(target, std::chrono::milliseconds(
+                      std::uniform_int_distribution<int>(20, 700)(m_random)));
   }
   if (Draw(m_options.partition_chance) && !target.is_partitioned) {
     target.is_partitioned = true;
@@ -201,7 +205,9 @@
   }
 }
 
-void PoolModel::Crash(Target& target) {
+void PoolModel::Crash(Target& target, base::Duration outage) {
+  target.is_up = false;
+  target.back_at = m_now + outage;
   target.runs.clear();
   target.ended.clear();
   target.highest_ended.clear();
@@ -218,7 +224,12 @@
       target.born = m_now;
       target.entry.incarnation_started_ms = GetWallMs();
       target.entry.draining = false;
-      m_owner->UpdateTarget(target.entry, m_now);
+      Trace("target restarts", {}, 0, target.entry.id);
+      const auto delay = base::Duration(std::uniform_int_distribution<int64_t>(
+          0, m_options.max_registry_delay.count())(m_random));
+      Schedule(delay, [this, id = target.entry.id] {
+        m_owner->UpdateTarget(Find(id)->entry, m_now);
+      });
     }
     return;
   }
@@ -334,7 +345,7 @@
     Schedule(arrival, [this, order, apply, respond, is_lost, is_late, born] {
       const Target* target = Find(order.target);
       if (!target->is_up || (target->is_partitioned && !is_late) ||
-          target->born != born) {
+          (target->born != born && !m_options.late_orders_outlive_restarts)) {
         return;
       }
       const OrderResult result = apply(order);
--- a/libraries/scheduling/tests/pool_model.h
+++ b/libraries/scheduling/tests/pool_model.h
@@ -22,6 +22,12 @@
   double late_share = 0;
   // Probabilities of an event in each 100 ms.
   double crash_chance = 0;
+  // A restart of a target under its id, within less than a second.
+  double restart_chance = 0;
+  // The maximum time until the registry shows a restart.
+  base::Duration max_registry_delay{0};
+  // Whether orders that are executed late act on any incarnation of the target.
+  bool late_orders_outlive_restarts = false;
   double partition_chance = 0;
   double takeover_chance = 0;
   // The probability that an owner whose session has lapsed goes on with the
@@ -105,7 +111,7 @@
   void InjectFaults();
   void AdvanceTarget(Target& target);
   void EndRun(Target& target, const TaskName& name, RunOutcome how);
-  void Crash(Target& target);
+  void Crash(Target& target, base::Duration outage);
   void Takeover();
   void RunOwner();
   // Runs an owner that has lost its pool without knowing it, until the leases
