Wait until the hosts are known before a test submits a section

The admin rejects a section that promises more hosts than its table holds, and the controller writes the hosts there after its start; the test system did not wait for that. It now does, and says so if the hosts are not listed.

--- a/tests/harness/system.cc
+++ b/tests/harness/system.cc
@@ -2,6 +2,7 @@
 
 #include <filesystem>
 #include <nlohmann/json.hpp>
+#include <stdexcept>
 
 #include "harness/wait.h"
 #include "http/blocking_client.h"
@@ -43,6 +44,17 @@
                                       is_relayed ? m_relay->GetAddress() : ""));
     m_gateway_addresses.push_back(m_gateways.back()->WaitForStarted("http"));
   }
+  // A section is rejected if it promises more hosts than are known.
+  if (options.controllers > 0 &&
+      !WaitFor([this] { return CountKnownHosts() == m_options.hosts; })) {
+    throw std::runtime_error("the controller has not listed all hosts");
+  }
+}
+
+int System::CountKnownHosts() {
+  const auto body =
+      nlohmann::json::parse(GetAdmin("/v1/hosts"), nullptr, false);
+  return body.is_object() ? static_cast<int>(body["hosts"].size()) : 0;
 }
 
 System::~System() {
--- a/tests/harness/system.h
+++ b/tests/harness/system.h
@@ -83,6 +83,8 @@
   std::string LogPath(const std::string& name) const;
   void StartStandins();
   void ListHosts();
+  // Returns the number of hosts that the controllers have recorded.
+  int CountKnownHosts();
 
   SystemOptions m_options;
   std::string m_directory;
