Settle no run by a report that does not list all completions

What callers could see: a task started again after its completion (TWICE).

Cause: a target lists 500 completions at a time. A run whose completion was the 501st is in neither list and was taken for one that never started.

Fix: a report says whether its list of completions is whole; one that is cut settles nothing.

--- a/libraries/scheduling/pool_reports.cc
+++ b/libraries/scheduling/pool_reports.cc
@@ -356,6 +356,9 @@
 void PoolScheduler::ResolveUnlistedRuns(TargetLedger& target,
                                         const TargetReport& report,
                                         uint64_t fence, base::TimePoint sent) {
+  if (!report.lists_all_completions) {
+    return;
+  }
   std::set<std::pair<TaskName, int64_t>> listed;
   for (const ReportedRun& reported : report.running) {
     listed.insert({reported.task, reported.run});
--- a/libraries/scheduling/target_messages.h
+++ b/libraries/scheduling/target_messages.h
@@ -64,6 +64,9 @@
   int64_t incarnation_started_ms = 0;
   std::vector<ReportedRun> running;
   std::vector<ReportedCompletion> ended;
+  // False if the target has further completions, which it lists once these are
+  // acknowledged.
+  bool lists_all_completions = true;
 
   auto operator<=>(const TargetReport&) const = default;
 };
--- a/libraries/scheduling/tests/incarnations/settlement_test.cc
+++ b/libraries/scheduling/tests/incarnations/settlement_test.cc
@@ -167,3 +167,23 @@
     CHECK_FALSE(start.task == m_orders.starts[0].task);
   }
 }
+
+TEST(Settlement, RunAbsentFromCutListOfEndsIsNotSettled) {
+  Begin();
+  AnswerStart(OrderOutcome::kUnknown);
+  const auto sent = m_now;
+  m_now += milliseconds(2);
+  for (const auto& order : m_pool->CreateReportOrders(sent)) {
+    auto report = MakeReport(order.target, kBorn1, {});
+    if (IsOfStartedTask(order.target)) {
+      report.lists_all_completions = false;
+      for (int i = 1; i <= 500; ++i) {
+        report.ended.push_back(
+            {i, {"gone", 0, 0, i}, 1, scheduling::RunOutcome::kDone, ""});
+      }
+    }
+    m_pool->OnReport(order, sent, m_now, report);
+  }
+  // The end of the run is number 501, in the next report.
+  LONGS_EQUAL(0, Decide().starts.size());
+}
