Acknowledge completions only to an incarnation heard a moment ago

What callers could see: a task started again after its completion (TWICE).

Cause: a report order sent before a restart was noticed carried the number of the earlier incarnation's last acknowledged completion. The new incarnation, which numbers anew, discarded completions that nobody had seen; their runs were then missing and started again.

ReportAfterIdleTimeAcknowledgesNothing failed before and passes.

Fix: a report order acknowledges only within 100 ms of the last report and while no start is unlisted for longer than that; a report that is sent after a pause is answered at once, and the next one acknowledges. It leaves a restart with a whole run within 100 ms.

--- a/libraries/scheduling/pool_reports.cc
+++ b/libraries/scheduling/pool_reports.cc
@@ -29,6 +29,8 @@
 constexpr auto kQuarantineDuration = std::chrono::milliseconds(1'500);
 constexpr int kMaxQuarantineFactor = 4;
 
+// Completions are acknowledged within this time of the last report.
+constexpr auto kMaxAcknowledgementDelay = std::chrono::milliseconds(100);
 // The longest time for which an order without a response is assumed to be
 // outstanding; the platform gives no bound, just "seconds".
 constexpr auto kMaxOrderDelay = std::chrono::seconds(15);
@@ -45,6 +47,25 @@
                      });
 }
 
+bool HasRecentReport(const TargetLedger& target, base::TimePoint now) {
+  return now < target.m_last_report_received + kMaxAcknowledgementDelay;
+}
+
+// Returns whether the target has hardly had the time to restart and to complete
+// a run since its last report. A new incarnation must not discard completions
+// that an earlier one has numbered alike.
+bool IsIncarnationCertain(const TargetLedger& target, base::TimePoint now) {
+  const bool may_have_restarted =
+      target.m_missed_reports > 0 || !HasRecentReport(target, now);
+  return !may_have_restarted &&
+         std::none_of(target.GetRuns().begin(), target.GetRuns().end(),
+                      [now](const auto& entry) {
+                        return !entry.second.is_listed &&
+                               entry.second.started + kMaxAcknowledgementDelay <
+                                   now;
+                      });
+}
+
 // Returns whether the next report order settles a start without a response.
 bool ShutsOutStart(const TargetLedger& target) {
   return std::any_of(target.GetRuns().begin(), target.GetRuns().end(),
@@ -87,14 +108,12 @@
     order.address = target.m_entry.address;
     order.fence = target.m_fence;
     const bool is_known = target.m_has_accepted_token && target.m_is_responsive;
-    // A report that was missed may be due to a restart, and a new incarnation
-    // must not discard completions that an earlier one has numbered alike.
-    if (is_known && target.m_missed_reports == 0) {
+    if (is_known && IsIncarnationCertain(target, now)) {
       order.last_acknowledged_completion = target.m_acknowledged_completion;
     }
     if (is_known) {
       const bool must_respond_at_once =
-          ShutsOutStart(target) ||
+          ShutsOutStart(target) || !HasRecentReport(target, now) ||
           (target.GetRuns().empty() && now >= target.m_watched_until);
       order.wait_ms = must_respond_at_once       ? 0
                       : HasUnresolvedRun(target) ? kUnresolvedReportWaitMs
--- a/libraries/scheduling/tests/incarnations/settlement_test.cc
+++ b/libraries/scheduling/tests/incarnations/settlement_test.cc
@@ -187,3 +187,27 @@
   // The end of the run is number 501, in the next report.
   LONGS_EQUAL(0, Decide().starts.size());
 }
+
+TEST(Settlement, ReportAfterIdleTimeAcknowledgesNothing) {
+  Begin();
+  AnswerStart(OrderOutcome::kAccepted);
+  const auto sent = m_now;
+  for (const auto& order : m_pool->CreateReportOrders(sent)) {
+    auto report = MakeReport(order.target, kBorn1, {});
+    if (IsOfStartedTask(order.target)) {
+      report.ended.push_back(
+          {1, m_orders.starts[0].task, 1, scheduling::RunOutcome::kDone, ""});
+    }
+    m_pool->OnReport(order, sent, m_now, report);
+  }
+  m_pool->OnCommitted(m_pool->DequeueChanges(10));
+  AnswerReports(kBorn1, {});
+  LONGS_EQUAL(0, m_pool->CreateReportOrders(m_now).size());
+  // Idle for a minute; the target restarts unnoticed.
+  m_now += milliseconds(60'000);
+  AddJob("next", 2, false);
+  LONGS_EQUAL(2, Decide().starts.size());
+  for (const auto& order : m_pool->CreateReportOrders(m_now)) {
+    LONGS_EQUAL(0, order.last_acknowledged_completion);
+  }
+}
