Settle runs after a restart when the fencing tokens are used up

What callers could see: a task that never starts again.

Cause: with the last token of an ownership in use, a run that was unresolved at a restart of its target could neither be shut out nor was it stopped.

Fix: such a run is stopped, as a start without an answer is. The range is four times as wide.

--- a/libraries/scheduling/pool_scheduler.cc
+++ b/libraries/scheduling/pool_scheduler.cc
@@ -189,6 +189,9 @@
   ResetIncarnation(target);
   target.GetRuns() = std::move(unresolved);
   RequireNewReport(target);
+  for (const auto& [name, run] : target.GetRuns()) {
+    ShutOutStart(target, name);
+  }
 }
 
 void PoolScheduler::RequireNewReport(TargetLedger& target) {
--- a/libraries/scheduling/tests/incarnations/settlement_test.cc
+++ b/libraries/scheduling/tests/incarnations/settlement_test.cc
@@ -268,3 +268,20 @@
   }
   CHECK_FALSE(m_pool->GetTargets().at(t).m_has_accepted_token);
 }
+
+TEST(Settlement, RunIsSettledAfterRestartWhenTokensAreUsedUp) {
+  m_options.last_fence = 1000;
+  Begin();
+  AnswerStart(OrderOutcome::kAccepted);
+  AnswerReports(kBorn2, {});
+  int starts = 0;
+  for (int i = 0; i < 1'000 && starts == 0; ++i) {
+    const auto orders = Decide();
+    starts += static_cast<int>(orders.starts.size());
+    for (const auto& stop : orders.stops) {
+      m_pool->OnStopResult(stop, {OrderOutcome::kAccepted, {}}, m_now);
+    }
+    AnswerReports(kBorn2, {});
+  }
+  LONGS_EQUAL(1, starts);
+}
--- a/services/shallotwick-scheduler/pool_runner.cc
+++ b/services/shallotwick-scheduler/pool_runner.cc
@@ -23,9 +23,9 @@
 constexpr auto kMaxListingDelay = std::chrono::milliseconds(3'000);
 // Run numbers reserved per term; the next term starts above them.
 constexpr int64_t kRunsPerTerm = 1'000;
-// Fencing tokens per ownership. With versions of up to 2^41, tokens can be
+// Fencing tokens per ownership. With versions of up to 2^39, tokens can be
 // represented exactly as floating-point numbers.
-constexpr uint64_t kFencesPerOwnership = 4'096;
+constexpr uint64_t kFencesPerOwnership = 16'384;
 // Jobs that the change feed delivers within this time may have been started by
 // the previous owner.
 constexpr auto kPreviousOwnerWindow = std::chrono::milliseconds(1'000);
