Hold no jobs back for a target that restarts after the takeover

Cause: those jobs wait until each target of the roster has answered the new owner, and a restart made a target count as one that has not.

Fix: that a target has answered this owner is kept across restarts.

--- a/libraries/scheduling/pool_decisions.cc
+++ b/libraries/scheduling/pool_decisions.cc
@@ -88,7 +88,7 @@
 bool PoolScheduler::HasTargetPendingToken(base::TimePoint now) const {
   return std::any_of(m_targets.begin(), m_targets.end(),
                      [now](const auto& entry) {
-                       return !entry.second.m_has_accepted_token &&
+                       return !entry.second.m_has_answered_owner &&
                               entry.second.GetLeaseBound() > now;
                      });
 }
--- a/libraries/scheduling/pool_reports.cc
+++ b/libraries/scheduling/pool_reports.cc
@@ -208,6 +208,7 @@
   target->m_reported_born_ms = report.incarnation_started_ms;
   target->m_is_responsive = true;
   target->m_missed_reports = 0;
+  target->m_has_answered_owner = true;
   target->m_has_accepted_token = order.fence >= target->m_required_fence;
   target->m_last_report_attempt = now;
   target->m_last_report_received = now;
--- a/libraries/scheduling/pool_scheduler.cc
+++ b/libraries/scheduling/pool_scheduler.cc
@@ -160,6 +160,7 @@
   reset.m_is_in_roster = target.m_is_in_roster;
   reset.m_is_cordoned = target.m_is_cordoned;
   reset.CopyLeaseBounds(target);
+  reset.m_has_answered_owner = target.m_has_answered_owner;
   reset.m_fence = target.m_fence;
   reset.m_watched_until = target.m_watched_until;
   reset.m_required_fence = target.m_required_fence;
--- a/libraries/scheduling/target_ledger.h
+++ b/libraries/scheduling/target_ledger.h
@@ -103,6 +103,9 @@
   // A report order with this token or a higher one has to be answered before
   // the target receives runs.
   uint64_t m_required_fence = 0;
+  // Whether any incarnation of the target has answered a report order of this
+  // ownership.
+  bool m_has_answered_owner = false;
   // Whether the target has answered such a report order.
   bool m_has_accepted_token = false;
   // Whether the target's roster entry is stored durably.
--- a/libraries/scheduling/tests/incarnations/settlement_test.cc
+++ b/libraries/scheduling/tests/incarnations/settlement_test.cc
@@ -285,3 +285,23 @@
   }
   LONGS_EQUAL(1, starts);
 }
+
+TEST(Settlement, RestartOfOneTargetHoldsNoOtherJobBack) {
+  Begin(true);
+  AnswerStart(OrderOutcome::kAccepted);
+  AnswerReports(kBorn1, {GetStartedRun()});
+  m_pool->UpdateTarget(MakeTarget(m_orders.starts[0].target, kBorn2), m_now);
+  AddJob("other", 1, true);
+  const auto began = m_now;
+  while (m_now < began + milliseconds(20'000)) {
+    FailReportsOfStartedTarget();
+    if (!Decide().starts.empty()) {
+      break;
+    }
+  }
+  const auto waited =
+      std::chrono::duration_cast<milliseconds>(m_now - began).count();
+  if (waited > 500) {
+    FAIL(("waited " + std::to_string(waited) + " ms").c_str());
+  }
+}
