--- a/libraries/scheduling/tests/incarnations/incarnations_test.cc
+++ b/libraries/scheduling/tests/incarnations/incarnations_test.cc
@@ -18,3 +18,20 @@
   options.late_share = 0.7;
   CheckSeeds(options, 10);
 }
+
+TEST(Incarnations, CompletionDiscardedAfterRestartRunsNoTaskTwice) {
+  PoolModelOptions options = MakeRestartOptions();
+  options.lost_share = 0.1;
+  options.max_response_delay = std::chrono::milliseconds(700);
+  CheckSeeds(options, 5);
+}
+
+TEST(Incarnations, LeaseOfEarlierClockOnCutOffTargetRunsNoTaskTwice) {
+  PoolModelOptions options = MakeRestartOptions();
+  options.targets = 16;
+  options.initial_age = std::chrono::seconds(100);
+  options.restart_chance = 0.4;
+  options.cut_after_restart_chance = 0.7;
+  options.reports_wait = true;
+  CheckSeeds(options, 5, 8'000);
+}
--- a/libraries/scheduling/tests/incarnations/restart_test.cc
+++ b/libraries/scheduling/tests/incarnations/restart_test.cc
@@ -27,6 +27,8 @@
   base::TimePoint m_now{std::chrono::seconds(1'000)};
   scheduling::PoolScheduler m_pool{MakeOptions()};
   scheduling::PoolOrders m_orders;
+  // The token of the last report order to the target of the started task.
+  uint64_t m_report_fence = 0;
 
   static scheduling::PoolSchedulerOptions MakeOptions() {
     scheduling::PoolSchedulerOptions options;
@@ -68,6 +70,7 @@
       if (IsOfStartedTask(order.target)) {
         report.incarnation_started_ms = born_ms;
         report.running = running;
+        m_report_fence = order.fence;
       }
       m_pool.OnReport(order, sent, m_now, report);
     }
@@ -109,12 +112,9 @@
                       m_now);
   LONGS_EQUAL(0, Decide().starts.size());
   AnswerReports(kSecondBornMs, {});
-  // This incarnation restarted too, so it may still execute the start.
-  AnswerReports(kSecondBornMs + 1, {});
-  AnswerReports(kSecondBornMs + 1, {});
   const auto starts = Decide().starts;
   LONGS_EQUAL(1, starts.size());
-  CHECK_TRUE(starts[0].fence >= m_orders.starts[0].fence);
+  CHECK_TRUE(m_report_fence > m_orders.starts[0].fence);
 }
 
 TEST(Restart, StopAcceptedByEarlierIncarnationSettlesNothing) {
@@ -127,7 +127,13 @@
   m_now += milliseconds(2);
   AnswerReports(kSecondBornMs, {GetStartedRun()});
   LONGS_EQUAL(1, m_pool.CountRuns(m_orders.starts[0].target));
-  LONGS_EQUAL(1, Decide().stops.size());
+  const auto again = Decide().stops;
+  LONGS_EQUAL(1, again.size());
+  m_pool.OnStopResult(again[0], {scheduling::OrderOutcome::kAccepted, {}},
+                      m_now);
+  m_now += milliseconds(2);
+  AnswerReports(kSecondBornMs, {});
+  LONGS_EQUAL(0, m_pool.CountRuns(m_orders.starts[0].target));
 }
 
 TEST(Restart, FirstReportAfterMissedOneAcknowledgesNothing) {
--- a/libraries/scheduling/tests/incarnations/seeded_play.cc
+++ b/libraries/scheduling/tests/incarnations/seeded_play.cc
@@ -9,7 +9,7 @@
 namespace shallotwick::scheduling::testing {
 namespace {
 
-JobSpec MakeJob(const PoolModel& pool, int number) {
+JobSpec MakeJob(const PoolModel& pool, int number, int64_t task_ms) {
   JobSpec job;
   job.id = "job" + std::to_string(10'000 + number);
   job.route = "route";
@@ -17,7 +17,7 @@
   StepSpec step;
   step.count = 1 + number % 9;
   step.demand = {1'800, 2'500, 0};
-  step.estimate_ms = 400;
+  step.estimate_ms = task_ms;
   job.steps = {step, step};
   job.steps[1].after = {0};
   return job;
@@ -31,7 +31,8 @@
 }
 
 // Plays one seed and returns its violations.
-std::string Play(const PoolModelOptions& options, uint32_t seed) {
+std::string Play(const PoolModelOptions& options, uint32_t seed,
+                 int64_t task_ms) {
   PoolModel pool(options, seed);
   if (std::getenv("SHALLOTWICK_MODEL_TRACE") != nullptr) {
     pool.m_on_event = [](const std::string& what, const TaskName& task,
@@ -41,18 +42,19 @@
     };
   }
   pool.RunFor(options.calm_time);
-  JobSpec serving = MakeJob(pool, 90'000);
+  JobSpec serving = MakeJob(pool, 90'000, task_ms);
   serving.steps.resize(1);
   serving.steps[0].count = 5;
   serving.steps[0].long_running = true;
   pool.Submit(serving);
   for (int i = 0; i < 60; ++i) {
-    pool.Submit(MakeJob(pool, i));
+    pool.Submit(MakeJob(pool, i, task_ms));
     pool.RunFor(std::chrono::milliseconds(100));
   }
   pool.RunFor(std::chrono::seconds(6));
   pool.StopFaults();
-  pool.RunFor(std::chrono::seconds(25));
+  pool.RunFor(std::chrono::seconds(25) +
+              std::chrono::milliseconds(2 * task_ms));
   std::string violations;
   for (const std::string& violation : pool.GetViolations()) {
     violations += "seed " + std::to_string(seed) + ", " + violation + "\n";
@@ -68,11 +70,12 @@
 
 }  // namespace
 
-void CheckSeeds(const PoolModelOptions& options, uint32_t in_ci) {
+void CheckSeeds(const PoolModelOptions& options, uint32_t in_ci,
+                int64_t task_ms) {
   std::string violations;
   int failed = 0;
   for (uint32_t seed = 1; seed <= GetSeedCount(in_ci); ++seed) {
-    const std::string found = Play(options, seed);
+    const std::string found = Play(options, seed, task_ms);
     failed += found.empty() ? 0 : 1;
     violations += found;
   }
--- a/libraries/scheduling/tests/pool_model.cc
+++ b/libraries/scheduling/tests/pool_model.cc
@@ -34,7 +34,7 @@
     target->entry.capacity = {options.cpu_milli, 65'536, 0};
     target->entry.labels = {"a", "r" + std::to_string(i / 4)};
     target->entry.incarnation_started_ms = GetWallMs() - i;
-    target->born = m_now;
+    target->born = m_now - m_options.initial_age;
     m_targets.push_back(std::move(target));
   }
   Takeover();
@@ -55,6 +55,14 @@
       std::uniform_int_distribution<int>(300, 3'000)(m_random));
 }
 
+base::Duration PoolModel::DrawUpTo(base::Duration maximum) {
+  if (maximum.count() == 0) {
+    return maximum;
+  }
+  return base::Duration(
+      std::uniform_int_distribution<int64_t>(0, maximum.count())(m_random));
+}
+
 void PoolModel::Schedule(base::Duration delay, std::function<void()> action) {
   const Event event{m_now + delay, m_next_event++, std::move(action)};
   const auto position = std::upper_bound(
@@ -237,14 +245,27 @@
       target.entry.incarnation_started_ms = GetWallMs();
       target.entry.draining = false;
       Trace("target restarts", {}, 0, target.entry.id);
-      const auto delay = base::Duration(std::uniform_int_distribution<int64_t>(
-          0, m_options.max_registry_delay.count())(m_random));
-      Schedule(delay, [this, id = target.entry.id] {
-        m_owner->UpdateTarget(Find(id)->entry, m_now);
-        if (m_lapsed_owner != nullptr) {
-          m_lapsed_owner->UpdateTarget(Find(id)->entry, m_now);
-        }
-      });
+      if (m_options.cut_after_restart_chance > 0 && !target.is_partitioned &&
+          Draw(m_options.cut_after_restart_chance)) {
+        Schedule(DrawUpTo(std::chrono::milliseconds(400)),
+                 [this, id = target.entry.id] {
+                   Find(id)->is_partitioned = true;
+                   Trace("target cut off", {}, 0, id);
+                   Schedule(std::chrono::milliseconds(8'000) +
+                                DrawUpTo(std::chrono::milliseconds(7'000)),
+                            [this, id] {
+                              Find(id)->is_partitioned = false;
+                              m_owner->UpdateTarget(Find(id)->entry, m_now);
+                            });
+                 });
+      }
+      Schedule(DrawUpTo(m_options.max_registry_delay),
+               [this, id = target.entry.id] {
+                 m_owner->UpdateTarget(Find(id)->entry, m_now);
+                 if (m_lapsed_owner != nullptr) {
+                   m_lapsed_owner->UpdateTarget(Find(id)->entry, m_now);
+                 }
+               });
     }
     return;
   }
@@ -356,7 +377,7 @@
       is_late
           ? base::Duration(std::chrono::milliseconds(
                 std::uniform_int_distribution<int>(2'000, 12'000)(m_random)))
-          : DrawDelay();
+          : DrawDelay() + DrawUpTo(m_options.max_order_delay);
   const bool is_dropped = is_lost && !is_late && Draw(0.5);
   const auto execute = [this, order, apply, respond, is_lost, is_late] {
     const Target* target = Find(order.target);
@@ -368,9 +389,42 @@
     if (!target->is_up || (target->is_partitioned && !is_late)) {
       return;
     }
+    if constexpr (std::is_same_v<Order, ReportOrder>) {
+      if (m_options.reports_wait && order.wait_ms > 0) {
+        // Token, lease and acknowledgement count on arrival; the lists are made
+        // after the wait.
+        const OrderResult admitted = apply(order);
+        if (admitted.outcome != OrderOutcome::kAccepted) {
+          Schedule(DrawDelay(), [respond, admitted] { respond(admitted); });
+          return;
+        }
+        Order listing = order;
+        listing.last_acknowledged_completion = 0;
+        listing.lease_until_ms.reset();
+        listing.fence = ~uint64_t{0};
+        Schedule(std::chrono::milliseconds(order.wait_ms),
+                 [this, order = listing, apply, respond, is_lost,
+                  born = target->born] {
+                   Target* waiting = Find(order.target);
+                   if (!waiting->is_up || waiting->is_partitioned ||
+                       waiting->born != born) {
+                     return;
+                   }
+                   const uint64_t token = waiting->fence;
+                   const OrderResult result = apply(order);
+                   waiting->fence = token;
+                   if (!is_lost) {
+                     Schedule(DrawDelay(),
+                              [respond, result] { respond(result); });
+                   }
+                 });
+        return;
+      }
+    }
     const OrderResult result = apply(order);
     if (!is_lost) {
-      Schedule(DrawDelay(), [respond, result] { respond(result); });
+      Schedule(DrawDelay() + DrawUpTo(m_options.max_response_delay),
+               [respond, result] { respond(result); });
     }
   };
   if (is_late) {
--- a/libraries/scheduling/tests/pool_model.h
+++ b/libraries/scheduling/tests/pool_model.h
@@ -33,6 +33,15 @@
   // Whether orders that are executed late act on a later incarnation of the
   // target even before it has answered any report order.
   bool late_orders_precede_reports = false;
+  // The maximum additional delays of responses and orders.
+  base::Duration max_response_delay{0};
+  base::Duration max_order_delay{0};
+  // How long the first incarnations of the targets have been up.
+  base::Duration initial_age{0};
+  // A restarted target is cut off within 400 ms, for 8 to 15 s.
+  double cut_after_restart_chance = 0;
+  // Reports are answered after their wait, as the target does without an end.
+  bool reports_wait = false;
   double partition_chance = 0;
   double takeover_chance = 0;
   // The probability that an owner whose session has lapsed goes on with the
@@ -134,6 +143,8 @@
   // Executes an order that its sender has given up on.
   void ExecuteLate(const std::string& id, std::function<void()> execute);
   base::Duration DrawDelay();
+  // Returns a random duration of up to `maximum`.
+  base::Duration DrawUpTo(base::Duration maximum);
   bool Draw(double chance);
   Target* Find(const std::string& id);
   int64_t GetClockMs(const Target& target) const;
