Let the stand-in's executors restart, be cut off and carry orders out late

The platform allows all of these and the process tests could not show them. An executor that restarts keeps its id, begins with another born and knows nothing of before; what ran is lost. Processes under test inherit no descriptors: a socket that a child had inherited stayed open after the stand-in had closed it.

--- a/tests/harness/process.cc
+++ b/tests/harness/process.cc
@@ -55,6 +55,8 @@
   posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, output_path.c_str(),
                                    O_WRONLY | O_CREAT | O_APPEND, 0600);
   posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+  // An inherited socket would stay open when this process closes it.
+  posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
   pid_t pid = -1;
   const int error =
       posix_spawn(&pid, path.c_str(), &actions, nullptr,
--- a/tests/standin-cluster/cluster_standin.cc
+++ b/tests/standin-cluster/cluster_standin.cc
@@ -1,5 +1,6 @@
 #include "standin-cluster/cluster_standin.h"
 
+#include <algorithm>
 #include <map>
 #include <nlohmann/json.hpp>
 #include <utility>
@@ -9,6 +10,8 @@
 
 using nlohmann::json;
 
+constexpr int64_t kLeastLateMs = 2'000;
+constexpr int64_t kMostLateMs = 12'000;
 constexpr auto kTick = std::chrono::milliseconds(2);
 constexpr char kConfig[] = R"({"version":2,"routes":[{"name":"quote",
   "host":"127.0.0.1","prefix":"/quote/","sloMs":600,"priority":0,
@@ -16,9 +19,9 @@
   "services":[{"name":"quotes","standby":false}],
   "limits":{"maxBodyBytes":262144}})";
 
-http::ServerOptions MakeOptions() {
+http::ServerOptions MakeOptions(uint16_t port) {
   http::ServerOptions options;
-  options.listen = {"127.0.0.1", 0};
+  options.listen = {"127.0.0.1", port};
   options.threads = 1;
   return options;
 }
@@ -35,24 +38,25 @@
 
 }  // namespace
 
-ClusterStandin::ClusterStandin(int executors, int64_t run_ms) {
-  for (int i = 0; i < executors; ++i) {
-    m_executors.push_back(
-        std::make_unique<ExecutorModel>("i-" + std::to_string(i), run_ms));
-    ExecutorModel& executor = *m_executors.back();
-    m_executor_servers.push_back(std::make_unique<http::Server>(
-        MakeOptions(), [this, &executor](const http::Request& request,
-                                         const http::Respond& respond) {
-          HandleExecutor(executor, request, respond);
-        }));
+ClusterStandin::ClusterStandin(int executors, int64_t run_ms)
+    : m_executors(static_cast<size_t>(executors)) {
+  for (size_t i = 0; i < m_executors.size(); ++i) {
+    m_executors[i].model =
+        std::make_unique<ExecutorModel>("i-" + std::to_string(i), run_ms);
+  }
+  for (size_t i = 0; i < m_executors.size(); ++i) {
+    m_executors[i].server = Listen(i, 0);
+    m_executors[i].port = m_executors[i].server->GetPort();
+    WriteEntry(i);
   }
   m_store_server = std::make_unique<http::Server>(
-      MakeOptions(),
+      MakeOptions(0),
       [this](const http::Request& request, const http::Respond& respond) {
         HandleStore(request, respond);
       });
   m_rows.Put("op", "config", kConfig);
-  WriteEntries();
+  // A row of another writer.
+  m_rows.Put("servers", "i-broken", "{\"service\":7");
   m_clock = std::thread([this] { RunClock(); });
 }
 
@@ -60,8 +64,10 @@
   m_stopping = true;
   m_clock.join();
   m_store_server->Stop();
-  for (const auto& server : m_executor_servers) {
-    server->Stop();
+  for (const Executor& executor : m_executors) {
+    if (executor.server) {
+      executor.server->Stop();
+    }
   }
 }
 
@@ -69,22 +75,101 @@
   return "127.0.0.1:" + std::to_string(m_store_server->GetPort());
 }
 
-void ClusterStandin::WriteEntries() {
-  for (size_t i = 0; i < m_executors.size(); ++i) {
-    const json entry = {
-        {"service", "quotes"},
-        {"addr",
-         "127.0.0.1:" + std::to_string(m_executor_servers[i]->GetPort())},
-        {"zone", "z"},
-        {"state", "ready"},
-        {"capacity", {{"cpu", 4'000}, {"memMb", 8'192}}},
-        {"labels", {"a", "r1"}},
-        {"machine", "m-" + std::to_string(i)},
-        {"born", 1}};
-    m_rows.Put("servers", m_executors[i]->GetId(), entry.dump());
+std::unique_ptr<http::Server> ClusterStandin::Listen(size_t executor,
+                                                     uint16_t port) {
+  return std::make_unique<http::Server>(
+      MakeOptions(port), [this, executor](const http::Request& request,
+                                          const http::Respond& respond) {
+        HandleExecutor(executor, request, respond);
+      });
+}
+
+void ClusterStandin::WriteEntry(size_t executor) {
+  const Executor& written = m_executors[executor];
+  const json entry = {{"service", "quotes"},
+                      {"addr", "127.0.0.1:" + std::to_string(written.port)},
+                      {"zone", "z"},
+                      {"state", "ready"},
+                      {"capacity", {{"cpu", 4'000}, {"memMb", 8'192}}},
+                      {"labels", {"a", "r1"}},
+                      {"machine", "m-" + std::to_string(executor)},
+                      {"born", written.model->GetBornMs()}};
+  m_rows.Put("servers", written.model->GetId(), entry.dump());
+}
+
+void ClusterStandin::WriteEntryAt(size_t executor, Clock::time_point at) {
+  m_waiting.push_back({at, [this, executor](bool is_over) {
+                         if (!is_over || m_is_store_down ||
+                             m_executors[executor].is_cut_off) {
+                           return false;
+                         }
+                         WriteEntry(executor);
+                         return true;
+                       }});
+}
+
+void ClusterStandin::SetOrderFaults(const OrderFaults& faults) {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  m_faults = faults;
+}
+
+void ClusterStandin::SeedFaults(uint32_t seed) {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  m_random.seed(seed);
+}
+
+void ClusterStandin::SetRunTime(int64_t least_ms, int64_t most_ms) {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  for (const Executor& executor : m_executors) {
+    executor.model->SetRunTime(least_ms, most_ms);
   }
-  // A row of another writer.
-  m_rows.Put("servers", "i-broken", "{\"service\":7");
+}
+
+void ClusterStandin::CrashExecutor(size_t executor, bool resets_connections) {
+  std::unique_ptr<http::Server> server;
+  {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    m_executors[executor].model->Crash();
+    if (resets_connections) {
+      server = std::move(m_executors[executor].server);
+    }
+  }
+  // Its threads take the lock.
+  if (server) {
+    server->Stop();
+  }
+}
+
+void ClusterStandin::BootExecutor(size_t executor,
+                                  std::chrono::milliseconds registry_delay) {
+  // Only the thread that injects faults touches the servers.
+  Executor& booted = m_executors[executor];
+  if (!booted.server) {
+    booted.server = Listen(executor, booted.port);
+  }
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  booted.model->Boot();
+  WriteEntryAt(executor, Clock::now() + registry_delay);
+}
+
+void ClusterStandin::SetCutOff(size_t executor, bool is_cut_off,
+                               bool has_entry) {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  m_executors[executor].is_cut_off = is_cut_off;
+  if (!has_entry) {
+    m_rows.Remove("servers", m_executors[executor].model->GetId());
+  } else if (!is_cut_off) {
+    WriteEntryAt(executor, Clock::now());
+  }
+}
+
+size_t ClusterStandin::CountLateOrders() const {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  return m_late_orders;
+}
+
+int64_t ClusterStandin::Draw(int64_t least, int64_t most) {
+  return std::uniform_int_distribution<int64_t>(least, most)(m_random);
 }
 
 void ClusterStandin::HandleStore(const http::Request& request,
@@ -136,7 +221,7 @@
                           {"state", "up"},
                           {"zone", "z"},
                           {"capacity", {{"cpu", 4'000}}},
-                          {"id", m_executors[i]->GetId()}});
+                          {"id", m_executors[i].model->GetId()}});
     }
     respond(http::MakeJsonResponse(
         200, json{{"machines", machines}, {"nextToken", nullptr}}.dump()));
@@ -145,33 +230,114 @@
   respond(http::MakeJsonResponse(404, "{}"));
 }
 
-void ClusterStandin::HandleExecutor(ExecutorModel& executor,
+bool ClusterStandin::IsReachable(const Call& call) const {
+  const Executor& executor = m_executors[call.executor];
+  return executor.model->IsUp() && !executor.is_cut_off &&
+         executor.model->GetBornMs() == call.born_ms;
+}
+
+std::pair<int, json> ClusterStandin::CarryOut(const Call& call) {
+  ExecutorModel& model = *m_executors[call.executor].model;
+  if (call.path == "/v1/run-start") {
+    auto result = model.Start(call.order, call.came);
+    FindDoubledTasks();
+    return result;
+  }
+  if (call.path == "/v1/run-stop") {
+    return model.Stop(call.order);
+  }
+  if (call.path == "/v1/hold") {
+    return model.Hold(call.order, model.GetBornMs() == call.born_ms);
+  }
+  return {200, json::object()};
+}
+
+void ClusterStandin::CarryOutLate(const Call& call, Clock::time_point at) {
+  ++m_late_orders;
+  m_waiting.push_back(
+      {at, [this, call](bool is_over) {
+         const Executor& executor = m_executors[call.executor];
+         const ExecutorModel& model = *executor.model;
+         const bool is_known =
+             model.GetBornMs() == call.born_ms || model.HasReported();
+         if (!is_over || !model.IsUp() || executor.is_cut_off || !is_known) {
+           return false;
+         }
+         CarryOut(call);
+         --m_late_orders;
+         return true;
+       }});
+}
+
+void ClusterStandin::Answer(const Call& call, int status, const json& body,
+                            const http::Respond& respond) {
+  const auto send = [this, call, status, body, respond] {
+    if (!IsReachable(call)) {
+      return;
+    }
+    if (call.path == "/v1/hold" && status == 200) {
+      m_executors[call.executor].model->NoteReport(body);
+    }
+    respond(http::MakeJsonResponse(status, body.dump()));
+  };
+  if (m_faults.longest_delay.count() == 0) {
+    send();
+    return;
+  }
+  const std::chrono::milliseconds delay(
+      Draw(0, m_faults.longest_delay.count()));
+  m_waiting.push_back({Clock::now() + delay, [send](bool is_over) {
+                         if (is_over) {
+                           send();
+                         }
+                         return is_over;
+                       }});
+}
+
+void ClusterStandin::AnswerHold(const Call& call,
+                                const http::Respond& respond) {
+  const std::chrono::milliseconds wait(call.order.value("waitMs", int64_t{0}));
+  m_waiting.push_back({call.came + wait, [this, call, respond](bool is_over) {
+                         if (!IsReachable(call)) {
+                           return true;
+                         }
+                         if (!is_over &&
+                             !m_executors[call.executor].model->HasEnds()) {
+                           return false;
+                         }
+                         const auto [status, body] = CarryOut(call);
+                         Answer(call, status, body, respond);
+                         return true;
+                       }});
+}
+
+void ClusterStandin::HandleExecutor(size_t executor,
                                     const http::Request& request,
                                     const http::Respond& respond) {
   const std::lock_guard<std::mutex> lock(m_mutex);
-  const std::string path = http::GetPath(request.target);
-  const json order = json::parse(request.body, nullptr, false);
-  if (path == "/v1/run-start") {
-    const auto [status, body] = executor.Start(order);
-    respond(http::MakeJsonResponse(status, body.dump()));
-  } else if (path == "/v1/run-stop") {
-    const auto [status, body] = executor.Stop(order);
-    respond(http::MakeJsonResponse(status, body.dump()));
-  } else if (path == "/v1/hold") {
-    executor.Hold(order);
-    m_waiting.push_back(
-        {std::chrono::steady_clock::now() +
-             std::chrono::milliseconds(order.value("waitMs", int64_t{0})),
-         [&executor, order, respond](bool is_over) {
-           if (!is_over && !executor.HasEnds()) {
-             return false;
-           }
-           const auto [status, body] = executor.Hold(order);
-           respond(http::MakeJsonResponse(status, body.dump()));
-           return true;
-         }});
+  const Call call{executor, m_executors[executor].model->GetBornMs(),
+                  http::GetPath(request.target),
+                  json::parse(request.body, nullptr, false), Clock::now()};
+  if (!IsReachable(call)) {
+    return;
+  }
+  const bool is_unanswered =
+      std::bernoulli_distribution(m_faults.unanswered_share)(m_random);
+  if (is_unanswered) {
+    const int64_t kind = Draw(0, 3);
+    if (kind < 2) {
+      CarryOutLate(call, call.came + std::chrono::milliseconds(
+                                         Draw(kLeastLateMs, kMostLateMs)));
+    } else if (kind == 2) {
+      CarryOut(call);
+    }
+    return;
+  }
+  const auto [status, body] = CarryOut(call);
+  if (call.path == "/v1/hold" && status == 200) {
+    AnswerHold(call, respond);
   } else {
-    respond(http::MakeJsonResponse(200, "{}"));
+    Answer(call, status, body, respond);
   }
 }
 
@@ -182,33 +348,67 @@
   }
 }
 
-void ClusterStandin::Advance() {
-  const std::lock_guard<std::mutex> lock(m_mutex);
+void ClusterStandin::FindDoubledTasks() {
   std::map<std::string, int> running;
-  for (const auto& executor : m_executors) {
-    executor->Advance();
-    for (const std::string& task : executor->ListRunning()) {
-      if (++running[task] == 2) {
-        m_doubled.push_back(task);
-      }
+  for (const Executor& executor : m_executors) {
+    if (!executor.model->IsUp()) {
+      continue;
+    }
+    executor.model->Advance();
+    for (const std::string& task : executor.model->ListRunning()) {
+      ++running[task];
     }
   }
-  const auto now = std::chrono::steady_clock::now();
-  m_waiting.remove_if([now](const Waiting& waiting) {
-    return waiting.try_answer(now >= waiting.until);
+  std::set<std::string> doubled;
+  for (const auto& [task, count] : running) {
+    if (count < 2) {
+      continue;
+    }
+    doubled.insert(task);
+    if (m_doubled_now.count(task) == 0) {
+      m_doubled.push_back(task);
+    }
+  }
+  m_doubled_now = doubled;
+}
+
+void ClusterStandin::Advance() {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  FindDoubledTasks();
+  const auto now = Clock::now();
+  // What is done may add to the list.
+  std::list<Waiting> waiting;
+  waiting.swap(m_waiting);
+  waiting.remove_if([now](const Waiting& entry) {
+    return entry.try_answer(now >= entry.until);
   });
+  m_waiting.splice(m_waiting.begin(), waiting);
 }
 
 std::vector<RunEvent> ClusterStandin::GetEvents() const {
   const std::lock_guard<std::mutex> lock(m_mutex);
   std::vector<RunEvent> events;
-  for (const auto& executor : m_executors) {
-    const auto& seen = executor->GetEvents();
+  for (const Executor& executor : m_executors) {
+    const auto& seen = executor.model->GetEvents();
     events.insert(events.end(), seen.begin(), seen.end());
   }
+  std::stable_sort(events.begin(), events.end(),
+                   [](const RunEvent& left, const RunEvent& right) {
+                     return left.at < right.at;
+                   });
   return events;
 }
 
+std::vector<RunEvent> ClusterStandin::GetNotedEnds() const {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  std::vector<RunEvent> ends;
+  for (const Executor& executor : m_executors) {
+    const auto& noted = executor.model->GetNotedEnds();
+    ends.insert(ends.end(), noted.begin(), noted.end());
+  }
+  return ends;
+}
+
 std::vector<std::string> ClusterStandin::GetDoubledTasks() const {
   const std::lock_guard<std::mutex> lock(m_mutex);
   return m_doubled;
--- a/tests/standin-cluster/cluster_standin.h
+++ b/tests/standin-cluster/cluster_standin.h
@@ -1,9 +1,13 @@
 #pragma once
 
 #include <atomic>
+#include <chrono>
+#include <functional>
 #include <list>
 #include <memory>
 #include <mutex>
+#include <random>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -23,40 +27,95 @@
   ~ClusterStandin();
 
   std::string GetAddress() const;
+  size_t GetExecutorCount() const { return m_executors.size(); }
   // Answers each call to the store with 503 while set.
   void SetStoreDown(bool is_down) { m_is_store_down = is_down; }
   // Each n-th write is done and not answered; 0 for none.
   void LoseAnswers(int nth) { m_lose_nth = nth; }
 
+  // What executors do with orders. Applies to orders that come in from then on.
+  struct OrderFaults {
+    // The share of orders that get no answer. One in two of them is carried out
+    // 2 to 12 s later, one in four at once and one in four never.
+    double unanswered_share = 0;
+    // Answers are delayed by up to this time.
+    std::chrono::milliseconds longest_delay{0};
+  };
+  void SetOrderFaults(const OrderFaults& faults);
+  void SeedFaults(uint32_t seed);
+  // Each run takes between these times.
+  void SetRunTime(int64_t least_ms, int64_t most_ms);
+
+  // An executor crashes. Its open connections are reset, or go on without
+  // answers until it is back.
+  void CrashExecutor(size_t executor, bool resets_connections);
+  // It is back under the same id; its registry entry shows that later.
+  void BootExecutor(size_t executor, std::chrono::milliseconds registry_delay);
+  // While an executor is cut off it takes and answers no orders, and runs on.
+  void SetCutOff(size_t executor, bool is_cut_off, bool has_entry);
+  // Orders that are still to be carried out.
+  size_t CountLateOrders() const;
+
   // All starts and ends that the executors saw, and tasks that ran twice at the
-  // same time.
+  // same time. In the order in which they were.
   std::vector<RunEvent> GetEvents() const;
+  // See ExecutorModel::GetNotedEnds().
+  std::vector<RunEvent> GetNotedEnds() const;
   std::vector<std::string> GetDoubledTasks() const;
 
  private:
+  using Clock = ExecutorModel::Clock;
   struct Waiting {
-    std::chrono::steady_clock::time_point until;
+    Clock::time_point until;
     std::function<bool(bool is_over)> try_answer;
   };
+  struct Executor {
+    std::unique_ptr<ExecutorModel> model;
+    std::unique_ptr<http::Server> server;
+    uint16_t port = 0;
+    bool is_cut_off = false;
+  };
+  // One call to an executor, and the incarnation that it came to.
+  struct Call {
+    size_t executor = 0;
+    int64_t born_ms = 0;
+    std::string path;
+    nlohmann::json order;
+    Clock::time_point came;
+  };
 
   void HandleStore(const http::Request& request, const http::Respond& respond);
-  void HandleExecutor(ExecutorModel& executor, const http::Request& request,
+  void HandleExecutor(size_t executor, const http::Request& request,
                       const http::Respond& respond);
+  std::unique_ptr<http::Server> Listen(size_t executor, uint16_t port);
+  std::pair<int, nlohmann::json> CarryOut(const Call& call);
+  void CarryOutLate(const Call& call, Clock::time_point at);
+  void AnswerHold(const Call& call, const http::Respond& respond);
+  // Answers after a delay, unless the incarnation is gone or cut off by then.
+  void Answer(const Call& call, int status, const nlohmann::json& body,
+              const http::Respond& respond);
+  bool IsReachable(const Call& call) const;
+  int64_t Draw(int64_t least, int64_t most);
+  void FindDoubledTasks();
   void Advance();
   void RunClock();
-  void WriteEntries();
+  void WriteEntry(size_t executor);
+  void WriteEntryAt(size_t executor, Clock::time_point at);
 
   mutable std::mutex m_mutex;
   RowTable m_rows;
-  std::vector<std::unique_ptr<ExecutorModel>> m_executors;
+  std::vector<Executor> m_executors;
   std::list<Waiting> m_waiting;
   std::vector<std::string> m_doubled;
+  std::set<std::string> m_doubled_now;
+  OrderFaults m_faults;
+  std::mt19937 m_random;
+  size_t m_late_orders = 0;
   std::atomic<bool> m_is_store_down{false};
   std::atomic<int> m_lose_nth{0};
   std::atomic<int> m_writes{0};
   std::atomic<bool> m_stopping{false};
   std::unique_ptr<http::Server> m_store_server;
-  std::vector<std::unique_ptr<http::Server>> m_executor_servers;
   std::thread m_clock;
 };
 
--- a/tests/standin-cluster/executor_model.cc
+++ b/tests/standin-cluster/executor_model.cc
@@ -1,6 +1,7 @@
 #include "standin-cluster/executor_model.h"
 
 #include <algorithm>
+#include <functional>
 #include <utility>
 
 namespace shallotwick::standin {
@@ -11,10 +12,52 @@
 constexpr int64_t kStopMs = 20;
 constexpr int64_t kLongestLeaseMs = 10'000;
 
+int64_t GetUnixMs() {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
 }  // namespace
 
 ExecutorModel::ExecutorModel(std::string id, int64_t run_ms)
-    : m_id(std::move(id)), m_run_ms(run_ms) {}
+    : m_id(std::move(id)),
+      m_least_run_ms(run_ms),
+      m_most_run_ms(run_ms),
+      m_born_ms(GetUnixMs()) {}
+
+void ExecutorModel::Crash() {
+  Advance();
+  for (const auto& [task, run] : m_runs) {
+    Record(task, run.number, "lost");
+  }
+  m_is_up = false;
+  m_has_reported = false;
+  m_fence = 0;
+  m_lease_until_ms = 0;
+  m_next_end = 1;
+  m_listed_end = 0;
+  m_lapsed_end = 0;
+  m_runs.clear();
+  m_highest_ended.clear();
+  m_ended = json::array();
+}
+
+void ExecutorModel::Boot() {
+  m_is_up = true;
+  m_born = Clock::now();
+  m_born_ms = std::max(m_born_ms + 1, GetUnixMs());
+}
+
+void ExecutorModel::SetRunTime(int64_t least_ms, int64_t most_ms) {
+  m_least_run_ms = least_ms;
+  m_most_run_ms = most_ms;
+}
+
+void ExecutorModel::Record(const std::string& task, int64_t run,
+                           const std::string& what, Clock::time_point ordered) {
+  m_events.push_back({task, run, m_id, what, Clock::now(), ordered});
+}
 
 int64_t ExecutorModel::GetClockMs() const {
   return std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() -
@@ -41,7 +84,9 @@
   return {409, {{"clockMs", GetClockMs()}, {"reason", reason}}};
 }
 
-std::pair<int, json> ExecutorModel::Start(const json& order) {
+std::pair<int, json> ExecutorModel::Start(const json& order,
+                                          Clock::time_point ordered) {
+  Advance();
   if (IsFenced(order)) {
     return Refuse("fence");
   }
@@ -57,13 +102,22 @@
         (ended != m_highest_ended.end() && run <= ended->second)) {
       return Refuse("old");
     }
-    m_runs[task] = Run{run, GetClockMs() + m_run_ms, "done"};
-    m_events.push_back({task, run, m_id, "start"});
+    if (order.value("untilMs", int64_t{0}) <= GetClockMs()) {
+      return Refuse("late");
+    }
+    const size_t draw =
+        std::hash<std::string>()(task + "#" + std::to_string(run)) %
+        static_cast<size_t>(m_most_run_ms - m_least_run_ms + 1);
+    m_runs[task] =
+        Run{run, GetClockMs() + m_least_run_ms + static_cast<int64_t>(draw),
+            "done"};
+    Record(task, run, "start", ordered);
   }
   return {200, {{"clockMs", GetClockMs()}}};
 }
 
 std::pair<int, json> ExecutorModel::Stop(const json& order) {
+  Advance();
   if (IsFenced(order)) {
     return Refuse("fence");
   }
@@ -80,7 +134,9 @@
   return {200, {{"clockMs", GetClockMs()}}};
 }
 
-std::pair<int, json> ExecutorModel::Hold(const json& order) {
+std::pair<int, json> ExecutorModel::Hold(const json& order,
+                                         bool is_same_incarnation) {
+  Advance();
   if (IsFenced(order)) {
     return Refuse("fence");
   }
@@ -88,8 +144,21 @@
   const int64_t seen = order.value("lastSeen", int64_t{0});
   json left = json::array();
   for (const json& end : m_ended) {
-    if (end.at(0).get<int64_t>() > seen) {
+    const auto number = end.at(0).get<int64_t>();
+    if (number > seen) {
       left.push_back(end);
+      continue;
+    }
+    // A number that was never listed here is one of another incarnation.
+    const bool is_noted = is_same_incarnation && seen <= m_listed_end &&
+                          number > m_lapsed_end && end.at(3) == "done";
+    if (is_noted) {
+      m_noted.push_back({end.at(1).get<std::string>(),
+                         end.at(2).get<int64_t>(),
+                         m_id,
+                         "noted",
+                         Clock::now(),
+                         {}});
     }
   }
   m_ended = left;
@@ -99,13 +168,23 @@
   }
   return {200,
           {{"clockMs", GetClockMs()},
-           {"born", 1},
+           {"born", m_born_ms},
            {"running", running},
            {"ended", m_ended}}};
 }
 
+void ExecutorModel::NoteReport(const json& body) {
+  m_has_reported = true;
+  for (const json& end : body.value("ended", json::array())) {
+    m_listed_end = std::max(m_listed_end, end.at(0).get<int64_t>());
+  }
+}
+
 bool ExecutorModel::Advance() {
   const int64_t now = GetClockMs();
+  if (now > m_lease_until_ms) {
+    m_lapsed_end = m_next_end - 1;
+  }
   std::vector<std::pair<std::string, std::string>> ending;
   for (const auto& [task, run] : m_runs) {
     if (now > m_lease_until_ms) {
@@ -126,7 +205,7 @@
   int64_t& highest = m_highest_ended[task];
   highest = std::max(highest, run);
   m_ended.push_back({m_next_end++, task, run, how, ""});
-  m_events.push_back({task, run, m_id, how});
+  Record(task, run, how);
 }
 
 std::vector<std::string> ExecutorModel::ListRunning() const {
