Add a seeded fault soak of real scheduler processes

Signals, outages of the store, restarts and cuts of executors and late orders overlap at random while callers hand in, ask for and cancel jobs. Afterwards the promises are checked from what callers and executors saw.

--- /dev/null
+++ b/tests/soak/caller.cc
@@ -0,0 +1,154 @@
+#include "caller.h"
+
+#include <array>
+#include <cstdio>
+#include <nlohmann/json.hpp>
+#include <thread>
+
+namespace shallotwick::soak {
+namespace {
+
+using nlohmann::json;
+
+constexpr int kMostAttempts = 6;
+constexpr auto kRetryAfter = std::chrono::milliseconds(150);
+// Longer than a process is stopped for.
+constexpr auto kAnswerLimit = std::chrono::seconds(25);
+
+}  // namespace
+
+bool IsOver(const std::string& state) {
+  return state == "completed" || state == "cancelled" || state == "failed";
+}
+
+void AddressBook::Set(size_t host, const std::string& address) {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  m_addresses[host] = address;
+}
+
+std::string AddressBook::Get(size_t host) const {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  return m_addresses[host];
+}
+
+Caller::Caller(const AddressBook& addresses, uint32_t seed, int number)
+    : m_addresses(addresses),
+      m_random(seed * 100 + static_cast<uint32_t>(number)),
+      m_number(number) {}
+
+size_t Caller::Draw(size_t most) {
+  return std::uniform_int_distribution<size_t>(0, most)(m_random);
+}
+
+KeepAliveConnection::Result Caller::Call(size_t host, const std::string& method,
+                                         const std::string& path,
+                                         const std::string& body) {
+  const std::string address = m_addresses.Get(host);
+  if (address.empty()) {
+    return {};
+  }
+  auto& connection = m_connections[host];
+  if (!connection || connection->GetAddress() != address) {
+    connection = std::make_unique<KeepAliveConnection>(address);
+  }
+  auto result = connection->Call(method, path, body, kAnswerLimit);
+  m_silent_calls += result.has_timed_out ? 1 : 0;
+  return result;
+}
+
+void Caller::Act() {
+  const size_t kind = Draw(9);
+  if (kind < 4 || m_jobs.empty()) {
+    HandIn();
+    return;
+  }
+  CalledJob& job = m_jobs[Draw(m_jobs.size() - 1)];
+  if (kind == 4 && job.is_accepted && Draw(1) == 0) {
+    Cancel(job);
+  } else if (job.is_accepted) {
+    Ask(job, Draw(m_addresses.GetCount() - 1));
+  }
+}
+
+void Caller::HandIn() {
+  CalledJob job;
+  std::array<char, 17> id{};
+  std::snprintf(id.data(), id.size(), "%04x%04x%08zx",
+                static_cast<unsigned>(m_number), 0xbeefU, m_jobs.size());
+  job.id = id.data();
+  json steps = json::array();
+  const size_t count = 1 + Draw(2);
+  for (size_t i = 0; i < count; ++i) {
+    job.counts.push_back(1 + static_cast<int>(Draw(3)));
+    json step = {{"count", job.counts.back()},
+                 {"cpu", 500},
+                 {"memMb", 100},
+                 {"estMs", 400}};
+    if (i > 0) {
+      step["after"] = {i - 1};
+    }
+    steps.push_back(step);
+  }
+  const std::string body = json{{"spec", "text"}, {"steps", steps}}.dump();
+  const size_t repeats = Draw(9) == 0 ? 1 : 0;
+  for (int attempt = 0; attempt < kMostAttempts && !job.is_accepted;
+       ++attempt) {
+    const size_t host = Draw(m_addresses.GetCount() - 1);
+    const auto result = Call(host, "POST", "/quote/" + job.id, body);
+    const int status = result.response.status;
+    if (result.outcome == KeepAliveConnection::Outcome::kComplete &&
+        status / 100 == 2) {
+      job.is_accepted = true;
+      break;
+    }
+    const bool is_refused =
+        result.outcome == KeepAliveConnection::Outcome::kNotSent ||
+        (result.outcome == KeepAliveConnection::Outcome::kComplete &&
+         (status == 429 || status == 503));
+    job.is_unknown = job.is_unknown || !is_refused;
+    std::this_thread::sleep_for(kRetryAfter);
+  }
+  // It remains one job.
+  for (size_t i = 0; i < repeats && job.is_accepted; ++i) {
+    Call(Draw(m_addresses.GetCount() - 1), "POST", "/quote/" + job.id, body);
+  }
+  m_jobs.push_back(job);
+}
+
+void Caller::Ask(CalledJob& job, size_t host) {
+  const auto result = Call(host, "GET", "/quote/" + job.id);
+  const json body = json::parse(result.response.body, nullptr, false);
+  if (result.outcome == KeepAliveConnection::Outcome::kComplete &&
+      result.response.status == 200 && body.is_object()) {
+    job.state = body.value("state", "");
+  } else if (result.outcome == KeepAliveConnection::Outcome::kComplete &&
+             result.response.status == 410) {
+    job.state = "gone";
+  }
+}
+
+void Caller::Cancel(CalledJob& job) {
+  job.is_cancel_asked = true;
+  const auto result =
+      Call(Draw(m_addresses.GetCount() - 1), "DELETE", "/quote/" + job.id);
+  const bool is_confirmed =
+      result.outcome == KeepAliveConnection::Outcome::kComplete &&
+      result.response.status / 100 == 2;
+  if (is_confirmed && !job.is_cancel_confirmed) {
+    job.is_cancel_confirmed = true;
+    job.cancel_confirmed_at = std::chrono::steady_clock::now();
+  }
+}
+
+bool Caller::AskForOpenJobs() {
+  bool are_over = true;
+  for (CalledJob& job : m_jobs) {
+    if (job.is_accepted && !IsOver(job.state)) {
+      Ask(job, Draw(m_addresses.GetCount() - 1));
+      are_over = are_over && IsOver(job.state);
+    }
+  }
+  return are_over;
+}
+
+}  // namespace shallotwick::soak
--- /dev/null
+++ b/tests/soak/caller.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include <chrono>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "keep_alive_connection.h"
+
+namespace shallotwick::soak {
+
+// The addresses of the processes; empty for one that is not there.
+class AddressBook {
+ public:
+  explicit AddressBook(size_t hosts) : m_addresses(hosts) {}
+  void Set(size_t host, const std::string& address);
+  std::string Get(size_t host) const;
+  size_t GetCount() const { return m_addresses.size(); }
+
+ private:
+  mutable std::mutex m_mutex;
+  std::vector<std::string> m_addresses;
+};
+
+// A job as its caller knows it.
+struct CalledJob {
+  using Time = std::chrono::steady_clock::time_point;
+  std::string id;
+  // The tasks of each step, in order.
+  std::vector<int> counts;
+  bool is_accepted = false;
+  // At least one attempt had neither a refusal nor a confirmation.
+  bool is_unknown = false;
+  bool is_cancel_asked = false;
+  bool is_cancel_confirmed = false;
+  Time cancel_confirmed_at;
+  std::string state;
+};
+
+// Hands in jobs, asks for their state and cancels some.
+class Caller {
+ public:
+  Caller(const AddressBook& addresses, uint32_t seed, int number);
+
+  // One round: a new job at times, a question or a cancellation.
+  void Act();
+  // Asks for the states of jobs that are not over. Returns whether all that
+  // were accepted are.
+  bool AskForOpenJobs();
+  std::vector<CalledJob>& GetJobs() { return m_jobs; }
+  int CountSilentCalls() const { return m_silent_calls; }
+
+  KeepAliveConnection::Result Call(size_t host, const std::string& method,
+                                   const std::string& path,
+                                   const std::string& body = "");
+
+ private:
+  void HandIn();
+  void Ask(CalledJob& job, size_t host);
+  void Cancel(CalledJob& job);
+  size_t Draw(size_t most);
+
+  const AddressBook& m_addresses;
+  std::mt19937 m_random;
+  int m_number;
+  int m_silent_calls = 0;
+  std::vector<CalledJob> m_jobs;
+  std::map<size_t, std::unique_ptr<KeepAliveConnection>> m_connections;
+};
+
+// Whether a state is a last one.
+bool IsOver(const std::string& state);
+
+}  // namespace shallotwick::soak
--- /dev/null
+++ b/tests/soak/fault_play.cc
@@ -0,0 +1,372 @@
+#include "fault_play.h"
+
+#include <sys/wait.h>
+
+#include <algorithm>
+#include <array>
+#include <atomic>
+#include <csignal>
+#include <fstream>
+#include <thread>
+#include <utility>
+
+#include "harness/wait.h"
+#include "promises.h"
+
+namespace shallotwick::soak {
+namespace {
+
+constexpr int kCallers = 4;
+constexpr auto kFaultTime = std::chrono::milliseconds(9'000);
+constexpr auto kLongestStop = std::chrono::milliseconds(4'000);
+constexpr auto kCallPeriod = std::chrono::milliseconds(60);
+constexpr auto kTick = std::chrono::milliseconds(5);
+// Leases, sessions and late orders end within this time and jobs after it.
+constexpr auto kCalmLimit = std::chrono::seconds(60);
+// Until a process that was told to end is killed.
+constexpr auto kGrace = std::chrono::milliseconds(8'000);
+
+constexpr std::array<int, 5> kSignals = {SIGSTOP, SIGCONT, SIGHUP, SIGTERM,
+                                         SIGKILL};
+
+bool HasExited(pid_t process) {
+  siginfo_t info{};
+  return waitid(P_PID, static_cast<id_t>(process), &info,
+                WEXITED | WNOHANG | WNOWAIT) == 0 &&
+         info.si_pid == process;
+}
+
+}  // namespace
+
+FaultPlay::FaultPlay(uint32_t seed, std::string directory)
+    : m_seed(seed), m_directory(std::move(directory)), m_random(seed) {}
+
+FaultPlay::~FaultPlay() {
+  m_hosts.clear();
+  m_callers.clear();
+  m_cluster.reset();
+}
+
+int64_t FaultPlay::Draw(int64_t least, int64_t most) {
+  return std::uniform_int_distribution<int64_t>(least, most)(m_random);
+}
+
+FaultPlay::Milliseconds FaultPlay::GetAge() const {
+  return std::chrono::duration_cast<Milliseconds>(Clock::now() - m_begin);
+}
+
+void FaultPlay::Note(const std::string& what) {
+  std::ofstream file(m_directory + "/faults.log", std::ios::app);
+  const auto now = std::chrono::duration_cast<Milliseconds>(
+      std::chrono::system_clock::now().time_since_epoch());
+  file << now.count() << " +" << GetAge().count() << " ms " << what << "\n";
+}
+
+void FaultPlay::Plan(Milliseconds at, std::function<void()> action) {
+  m_plan.emplace(at, std::move(action));
+}
+
+void FaultPlay::StartHost(size_t number) {
+  Host& host = m_hosts[number];
+  const std::string name = "host-" + std::to_string(number);
+  const std::string log =
+      m_directory + "/" + name + "-" + std::to_string(++host.life) + ".log";
+  m_addresses->Set(number, "");
+  host.is_ending = false;
+  host.was_killed = false;
+  host.is_restart_planned = false;
+  host.process = std::make_unique<harness::Process>(
+      "services/shallotwick-scheduler/shallotwick-scheduler",
+      std::vector<std::string>{"--name", name, "--listen", "127.0.0.1:0",
+                               "--ready-listen", "127.0.0.1:0", "--platform",
+                               m_cluster->GetAddress(), "--hosts",
+                               m_cluster->GetAddress()},
+      log);
+  Note(name + " starts, life " + std::to_string(host.life));
+}
+
+void FaultPlay::WatchHosts() {
+  for (size_t i = 0; i < m_hosts.size(); ++i) {
+    Host& host = m_hosts[i];
+    if (host.is_restart_planned) {
+      continue;
+    }
+    if (HasExited(host.process->GetPid())) {
+      const int code = host.process->Wait();
+      Note("host-" + std::to_string(i) + " has ended: " + std::to_string(code));
+      const bool is_expected =
+          host.is_ending && (code == 0 || code == -SIGKILL);
+      if (!is_expected || (code != 0 && !host.was_killed)) {
+        m_broken.push_back("host-" + std::to_string(i) + " life " +
+                           std::to_string(host.life) + " ended with " +
+                           std::to_string(code));
+      }
+      m_addresses->Set(i, "");
+      host.is_restart_planned = true;
+      Plan(GetAge() + host.restart_after, [this, i] { StartHost(i); });
+    } else if (m_addresses->Get(i).empty()) {
+      const auto started = host.process->FindEvents("started");
+      if (!started.empty()) {
+        m_addresses->Set(i, started.back().at("http"));
+      }
+    }
+  }
+}
+
+void FaultPlay::SendSignal(size_t number, int signal) {
+  Host& host = m_hosts[number];
+  if (host.is_restart_planned || HasExited(host.process->GetPid())) {
+    return;
+  }
+  Note("host-" + std::to_string(number) + " signal " + std::to_string(signal));
+  if (signal == SIGTERM || signal == SIGKILL) {
+    host.is_ending = true;
+    host.was_killed = host.was_killed || signal == SIGKILL;
+  }
+  if (signal == SIGTERM) {
+    Plan(GetAge() + kGrace, [this, number, life = host.life] {
+      if (m_hosts[number].life == life) {
+        SendSignal(number, SIGKILL);
+      }
+    });
+  }
+  host.process->Signal(signal);
+}
+
+void FaultPlay::PlanSignal(Milliseconds at, size_t host, int signal) {
+  const Milliseconds back(Draw(50, 2'000));
+  Plan(at, [this, host, signal, back] {
+    m_hosts[host].restart_after = back;
+    SendSignal(host, signal);
+  });
+}
+
+void FaultPlay::PlanExecutorRestart(Milliseconds at) {
+  const auto executor = static_cast<size_t>(
+      Draw(0, static_cast<int64_t>(m_executor_outages.size()) - 1));
+  const bool resets = Draw(0, 1) == 0;
+  const Milliseconds down(Draw(0, 700));
+  const Milliseconds delay(Draw(0, 1'500));
+  Plan(at, [this, executor, resets] {
+    if (m_executor_outages[executor]++ == 0) {
+      Note("i-" + std::to_string(executor) + " crashes" +
+           (resets ? ", connections reset" : ""));
+      m_cluster->CrashExecutor(executor, resets);
+    }
+  });
+  Plan(at + down, [this, executor, delay] {
+    if (--m_executor_outages[executor] == 0) {
+      m_cluster->BootExecutor(executor, delay);
+      Note("i-" + std::to_string(executor) + " is back, shown after " +
+           std::to_string(delay.count()) + " ms");
+    }
+  });
+}
+
+void FaultPlay::PlanCutOff(Milliseconds at) {
+  const auto executor = static_cast<size_t>(
+      Draw(0, static_cast<int64_t>(m_executor_outages.size()) - 1));
+  const Milliseconds length(Draw(200, 8'000));
+  const bool loses_entry = length.count() > 3'000 && Draw(0, 1) == 0;
+  Plan(at, [this, executor] {
+    Note("i-" + std::to_string(executor) + " is cut off");
+    m_cluster->SetCutOff(executor, true, true);
+  });
+  if (loses_entry) {
+    Plan(at + Milliseconds(3'000),
+         [this, executor] { m_cluster->SetCutOff(executor, true, false); });
+  }
+  Plan(at + length, [this, executor] {
+    Note("i-" + std::to_string(executor) + " is reachable");
+    m_cluster->SetCutOff(executor, false, true);
+  });
+}
+
+void FaultPlay::PlanFault(Milliseconds at) {
+  const auto host =
+      static_cast<size_t>(Draw(0, static_cast<int64_t>(m_hosts.size()) - 1));
+  switch (Draw(0, 9)) {
+    case 0:
+      PlanSignal(at, host, SIGKILL);
+      break;
+    case 1:
+      PlanSignal(at, host, SIGTERM);
+      break;
+    case 2:
+      PlanSignal(at, host, SIGSTOP);
+      PlanSignal(at + Milliseconds(Draw(200, kLongestStop.count())), host,
+                 SIGCONT);
+      break;
+    case 3:
+      for (int64_t left = Draw(3, 8); left > 0; --left) {
+        // Only the last one may end the process.
+        PlanSignal(at, host,
+                   kSignals[static_cast<size_t>(Draw(0, left == 1 ? 4 : 2))]);
+        at += Milliseconds(Draw(1, 120));
+      }
+      PlanSignal(at, host, SIGCONT);
+      break;
+    case 4:
+      Plan(at, [this] {
+        Note("the store is down");
+        ++m_store_outages;
+        m_cluster->SetStoreDown(true);
+      });
+      Plan(at + Milliseconds(Draw(300, 3'000)), [this] {
+        if (--m_store_outages == 0) {
+          Note("the store is up");
+          m_cluster->SetStoreDown(false);
+        }
+      });
+      break;
+    case 5: {
+      const int nth = static_cast<int>(Draw(2, 9));
+      Plan(at, [this, nth] {
+        Note("the store loses answers");
+        m_cluster->LoseAnswers(nth);
+      });
+      Plan(at + Milliseconds(Draw(300, 2'000)),
+           [this] { m_cluster->LoseAnswers(0); });
+      break;
+    }
+    case 6:
+      PlanCutOff(at);
+      break;
+    default:
+      PlanExecutorRestart(at);
+      break;
+  }
+}
+
+void FaultPlay::PlanFaults() {
+  standin::ClusterStandin::OrderFaults faults;
+  faults.unanswered_share = static_cast<double>(Draw(0, 3)) * 0.03;
+  faults.longest_delay = Milliseconds(Draw(0, 1) * Draw(5, 200));
+  m_cluster->SetOrderFaults(faults);
+  Note("unanswered share " + std::to_string(faults.unanswered_share) +
+       ", delay up to " + std::to_string(faults.longest_delay.count()) + " ms");
+  Milliseconds at(500);
+  const int64_t pause = Draw(150, 900);
+  while (at < kFaultTime) {
+    PlanFault(at);
+    at += Milliseconds(Draw(0, 2 * pause));
+  }
+}
+
+void FaultPlay::PlayUntil(Milliseconds end) {
+  while (GetAge() < end) {
+    while (!m_plan.empty() && m_plan.begin()->first <= GetAge()) {
+      const auto action = std::move(m_plan.begin()->second);
+      m_plan.erase(m_plan.begin());
+      action();
+    }
+    WatchHosts();
+    std::this_thread::sleep_for(kTick);
+  }
+}
+
+void FaultPlay::Calm() {
+  Note("calm");
+  m_cluster->SetOrderFaults({});
+  const auto is_calm = [this] {
+    PlayUntil(GetAge() + Milliseconds(100));
+    bool are_started = true;
+    for (size_t i = 0; i < m_hosts.size(); ++i) {
+      are_started = are_started && !m_addresses->Get(i).empty();
+    }
+    return are_started && m_plan.empty() && m_cluster->CountLateOrders() == 0;
+  };
+  if (!harness::WaitFor(is_calm, kCalmLimit)) {
+    m_broken.push_back("not calm: a process has not started or not ended");
+  }
+  const auto are_over = [this] {
+    PlayUntil(GetAge() + Milliseconds(100));
+    bool are_over = true;
+    for (const auto& caller : m_callers) {
+      are_over = caller->AskForOpenJobs() && are_over;
+    }
+    return are_over;
+  };
+  harness::WaitFor(are_over, kCalmLimit);
+}
+
+void FaultPlay::CheckAnswers() {
+  for (size_t i = 0; i < m_hosts.size(); ++i) {
+    const auto result = m_callers.front()->Call(i, "GET", "/quote/");
+    if (result.outcome != KeepAliveConnection::Outcome::kComplete ||
+        result.response.status != 200) {
+      m_broken.push_back("host-" + std::to_string(i) +
+                         " does not answer in the calm, status " +
+                         std::to_string(result.response.status));
+    }
+  }
+}
+
+std::vector<std::string> FaultPlay::Run() {
+  m_cluster = std::make_unique<standin::ClusterStandin>(
+      static_cast<int>(Draw(2, 5)), 300);
+  m_cluster->SeedFaults(m_seed);
+  m_cluster->SetRunTime(100, Draw(200, 2'500));
+  m_hosts.resize(static_cast<size_t>(Draw(2, 5)));
+  m_addresses = std::make_unique<AddressBook>(m_hosts.size());
+  for (size_t i = 0; i < m_hosts.size(); ++i) {
+    StartHost(i);
+  }
+  for (int i = 0; i < kCallers; ++i) {
+    m_callers.push_back(std::make_unique<Caller>(*m_addresses, m_seed, i));
+  }
+  m_executor_outages.assign(m_cluster->GetExecutorCount(), 0);
+  PlanFaults();
+  m_begin = Clock::now();
+  std::atomic<bool> is_over{false};
+  std::atomic<int> acting{kCallers};
+  std::vector<std::thread> threads;
+  for (const auto& caller : m_callers) {
+    threads.emplace_back([&is_over, &acting, &caller] {
+      while (!is_over) {
+        caller->Act();
+        std::this_thread::sleep_for(kCallPeriod);
+      }
+      --acting;
+    });
+  }
+  PlayUntil(kFaultTime);
+  is_over = true;
+  // What is planned goes on while the callers finish their last calls.
+  while (acting > 0) {
+    PlayUntil(GetAge() + Milliseconds(50));
+  }
+  for (std::thread& thread : threads) {
+    thread.join();
+  }
+  Calm();
+  CheckAnswers();
+  std::vector<CalledJob> jobs;
+  int silent_calls = 0;
+  for (const auto& caller : m_callers) {
+    jobs.insert(jobs.end(), caller->GetJobs().begin(), caller->GetJobs().end());
+    silent_calls += caller->CountSilentCalls();
+  }
+  for (std::string& broken : FindBrokenPromises(jobs, *m_cluster)) {
+    m_broken.push_back(std::move(broken));
+  }
+  const auto accepted =
+      std::count_if(jobs.begin(), jobs.end(),
+                    [](const CalledJob& job) { return job.is_accepted; });
+  Note("jobs " + std::to_string(jobs.size()) + ", accepted " +
+       std::to_string(accepted) + ", calls without an answer in time " +
+       std::to_string(silent_calls));
+  for (const std::string& broken : m_broken) {
+    Note("BROKEN " + broken);
+  }
+  std::ofstream events(m_directory + "/events.log");
+  for (const standin::RunEvent& event : m_cluster->GetEvents()) {
+    events
+        << std::chrono::duration_cast<Milliseconds>(event.at - m_begin).count()
+        << " " << event.executor << " " << event.task << " " << event.run << " "
+        << event.what << "\n";
+  }
+  return m_broken;
+}
+
+}  // namespace shallotwick::soak
--- /dev/null
+++ b/tests/soak/fault_play.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include <sys/types.h>
+
+#include <chrono>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "caller.h"
+#include "harness/process.h"
+#include "standin-cluster/cluster_standin.h"
+
+namespace shallotwick::soak {
+
+// Scheduler processes against the platform's stand-in, and a random series of
+// overlapping faults that depends on the seed alone.
+class FaultPlay {
+ public:
+  FaultPlay(uint32_t seed, std::string directory);
+  ~FaultPlay();
+  FaultPlay(const FaultPlay&) = delete;
+  FaultPlay& operator=(const FaultPlay&) = delete;
+
+  // Plays the seed. Returns what was broken.
+  std::vector<std::string> Run();
+
+ private:
+  using Clock = std::chrono::steady_clock;
+  using Milliseconds = std::chrono::milliseconds;
+  struct Host {
+    std::unique_ptr<harness::Process> process;
+    int life = 0;
+    // It was told to end, so that it may.
+    bool is_ending = false;
+    bool was_killed = false;
+    Milliseconds restart_after{0};
+    bool is_restart_planned = false;
+  };
+
+  void StartHost(size_t host);
+  // Notes addresses of processes that have started and restarts those that
+  // have ended.
+  void WatchHosts();
+  void PlanFaults();
+  void PlanFault(Milliseconds at);
+  void PlanSignal(Milliseconds at, size_t host, int signal);
+  void PlanExecutorRestart(Milliseconds at);
+  void PlanCutOff(Milliseconds at);
+  void SendSignal(size_t host, int signal);
+  void PlayUntil(Milliseconds end);
+  void Calm();
+  void CheckAnswers();
+  void Plan(Milliseconds at, std::function<void()> action);
+  int64_t Draw(int64_t least, int64_t most);
+  Milliseconds GetAge() const;
+  void Note(const std::string& what);
+
+  uint32_t m_seed;
+  std::string m_directory;
+  std::mt19937 m_random;
+  Clock::time_point m_begin = Clock::now();
+  std::unique_ptr<standin::ClusterStandin> m_cluster;
+  std::vector<Host> m_hosts;
+  std::unique_ptr<AddressBook> m_addresses;
+  std::vector<std::unique_ptr<Caller>> m_callers;
+  std::multimap<Milliseconds, std::function<void()>> m_plan;
+  // Overlapping faults of one kind end with the last of them.
+  int m_store_outages = 0;
+  std::vector<int> m_executor_outages;
+  std::vector<std::string> m_broken;
+};
+
+}  // namespace shallotwick::soak
--- /dev/null
+++ b/tests/soak/promises.cc
@@ -0,0 +1,126 @@
+#include "promises.h"
+
+#include <map>
+#include <set>
+
+namespace shallotwick::soak {
+namespace {
+
+using standin::RunEvent;
+
+// From the confirmation of a cancellation until nothing more is ordered.
+constexpr auto kCancellationLimit = std::chrono::seconds(1);
+
+std::string MakeTaskName(const CalledJob& job, size_t step, int index) {
+  return job.id + ".0." + std::to_string(step) + "." + std::to_string(index);
+}
+
+std::string Describe(const RunEvent& event) {
+  return event.task + " run " + std::to_string(event.run) + " on " +
+         event.executor;
+}
+
+class Checker {
+ public:
+  Checker(const std::vector<CalledJob>& jobs,
+          const standin::ClusterStandin& cluster) {
+    for (const CalledJob& job : jobs) {
+      m_jobs[job.id] = &job;
+    }
+    for (const RunEvent& end : cluster.GetNotedEnds()) {
+      const auto known = m_noted.find(end.task);
+      if (known == m_noted.end() || end.at < known->second) {
+        m_noted[end.task] = end.at;
+      }
+    }
+    for (const std::string& task : cluster.GetDoubledTasks()) {
+      m_broken.push_back("two runs at the same time: " + task);
+    }
+    for (const RunEvent& event : cluster.GetEvents()) {
+      if (event.what == "start") {
+        CheckStart(event);
+      } else if (event.what == "done") {
+        m_done.insert(event.task);
+      }
+    }
+    for (const CalledJob& job : jobs) {
+      CheckEnd(job);
+    }
+  }
+
+  std::vector<std::string> m_broken;
+
+ private:
+  void CheckStart(const RunEvent& start) {
+    const size_t dot = start.task.find('.');
+    const auto found = m_jobs.find(start.task.substr(0, dot));
+    if (found == m_jobs.end()) {
+      m_broken.push_back("start of a job that nobody handed in: " +
+                         Describe(start));
+      return;
+    }
+    const CalledJob& job = *found->second;
+    if (!job.is_accepted && !job.is_unknown) {
+      m_broken.push_back("start of a refused job: " + Describe(start));
+    }
+    const auto noted = m_noted.find(start.task);
+    if (noted != m_noted.end() && start.at > noted->second) {
+      m_broken.push_back("start after its end was taken note of: " +
+                         Describe(start));
+    }
+    if (job.is_cancel_confirmed &&
+        start.ordered > job.cancel_confirmed_at + kCancellationLimit) {
+      m_broken.push_back("start after a confirmed cancellation: " +
+                         Describe(start));
+    }
+    CheckOrder(job, start);
+  }
+
+  void CheckOrder(const CalledJob& job, const RunEvent& start) {
+    // ID.0.STEP.INDEX
+    const size_t from = job.id.size() + 3;
+    const size_t step = std::stoul(start.task.substr(from));
+    for (int i = 0; step > 0 && i < job.counts[step - 1]; ++i) {
+      const std::string before = MakeTaskName(job, step - 1, i);
+      if (m_done.count(before) == 0) {
+        m_broken.push_back("start before " + before +
+                           " was done: " + Describe(start));
+      }
+    }
+  }
+
+  void CheckEnd(const CalledJob& job) {
+    if (!job.is_accepted) {
+      return;
+    }
+    const bool may_be_cancelled = job.is_cancel_asked;
+    if (job.state != "completed" &&
+        !(may_be_cancelled && job.state == "cancelled")) {
+      m_broken.push_back("accepted job " + job.id + " is \"" + job.state +
+                         "\"");
+    }
+    for (size_t step = 0; job.state == "completed" && step < job.counts.size();
+         ++step) {
+      for (int i = 0; i < job.counts[step]; ++i) {
+        const std::string task = MakeTaskName(job, step, i);
+        if (m_done.count(task) == 0) {
+          m_broken.push_back("completed without its task " + task);
+        }
+      }
+    }
+  }
+
+  std::map<std::string, const CalledJob*> m_jobs;
+  std::map<std::string, std::chrono::steady_clock::time_point> m_noted;
+  std::set<std::string> m_done;
+};
+
+}  // namespace
+
+std::vector<std::string> FindBrokenPromises(
+    const std::vector<CalledJob>& jobs,
+    const standin::ClusterStandin& cluster) {
+  return Checker(jobs, cluster).m_broken;
+}
+
+}  // namespace shallotwick::soak
--- /dev/null
+++ b/tests/soak/soak_test.cc
@@ -0,0 +1,53 @@
+// Random faults around real scheduler processes; the promises are checked from
+// what callers and executors see.
+#include <CppUTest/TestHarness.h>
+
+#include <cstdlib>
+#include <filesystem>
+#include <iostream>
+
+#include "fault_play.h"
+#include "harness/process.h"
+
+namespace {
+
+constexpr uint32_t kUsualSeeds = 4;
+
+uint32_t ReadNumber(const char* name, uint32_t usual) {
+  const char* text = std::getenv(name);
+  return text == nullptr ? usual : static_cast<uint32_t>(std::stoul(text));
+}
+
+}  // namespace
+
+TEST_GROUP(Soak){};
+
+TEST(Soak, OverlappingFaultsBreakNoPromiseToCallersOrExecutors) {
+  const uint32_t first = ReadNumber("SHALLOTWICK_SOAK_FIRST_SEED", 1);
+  const uint32_t seeds = ReadNumber("SHALLOTWICK_SOAK_SEEDS", kUsualSeeds);
+  std::string report;
+  for (uint32_t seed = first; seed < first + seeds; ++seed) {
+    const std::string directory = shallotwick::harness::MakeLogDirectory();
+    std::vector<std::string> broken;
+    {
+      shallotwick::soak::FaultPlay play(seed, directory);
+      broken = play.Run();
+    }
+    if (broken.empty()) {
+      std::cout << "seed " << seed << ": kept" << std::endl;
+      std::filesystem::remove_all(directory);
+      continue;
+    }
+    std::string text = "seed " + std::to_string(seed) + ": broken; logs in " +
+                       directory +
+                       "; to repeat: SHALLOTWICK_SOAK_SEEDS=1 "
+                       "SHALLOTWICK_SOAK_FIRST_SEED=" +
+                       std::to_string(seed) + " process-soak-test\n";
+    for (const std::string& promise : broken) {
+      text += "  " + promise + "\n";
+    }
+    std::cout << text << std::flush;
+    report += text;
+  }
+  CHECK_TEXT(report.empty(), report.c_str());
+}
