--- a/tests/soak/fault_play.cc
+++ b/tests/soak/fault_play.cc
@@ -315,6 +315,16 @@
   for (int i = 0; i < kCallers; ++i) {
     m_callers.push_back(std::make_unique<Caller>(*m_addresses, m_seed, i));
   }
+  // Faults before the first owner is there meet no runs.
+  const auto is_owned = [this] {
+    WatchHosts();
+    return std::any_of(m_hosts.begin(), m_hosts.end(), [](const Host& host) {
+      return !host.process->FindEvents("pool-loaded").empty();
+    });
+  };
+  if (!harness::WaitFor(is_owned)) {
+    m_broken.push_back("no process owns the pool before any fault");
+  }
   m_executor_outages.assign(m_cluster->GetExecutorCount(), 0);
   PlanFaults();
   m_begin = Clock::now();
@@ -353,18 +363,24 @@
   const auto accepted =
       std::count_if(jobs.begin(), jobs.end(),
                     [](const CalledJob& job) { return job.is_accepted; });
-  Note("jobs " + std::to_string(jobs.size()) + ", accepted " +
+  const auto events = m_cluster->GetEvents();
+  const auto lost = std::count_if(
+      events.begin(), events.end(),
+      [](const standin::RunEvent& event) { return event.what == "lost"; });
+  m_summary =
+      ("jobs " + std::to_string(jobs.size()) + ", accepted " +
        std::to_string(accepted) + ", calls without an answer in time " +
-       std::to_string(silent_calls));
+       std::to_string(silent_calls) + ", starts and ends " +
+       std::to_string(events.size()) + ", lost runs " + std::to_string(lost));
+  Note(m_summary);
   for (const std::string& broken : m_broken) {
     Note("BROKEN " + broken);
   }
-  std::ofstream events(m_directory + "/events.log");
-  for (const standin::RunEvent& event : m_cluster->GetEvents()) {
-    events
-        << std::chrono::duration_cast<Milliseconds>(event.at - m_begin).count()
-        << " " << event.executor << " " << event.task << " " << event.run << " "
-        << event.what << "\n";
+  std::ofstream file(m_directory + "/events.log");
+  for (const standin::RunEvent& event : events) {
+    file << std::chrono::duration_cast<Milliseconds>(event.at - m_begin).count()
+         << " " << event.executor << " " << event.task << " " << event.run
+         << " " << event.what << "\n";
   }
   return m_broken;
 }
--- a/tests/soak/fault_play.h
+++ b/tests/soak/fault_play.h
@@ -27,6 +27,8 @@
 
   // Plays the seed. Returns what was broken.
   std::vector<std::string> Run();
+  // What was seen, in numbers.
+  const std::string& GetSummary() const { return m_summary; }
 
  private:
   using Clock = std::chrono::steady_clock;
@@ -72,6 +74,7 @@
   int m_store_outages = 0;
   std::vector<int> m_executor_outages;
   std::vector<std::string> m_broken;
+  std::string m_summary;
 };
 
 }  // namespace shallotwick::soak
--- a/tests/soak/soak_test.cc
+++ b/tests/soak/soak_test.cc
@@ -29,12 +29,14 @@
   for (uint32_t seed = first; seed < first + seeds; ++seed) {
     const std::string directory = shallotwick::harness::MakeLogDirectory();
     std::vector<std::string> broken;
+    std::string summary;
     {
       shallotwick::soak::FaultPlay play(seed, directory);
       broken = play.Run();
+      summary = play.GetSummary();
     }
     if (broken.empty()) {
-      std::cout << "seed " << seed << ": kept" << std::endl;
+      std::cout << "seed " << seed << ": kept; " << summary << std::endl;
       std::filesystem::remove_all(directory);
       continue;
     }
