Take no host whose target lists completions that are not stored

Cause: while the store is away, completions are known to the owner's memory and to the lists of the targets alone. As the store came back, the owner's first transactions agreed on moves of idle hosts; a move ends the target, and its list with it. The owner then lost power before it had stored the progress, and its successor, itself after the restart, found no trace of the completions.

HostWithUnstoredCompletionsIsNotMaintained failed before and passes.

Fix: a host is moved or maintained only once everything that its target has reported as completed is stored, also after the time for its preparation.

--- a/libraries/scheduling/pool_planned_work.cc
+++ b/libraries/scheduling/pool_planned_work.cc
@@ -65,6 +65,13 @@
          found->second.m_is_responsive;
 }
 
+bool PoolScheduler::AreCompletionsStored(const std::string& id) const {
+  const auto found = m_targets.find(id);
+  return found == m_targets.end() ||
+         found->second.m_processed_completion <=
+             found->second.m_acknowledged_completion;
+}
+
 bool PoolScheduler::CanInterrupt(const std::string& id) const {
   for (const auto& [key, names] : GroupLongRunningRuns(id)) {
     const ActiveJob& job = m_jobs.at(std::get<0>(key));
--- a/libraries/scheduling/pool_scheduler.h
+++ b/libraries/scheduling/pool_scheduler.h
@@ -153,6 +153,9 @@
   void SetCordoned(const std::string& id, bool cordoned);
   // Returns whether all runs on the target are known from its own reports.
   bool AreRunsKnown(const std::string& id) const;
+  // Returns whether everything that the target has reported as completed is
+  // stored. Until then, the target's own list is the only durable record of it.
+  bool AreCompletionsStored(const std::string& id) const;
   // Marks a target whose runs are about to be ended; they count as unavailable
   // for disruption budgets.
   void SetLeaving(const std::string& id, bool leaving);
--- a/libraries/scheduling/tests/incarnations/settlement_test.cc
+++ b/libraries/scheduling/tests/incarnations/settlement_test.cc
@@ -305,3 +305,24 @@
     FAIL(("waited " + std::to_string(waited) + " ms").c_str());
   }
 }
+
+TEST(Settlement, CompletionIsNotStoredBeforeItsChangeIsCommitted) {
+  Begin();
+  AnswerStart(OrderOutcome::kAccepted);
+  const std::string t = m_orders.starts[0].target;
+  for (const auto& order : m_pool->CreateReportOrders(m_now)) {
+    auto report = MakeReport(order.target, kBorn1, {});
+    if (order.target == t) {
+      report.ended.push_back(
+          {1, m_orders.starts[0].task, 1, scheduling::RunOutcome::kDone, ""});
+    }
+    m_pool->OnReport(order, m_now, m_now, report);
+  }
+  LONGS_EQUAL(0, m_pool->CountRuns(t));
+  const auto batch = m_pool->DequeueChanges(10);
+  CHECK_FALSE(m_pool->AreCompletionsStored(t));
+  m_pool->OnCommitFailed(batch);
+  CHECK_FALSE(m_pool->AreCompletionsStored(t));
+  m_pool->OnCommitted(m_pool->DequeueChanges(10));
+  CHECK_TRUE(m_pool->AreCompletionsStored(t));
+}
--- a/services/shallotwick-scheduler/capacity_broker.cc
+++ b/services/shallotwick-scheduler/capacity_broker.cc
@@ -392,9 +392,11 @@
     base::TimePoint now) const {
   std::vector<std::string> idle;
   for (const auto& [name, host] : m_ledger.GetHosts()) {
-    const bool is_idle = IsMovable(pool, runner, host) &&
-                         !m_is_reserved(name) && m_ledger.IsFree(name, now) &&
-                         runner.GetScheduler().CountRuns(host.target) == 0;
+    const bool is_idle =
+        IsMovable(pool, runner, host) && !m_is_reserved(name) &&
+        m_ledger.IsFree(name, now) &&
+        runner.GetScheduler().CountRuns(host.target) == 0 &&
+        runner.GetScheduler().AreCompletionsStored(host.target);
     if (is_idle) {
       idle.push_back(name);
     }
--- a/services/shallotwick-scheduler/tests/scheduler_test.cc
+++ b/services/shallotwick-scheduler/tests/scheduler_test.cc
@@ -710,7 +710,8 @@
   // `other_percent`: progress of the task on the other host.
   void Start(int other_percent,
              const char* wave =
-                 R"({"running":{"m-1":"former/7"},"done":[],"gone":[]})") {
+                 R"({"running":{"m-1":"former/7"},"done":[],"gone":[]})",
+             int64_t ended_on_m_1 = 0) {
     m_store.Put(m_wave_key, wave);
     // Runs are bounded by leases of the previous owner, so only the actions of
     // the test end them.
@@ -725,7 +726,7 @@
     m_store.Put(scheduler::MakeJobKey(kService, "job1"),
                 scheduling::EncodeJobRecord(job));
     m_pool = StartPool();
-    ReportRun("i-m-1", 0, 100);
+    ReportRun("i-m-1", 0, 100, ended_on_m_1);
     ReportRun("i-m-2", 1, other_percent);
     m_ledger = StartLedger(false);
     m_waves = std::make_unique<scheduler::WaveCoordinator>(
@@ -746,7 +747,8 @@
     }
   }
 
-  void ReportRun(const std::string& target, int index, int percent) {
+  void ReportRun(const std::string& target, int index, int percent,
+                 int64_t ended = 0) {
     scheduling::TargetEntry entry;
     entry.id = target;
     entry.service = kService;
@@ -757,6 +759,13 @@
     order.fence = m_pool->GetScheduler().GetTargets().at(target).m_fence;
     scheduling::TargetReport report;
     report.running = {{{"job1", 0, 0, index}, 1, "", percent, 0}};
+    for (int64_t number = 1; number <= ended; ++number) {
+      report.ended.push_back({number,
+                              {"job2", 0, 0, 0},
+                              number,
+                              scheduling::RunOutcome::kStopped,
+                              ""});
+    }
     m_pool->GetScheduler().OnReport(order, base::RuntimeClock::now(),
                                     base::RuntimeClock::now(), report);
   }
@@ -772,6 +781,12 @@
   LONGS_EQUAL(m_store.Get(m_wave_key).version, m_hosts.m_maintained[0].second);
 }
 
+// The list of the target is the only durable record of its completions.
+TEST(AbandonedMaintenance, HostWithUnstoredCompletionsIsNotMaintained) {
+  Start(100, R"({"running":{},"done":[],"gone":[]})", 1);
+  LONGS_EQUAL(0, m_hosts.m_maintained.size());
+}
+
 // An earlier request may have been executed after its repetition was rejected.
 TEST(AbandonedMaintenance, FirstRecordedRequestEndsNoRunsOfSameTarget) {
   Start(100, R"({"running":{},"done":[],"gone":[]})");
--- a/services/shallotwick-scheduler/wave_coordinator.cc
+++ b/services/shallotwick-scheduler/wave_coordinator.cc
@@ -301,7 +301,8 @@
   // A host without a target runs no tasks that could be interrupted.
   const bool is_known =
       host.target.empty() || scheduler.AreRunsKnown(host.target);
-  return is_known && scheduler.CanInterrupt(host.target) &&
+  return is_known && scheduler.AreCompletionsStored(host.target) &&
+         scheduler.CanInterrupt(host.target) &&
          (scheduler.CountShortRuns(host.target) == 0 || has_timed_out);
 }
 
