--- a/libraries/scheduling/tests/pool_model.cc
+++ b/libraries/scheduling/tests/pool_model.cc
@@ -441,7 +441,7 @@
 // The owner can't shut out an order before it knows that the incarnation
 // exists.
 void PoolModel::ExecuteLate(const std::string& id,
-                            std::function<void()> execute) {
+                            const std::function<void()>& execute) {
   if (Find(id)->has_reported || m_options.late_orders_precede_reports) {
     execute();
     return;
--- a/libraries/scheduling/tests/pool_model.h
+++ b/libraries/scheduling/tests/pool_model.h
@@ -141,7 +141,7 @@
   void Commit();
   void Schedule(base::Duration delay, std::function<void()> action);
   // Executes an order that its sender has given up on.
-  void ExecuteLate(const std::string& id, std::function<void()> execute);
+  void ExecuteLate(const std::string& id, const std::function<void()>& execute);
   base::Duration DrawDelay();
   // Returns a random duration of up to `maximum`.
   base::Duration DrawUpTo(base::Duration maximum);
