Repeat an unanswered start only on its own target while it can act

Cause: a report under a higher fencing token shuts an unanswered start out of the incarnation that answered it, and the task then started elsewhere. A later incarnation under the same id has forgotten the token. The start, carried out seconds late, acts there before the first report.

Fix: until such a start can act no more (kMaxOrderDelay after it was sent), its task starts on the same target only. There it cannot run beside the late one: within an incarnation the token refuses it, and a restart ends the repeated run before the late one can begin. If the target has left and may return under its id, the task waits. If another target has taken its place, the task starts elsewhere at once. What was ruled out: holding every such task back costs each job with one unanswered start its objective.

UnansweredStartIsRepeatedOnlyAfterReportThatShutsItOut expected the start after the first report of a restart, on the other target. The own target takes runs after one more report. The test now also checks which target.

--- a/libraries/scheduling/pool_decisions.cc
+++ b/libraries/scheduling/pool_decisions.cc
@@ -229,13 +229,20 @@
   }
   const Resources demand = GetReservedResources(step.demand, step.best_effort);
   std::vector<std::pair<int, size_t>> placements;
+  // Tasks that have to wait for the target that they are bound to.
+  size_t bound = 0;
   for (int i : waiting) {
     const ActiveTask& task = tasks[static_cast<size_t>(i)];
     const TaskName name{job.GetSpec().id, occurrence, step_index, i};
     request.avoided = {task.avoided_target};
+    request.required = task.IsBound(now) ? task.bound_target : "";
     request.excluded = FindStoppingTargets(name);
     const std::optional<size_t> candidate_index =
         PlaceTask(request, candidates);
+    if (!candidate_index && task.IsBound(now)) {
+      ++bound;
+      continue;
+    }
     if (!candidate_index) {
       break;
     }
@@ -248,13 +255,12 @@
     }
     placements.emplace_back(i, *candidate_index);
   }
-  const bool is_complete = placements.size() == waiting.size();
-  if (step.gang && !is_complete) {
+  if (step.gang && placements.size() < waiting.size()) {
     for (const auto& [i, candidate_index] : placements) {
       candidates[candidate_index].room =
           candidates[candidate_index].room + demand;
     }
-    return false;
+    return bound > 0;
   }
   for (const auto& [i, candidate_index] : placements) {
     const int64_t previous_run =
@@ -264,7 +270,7 @@
                   m_targets.at(candidates[candidate_index].id),
                   std::max(previous_run + 1, m_options.first_run), now));
   }
-  return is_complete;
+  return placements.size() + bound == waiting.size();
 }
 
 // Returns the targets on which an earlier run of the task is still being
@@ -328,6 +334,8 @@
     return;
   }
   Run& run = found->second;
+  run.is_start_resolved =
+      run.is_start_resolved || result.outcome != OrderOutcome::kUnknown;
   if (result.outcome == OrderOutcome::kAccepted) {
     if (run.state == RunState::kStarting) {
       run.state = RunState::kPresent;
--- a/libraries/scheduling/pool_reports.cc
+++ b/libraries/scheduling/pool_reports.cc
@@ -31,10 +31,6 @@
 
 // Completions are acknowledged within this time of the last report.
 constexpr auto kMaxAcknowledgementDelay = std::chrono::milliseconds(100);
-// The longest time for which an order without a response is assumed to be
-// outstanding; the platform gives no bound, just "seconds".
-constexpr auto kMaxOrderDelay = std::chrono::seconds(15);
-
 // The clock of a target without runs is read again after this time. Leases are
 // shorter by the uncertainty that it adds, less than a second.
 constexpr auto kMaxClockAge = std::chrono::seconds(30);
@@ -249,6 +245,7 @@
       RecordRunTime(*ended, completion.task.step, run->second, now);
     }
     run->second.checkpoint.clear();
+    run->second.is_start_resolved = true;
     DropRun(target, completion.task);
   }
   const bool is_failure = completion.how == RunOutcome::kFailed;
@@ -333,6 +330,7 @@
   if (reported.percent > run.percent || reported.checkpoint != run.checkpoint) {
     run.last_progress = now;
   }
+  run.is_start_resolved = true;
   run.is_listed = true;
   run.percent = reported.percent;
   run.load = reported.load;
@@ -354,6 +352,7 @@
   run.state = RunState::kPresent;
   run.checkpoint = reported.checkpoint;
   run.is_resumed = true;
+  run.is_start_resolved = true;
   run.is_listed = true;
   run.percent = reported.percent;
   run.load = reported.load;
--- a/libraries/scheduling/pool_scheduler.cc
+++ b/libraries/scheduling/pool_scheduler.cc
@@ -109,11 +109,15 @@
   }
 }
 
-void PoolScheduler::OnTargetEnded(const std::string& id, const char* reason) {
+void PoolScheduler::OnTargetEnded(const std::string& id, bool may_return,
+                                  const char* reason) {
   TargetLedger* target = FindTarget(id);
   if (target == nullptr) {
     return;
   }
+  for (auto& [name, run] : target->GetRuns()) {
+    run.is_start_resolved = run.is_start_resolved || !may_return;
+  }
   DropLostRuns(*target, reason);
   ResetIncarnation(*target);
   target->CopyLeaseBounds(TargetLedger(target->m_entry));
@@ -230,7 +234,7 @@
       fence < target->m_required_fence) {
     return false;
   }
-  OnTargetEnded(id, reason);
+  OnTargetEnded(id, false, reason);
   return true;
 }
 
@@ -276,9 +280,15 @@
     return;
   }
   const Run run = found->second;
+  ActiveTask* task = FindTask(name);
+  if (task != nullptr && !run.is_start_resolved) {
+    LogDecision("task-bound", name, run.number, target.m_entry.id,
+                "a later incarnation may still execute the start");
+    task->bound_target = target.m_entry.id;
+    task->bound_until = run.started + kMaxOrderDelay;
+  }
   target.GetRuns().erase(found);
   m_runs_to_stop.erase({target.m_entry.id, name});
-  ActiveTask* task = FindTask(name);
   if (task != nullptr && !run.checkpoint.empty() && !task->progress.done) {
     task->progress.checkpoint = run.checkpoint;
   }
--- a/libraries/scheduling/target_ledger.h
+++ b/libraries/scheduling/target_ledger.h
@@ -25,6 +25,10 @@
 // Targets' clocks may be up to 2% slow; one more percent covers rounding.
 inline constexpr double kMaxClockSlownessFactor = 1.03;
 
+// The longest time for which an order without a response is assumed to be
+// outstanding; the platform gives no bound, just "seconds".
+inline constexpr auto kMaxOrderDelay = std::chrono::seconds(15);
+
 // Returns the name of a state for the log.
 const char* NameOf(RunState state);
 
@@ -34,6 +38,9 @@
   RunState state = RunState::kStarting;
   // The fencing token of the start order.
   uint64_t fence = 0;
+  // Whether the start order was answered, or the run was listed. Otherwise the
+  // order may still be executed, even by a later incarnation.
+  bool is_start_resolved = false;
   // Whether the current incarnation has listed the run. A run that was not
   // listed may have been started by an earlier or a later incarnation, or not
   // at all.
--- a/libraries/scheduling/tests/incarnations/restart_test.cc
+++ b/libraries/scheduling/tests/incarnations/restart_test.cc
@@ -112,9 +112,45 @@
                       m_now);
   LONGS_EQUAL(0, Decide().starts.size());
   AnswerReports(kSecondBornMs, {});
+  CHECK_TRUE(m_report_fence > m_orders.starts[0].fence);
+  // The report of the restart has raised the token again.
+  AnswerReports(kSecondBornMs, {});
   const auto starts = Decide().starts;
   LONGS_EQUAL(1, starts.size());
-  CHECK_TRUE(m_report_fence > m_orders.starts[0].fence);
+  CHECK_EQUAL(m_orders.starts[0].target, starts[0].target);
+}
+
+TEST(Restart, UnansweredStartIsRepeatedElsewhereOnlyWhenItCannotActAnyMore) {
+  const auto sent = m_now;
+  AnswerStart(scheduling::OrderOutcome::kUnknown);
+  AnswerReports(kFirstBornMs, {});
+  m_pool.SetCordoned(m_orders.starts[0].target, true);
+  std::vector<scheduling::StartOrder> starts;
+  while (starts.empty() && m_now < sent + 2 * scheduling::kMaxOrderDelay) {
+    starts = Decide().starts;
+    AnswerReports(kFirstBornMs, {});
+  }
+  LONGS_EQUAL(1, starts.size());
+  CHECK_TRUE(m_now >= sent + scheduling::kMaxOrderDelay);
+}
+
+TEST(Restart, UnansweredStartOfExpiredTargetIsNotRepeatedWhileItCanAct) {
+  const auto sent = m_now;
+  AnswerStart(scheduling::OrderOutcome::kUnknown);
+  m_pool.RemoveTarget(m_orders.starts[0].target, m_now);
+  m_pool.OnTargetEnded(m_orders.starts[0].target, true, "test");
+  while (m_now < sent + scheduling::kMaxOrderDelay - milliseconds(60)) {
+    LONGS_EQUAL(0, Decide().starts.size());
+  }
+  m_now += milliseconds(60);
+  LONGS_EQUAL(1, Decide().starts.size());
+}
+
+TEST(Restart, UnansweredStartOfReplacedTargetIsRepeatedAtOnce) {
+  AnswerStart(scheduling::OrderOutcome::kUnknown);
+  m_pool.RemoveTarget(m_orders.starts[0].target, m_now);
+  m_pool.OnTargetEnded(m_orders.starts[0].target, false, "test");
+  LONGS_EQUAL(1, Decide().starts.size());
 }
 
 TEST(Restart, StopAcceptedByEarlierIncarnationSettlesNothing) {
--- a/libraries/scheduling/tests/incarnations/settlement_test.cc
+++ b/libraries/scheduling/tests/incarnations/settlement_test.cc
@@ -260,7 +260,7 @@
   const auto sent = m_now;
   const auto orders = m_pool->CreateReportOrders(sent);
   m_pool->RemoveTarget(t, m_now);
-  m_pool->OnTargetEnded(t, "missing from host lists");
+  m_pool->OnTargetEnded(t, true, "missing from host lists");
   CHECK_TRUE(m_pool->GetTargets().count(t) == 0);
   m_pool->UpdateTarget(MakeTarget(t, kBorn1), m_now);
   for (const auto& order : orders) {
