Hold acknowledgements of tasks that an outstanding start may run again

Cause: a start without an answer is settled by a report and repeated; the repeated run ends and its completion is acknowledged. If the target then restarts under its id, the late start runs the task again before the owner's first report there.

Fix: until the start can act no more, the completions of its task, and those listed after them, stay on the target's list. They are stored at once, as before; only the acknowledgement waits. An incarnation that restarts takes its list along, so the late start follows no completion that was acknowledged. Reports go at the pace of unstored completions.

--- a/libraries/scheduling/pool_reports.cc
+++ b/libraries/scheduling/pool_reports.cc
@@ -84,7 +84,7 @@
   if (!target.m_has_accepted_token) {
     return true;
   }
-  if (target.m_processed_completion > target.m_acknowledged_completion) {
+  if (target.m_processed_completion > target.GetAcknowledgement()) {
     return now >= target.m_last_report_attempt + kMaxCommitWait;
   }
   return !target.GetRuns().empty() || target.m_has_unsent_acknowledgement ||
@@ -96,6 +96,7 @@
     base::TimePoint now) {
   std::vector<ReportOrder> orders;
   for (auto& [id, target] : m_targets) {
+    target.ReleaseAcknowledgements(now);
     if (!NeedsReport(target, now)) {
       continue;
     }
@@ -105,7 +106,7 @@
     order.fence = target.m_fence;
     const bool is_known = target.m_has_accepted_token && target.m_is_responsive;
     if (is_known && IsIncarnationCertain(target, now)) {
-      order.last_acknowledged_completion = target.m_acknowledged_completion;
+      order.last_acknowledged_completion = target.GetAcknowledgement();
     }
     if (is_known) {
       const bool must_respond_at_once =
@@ -261,6 +262,9 @@
   }
   ActiveJob* job = FindJob(completion.task.job);
   ActiveTask* task = FindTask(completion.task);
+  if (task != nullptr && task->IsBound(now)) {
+    target.HoldAcknowledgement(completion.number, task->bound_until);
+  }
   if (job == nullptr || task == nullptr || IsTerminal(job->m_state)) {
     return;
   }
--- a/libraries/scheduling/target_ledger.h
+++ b/libraries/scheduling/target_ledger.h
@@ -102,6 +102,12 @@
   void CopyLeaseBounds(const TargetLedger& other);
   bool HasClock() const { return m_clock_ms.has_value(); }
 
+  // Holds back the acknowledgement of a completion and of all later ones.
+  void HoldAcknowledgement(int64_t completion, base::TimePoint until);
+  void ReleaseAcknowledgements(base::TimePoint now);
+  // Returns the number up to which stored completions may be acknowledged.
+  int64_t GetAcknowledgement() const;
+
   TargetEntry m_entry;
   // Whether the registry lists the target.
   bool m_is_registered = true;
@@ -150,6 +156,9 @@
 
  private:
   std::map<TaskName, Run> m_runs;
+  // Completions of tasks that a later incarnation may still start, and until
+  // when. An incarnation that ends takes its unacknowledged completions along.
+  std::map<int64_t, base::TimePoint> m_held_acknowledgements;
   base::TimePoint m_lease_bound;
   base::TimePoint m_unlisted_lease_bound;
   std::optional<int64_t> m_clock_ms;
--- a/libraries/scheduling/tests/incarnations/late_start_test.cc
+++ b/libraries/scheduling/tests/incarnations/late_start_test.cc
@@ -8,10 +8,11 @@
 
 TEST_GROUP(LateStart){};
 
-TEST(LateStart, StartActingBeforeFirstReportAfterRestartRunsNoTaskTwice) {
+TEST(LateStart, StartAndReportOrderActingBeforeFirstReportRunNoTaskTwice) {
   PoolModelOptions options = MakeRestartOptions();
   options.lost_share = 0.1;
   options.late_share = 0.7;
   options.late_orders_precede_reports = true;
+  options.late_reports_precede_reports = true;
   CheckSeeds(options, 10);
 }
--- a/libraries/scheduling/tests/incarnations/settlement_test.cc
+++ b/libraries/scheduling/tests/incarnations/settlement_test.cc
@@ -212,6 +212,32 @@
   }
 }
 
+TEST(Settlement, CompletionIsNotAcknowledgedWhileEarlierStartCanRunTaskAgain) {
+  Begin();
+  const auto sent = m_now;
+  AnswerStart(OrderOutcome::kUnknown);
+  AnswerReports(kBorn1, {});
+  m_orders = Decide();
+  LONGS_EQUAL(1, m_orders.starts.size());
+  AnswerStart(OrderOutcome::kAccepted);
+  int64_t acknowledged = 0;
+  while (acknowledged == 0 && m_now < sent + 2 * scheduling::kMaxOrderDelay) {
+    m_now += milliseconds(60);
+    for (const auto& order : m_pool->CreateReportOrders(m_now)) {
+      auto report = MakeReport(order.target, kBorn1, {});
+      if (IsOfStartedTask(order.target)) {
+        acknowledged = order.last_acknowledged_completion;
+        report.ended.push_back(
+            {1, m_orders.starts[0].task, 2, scheduling::RunOutcome::kDone, ""});
+      }
+      m_pool->OnReport(order, m_now, m_now, report);
+    }
+    m_pool->OnCommitted(m_pool->DequeueChanges(10));
+  }
+  LONGS_EQUAL(1, acknowledged);
+  CHECK_TRUE(m_now >= sent + scheduling::kMaxOrderDelay);
+}
+
 TEST(Settlement, OtherIncarnationAtEarlierAddressEndsNoRunAtNewAddress) {
   Begin();
   const std::string t = m_orders.starts[0].target;
--- a/libraries/scheduling/tests/pool_model.cc
+++ b/libraries/scheduling/tests/pool_model.cc
@@ -428,8 +428,12 @@
     }
   };
   if (is_late) {
-    Schedule(arrival,
-             [this, id = order.target, execute] { ExecuteLate(id, execute); });
+    const bool may_precede_report = std::is_same_v<Order, ReportOrder>
+                                        ? m_options.late_reports_precede_reports
+                                        : m_options.late_orders_precede_reports;
+    Schedule(arrival, [this, id = order.target, may_precede_report, execute] {
+      ExecuteLate(id, may_precede_report, execute);
+    });
   } else if (!is_dropped) {
     Schedule(arrival, execute);
   }
@@ -440,14 +444,16 @@
 
 // The owner can't shut out an order before it knows that the incarnation
 // exists.
-void PoolModel::ExecuteLate(const std::string& id,
+void PoolModel::ExecuteLate(const std::string& id, bool may_precede_report,
                             const std::function<void()>& execute) {
-  if (Find(id)->has_reported || m_options.late_orders_precede_reports) {
+  if (Find(id)->has_reported || may_precede_report) {
     execute();
     return;
   }
   Schedule(std::chrono::milliseconds(20),
-           [this, id, execute] { ExecuteLate(id, execute); });
+           [this, id, may_precede_report, execute] {
+             ExecuteLate(id, may_precede_report, execute);
+           });
 }
 
 OrderResult PoolModel::ApplyStart(const StartOrder& order) {
--- a/libraries/scheduling/tests/pool_model.h
+++ b/libraries/scheduling/tests/pool_model.h
@@ -30,9 +30,12 @@
   double restart_chance = 0;
   // The maximum time until the registry shows a restart.
   base::Duration max_registry_delay{0};
-  // Whether orders that are executed late act on a later incarnation of the
-  // target even before it has answered any report order.
+  // Whether starts and stops that are executed late act on a later incarnation
+  // of the target even before it has answered any report order.
   bool late_orders_precede_reports = false;
+  // The same for report orders, which may acknowledge completions of the
+  // earlier incarnation.
+  bool late_reports_precede_reports = false;
   // The maximum additional delays of responses and orders.
   base::Duration max_response_delay{0};
   base::Duration max_order_delay{0};
@@ -141,7 +144,8 @@
   void Commit();
   void Schedule(base::Duration delay, std::function<void()> action);
   // Executes an order that its sender has given up on.
-  void ExecuteLate(const std::string& id, const std::function<void()>& execute);
+  void ExecuteLate(const std::string& id, bool may_precede_report,
+                   const std::function<void()>& execute);
   base::Duration DrawDelay();
   // Returns a random duration of up to `maximum`.
   base::Duration DrawUpTo(base::Duration maximum);
