Count no time without the store when a cancellation has to be in force

Its trace: the cancellation is stored at 50:38.914, the store goes down at 38.925, before the owner's feed delivers the row; the owner, which goes on under its leases, starts the next step at 40.0; the store is up at 41.859 and the owner ends the job at 41.981. Only the store tells owners of a cancellation, and the rule on cancellations holds while the store is sound, so this start is allowed and the check was wrong. It still takes one second; of the time since the confirmation it now counts all in which the store was up.

--- a/tests/standin-cluster/cluster_standin.cc
+++ b/tests/standin-cluster/cluster_standin.cc
@@ -230,6 +230,30 @@
   respond(http::MakeJsonResponse(404, "{}"));
 }
 
+void ClusterStandin::SetStoreDown(bool is_down) {
+  const std::lock_guard lock(m_mutex);
+  if (m_is_store_down != is_down) {
+    m_is_store_down = is_down;
+    m_store_changes.push_back(Clock::now());
+  }
+}
+
+std::chrono::steady_clock::duration ClusterStandin::GetStoreUpTime(
+    std::chrono::steady_clock::time_point from,
+    std::chrono::steady_clock::time_point until) const {
+  const std::lock_guard lock(m_mutex);
+  Clock::duration up{0};
+  Clock::time_point since = from;
+  bool is_up = true;
+  for (const Clock::time_point change : m_store_changes) {
+    const Clock::time_point at = std::clamp(change, from, until);
+    up += is_up ? at - since : Clock::duration{0};
+    since = at;
+    is_up = !is_up;
+  }
+  return up + (is_up ? until - since : Clock::duration{0});
+}
+
 bool ClusterStandin::IsReachable(const Call& call) const {
   const Executor& executor = m_executors[call.executor];
   return executor.model->IsUp() && !executor.is_cut_off &&
