Add a known red test: a former owner's late start runs a task twice

An unanswered start of a former owner acts on a target that restarts under its id, before the successor's first report there. The successor knows nothing of the start, so it neither binds the task to that target nor holds its completion.

--- a/libraries/scheduling/tests/incarnations/late_start_test.cc
+++ b/libraries/scheduling/tests/incarnations/late_start_test.cc
@@ -16,3 +16,12 @@
   options.late_reports_precede_reports = true;
   CheckSeeds(options, 10);
 }
+
+TEST(LateStart, StartOfFormerOwnerActingBeforeFirstReportRunsNoTaskTwice) {
+  PoolModelOptions options = MakeRestartOptions();
+  options.lost_share = 0.1;
+  options.late_share = 0.7;
+  options.late_orders_precede_reports = true;
+  options.takeover_chance = 0.02;
+  CheckSeeds(options, 10);
+}
