Let the soak run many processes and late orders that precede reports

The stand-in held late starts back on a later incarnation until it had reported, so the soak could not show a start that acts there before. A manual run may now ask for it, and for any number of scheduler processes.

--- a/tests/soak/fault_play.cc
+++ b/tests/soak/fault_play.cc
@@ -38,8 +38,12 @@
 
 }  // namespace
 
-FaultPlay::FaultPlay(uint32_t seed, std::string directory)
-    : m_seed(seed), m_directory(std::move(directory)), m_random(seed) {}
+FaultPlay::FaultPlay(uint32_t seed, const FaultPlayOptions& options,
+                     std::string directory)
+    : m_seed(seed),
+      m_options(options),
+      m_directory(std::move(directory)),
+      m_random(seed) {}
 
 FaultPlay::~FaultPlay() {
   m_hosts.clear();
@@ -252,6 +256,7 @@
   standin::ClusterStandin::OrderFaults faults;
   faults.unanswered_share = static_cast<double>(Draw(0, 3)) * 0.03;
   faults.longest_delay = Milliseconds(Draw(0, 1) * Draw(5, 200));
+  faults.late_orders_precede_reports = m_options.late_orders_precede_reports;
   m_cluster->SetOrderFaults(faults);
   Note("unanswered share " + std::to_string(faults.unanswered_share) +
        ", delay up to " + std::to_string(faults.longest_delay.count()) + " ms");
@@ -317,7 +322,8 @@
       static_cast<int>(Draw(2, 5)), 300);
   m_cluster->SeedFaults(m_seed);
   m_cluster->SetRunTime(100, Draw(200, 2'500));
-  m_hosts.resize(static_cast<size_t>(Draw(2, 5)));
+  const auto usual_hosts = static_cast<size_t>(Draw(2, 5));
+  m_hosts.resize(m_options.hosts == 0 ? usual_hosts : m_options.hosts);
   m_addresses = std::make_unique<AddressBook>(m_hosts.size());
   for (size_t i = 0; i < m_hosts.size(); ++i) {
     StartHost(i);
--- a/tests/soak/fault_play.h
+++ b/tests/soak/fault_play.h
@@ -16,11 +16,19 @@
 
 namespace shallotwick::soak {
 
+struct FaultPlayOptions {
+  // The number of scheduler processes; 0 for a few, by the seed.
+  size_t hosts = 0;
+  // See ClusterStandin::OrderFaults.
+  bool late_orders_precede_reports = false;
+};
+
 // Scheduler processes against the platform's stand-in, and a random series of
 // overlapping faults that depends on the seed alone.
 class FaultPlay {
  public:
-  FaultPlay(uint32_t seed, std::string directory);
+  FaultPlay(uint32_t seed, const FaultPlayOptions& options,
+            std::string directory);
   ~FaultPlay();
   FaultPlay(const FaultPlay&) = delete;
   FaultPlay& operator=(const FaultPlay&) = delete;
@@ -63,6 +71,7 @@
   void Note(const std::string& what);
 
   uint32_t m_seed;
+  FaultPlayOptions m_options;
   std::string m_directory;
   std::mt19937 m_random;
   Clock::time_point m_begin = Clock::now();
--- a/tests/soak/soak_test.cc
+++ b/tests/soak/soak_test.cc
@@ -25,13 +25,17 @@
 TEST(Soak, OverlappingFaultsBreakNoPromiseToCallersOrExecutors) {
   const uint32_t first = ReadNumber("SHALLOTWICK_SOAK_FIRST_SEED", 1);
   const uint32_t seeds = ReadNumber("SHALLOTWICK_SOAK_SEEDS", kUsualSeeds);
+  shallotwick::soak::FaultPlayOptions options;
+  options.hosts = ReadNumber("SHALLOTWICK_SOAK_HOSTS", 0);
+  options.late_orders_precede_reports =
+      ReadNumber("SHALLOTWICK_SOAK_EARLY_ORDERS", 0) != 0;
   std::string report;
   for (uint32_t seed = first; seed < first + seeds; ++seed) {
     const std::string directory = shallotwick::harness::MakeLogDirectory();
     std::vector<std::string> broken;
     std::string summary;
     {
-      shallotwick::soak::FaultPlay play(seed, directory);
+      shallotwick::soak::FaultPlay play(seed, options, directory);
       broken = play.Run();
       summary = play.GetSummary();
     }
--- a/tests/standin-cluster/cluster_standin.cc
+++ b/tests/standin-cluster/cluster_standin.cc
@@ -282,9 +282,10 @@
       {at, [this, call](bool is_over) {
          const Executor& executor = m_executors[call.executor];
          const ExecutorModel& model = *executor.model;
-         const bool is_known =
-             model.GetBornMs() == call.born_ms || model.HasReported();
-         if (!is_over || !model.IsUp() || executor.is_cut_off || !is_known) {
+         const bool may_act =
+             model.GetBornMs() == call.born_ms || model.HasReported() ||
+             (m_faults.late_orders_precede_reports && call.path != "/v1/hold");
+         if (!is_over || !model.IsUp() || executor.is_cut_off || !may_act) {
            return false;
          }
          CarryOut(call);
--- a/tests/standin-cluster/cluster_standin.h
+++ b/tests/standin-cluster/cluster_standin.h
@@ -42,6 +42,9 @@
     // The share of orders that get no answer. One in two of them is carried out
     // 2 to 12 s later, one in four at once and one in four never.
     double unanswered_share = 0;
+    // Starts and stops that are carried out late act on a later incarnation
+    // even before it has reported.
+    bool late_orders_precede_reports = false;
     // Answers are delayed by up to this time.
     std::chrono::milliseconds longest_delay{0};
   };
