Adopt an earlier run that a target lists instead of a later one

Cause: the ledger holds one run a task. After a restart it still holds the repeated start, which the earlier incarnation accepted but never listed. The new incarnation executes the earlier start and lists that run; it was ignored because its number is lower. The report that settled the repeated start then released the task, and it started beside the listed run.

Evidence: EarlierRunListedInsteadOfUnlistedOneIsNotStartedBesideIt failed on (one start, expected none).

Fix: once a report has settled the ledger's run, the run that the same report lists is adopted, before the next decision.

--- a/libraries/scheduling/pool_reports.cc
+++ b/libraries/scheduling/pool_reports.cc
@@ -217,6 +217,13 @@
     ApplyRunning(*target, reported, now);
   }
   ResolveUnlistedRuns(*target, report, order.fence, sent);
+  // A later incarnation may have executed an earlier start of a task than the
+  // one that has just been resolved.
+  for (const ReportedRun& reported : report.running) {
+    if (target->GetRuns().count(reported.task) == 0) {
+      AdoptRun(*target, reported, now);
+    }
+  }
 }
 
 void PoolScheduler::ApplyCompletions(TargetLedger& target,
--- a/libraries/scheduling/tests/incarnations/restart_test.cc
+++ b/libraries/scheduling/tests/incarnations/restart_test.cc
@@ -153,6 +153,22 @@
   LONGS_EQUAL(1, Decide().starts.size());
 }
 
+TEST(Restart, EarlierRunListedInsteadOfUnlistedOneIsNotStartedBesideIt) {
+  const std::vector<scheduling::ReportedRun> earlier{GetStartedRun()};
+  AnswerStart(scheduling::OrderOutcome::kUnknown);
+  AnswerReports(kFirstBornMs, {});
+  m_orders = Decide();
+  LONGS_EQUAL(1, m_orders.starts.size());
+  AnswerStart(scheduling::OrderOutcome::kAccepted);
+  // The next incarnation has executed the first start only.
+  for (int i = 0; i < 5; ++i) {
+    AnswerReports(kSecondBornMs, earlier);
+    m_pool.UpdateTarget(MakeTarget(m_orders.starts[0].target, kSecondBornMs),
+                        m_now);
+    LONGS_EQUAL(0, Decide().starts.size());
+  }
+}
+
 TEST(Restart, StopAcceptedByEarlierIncarnationSettlesNothing) {
   AnswerStart(scheduling::OrderOutcome::kUnknown);
   m_pool.CancelJob("job");
