Acknowledge completions before a held one

What callers saw: nothing yet. While one acknowledgement is held (up to 15 s, and for as long as unanswered starts go on), no completion of the target is acknowledged. Its list grows to 500, is then cut, and settles nothing.

Cause: reports wait 150 ms while completions are held, but a report order acknowledges only within 100 ms of the last report. So it never did.

Evidence: CompletionBeforeHeldOneIsAcknowledged failed on: nothing acknowledged in 2 s, expected completion 1.

Fix: an acknowledgement that may be sent is sent at once, as before; the pause of 150 ms stays while nothing but held ones are left. The end of a hold also counts as something to send. An idle target with a held completion gets up to two report orders in 150 ms instead of one.

--- a/libraries/scheduling/pool_reports.cc
+++ b/libraries/scheduling/pool_reports.cc
@@ -84,11 +84,16 @@
   if (!target.m_has_accepted_token) {
     return true;
   }
+  if (target.m_processed_completion > target.m_acknowledged_completion) {
+    return now >= target.m_last_report_attempt + kMaxCommitWait;
+  }
+  if (target.m_has_unsent_acknowledgement) {
+    return true;
+  }
   if (target.m_processed_completion > target.GetAcknowledgement()) {
     return now >= target.m_last_report_attempt + kMaxCommitWait;
   }
-  return !target.GetRuns().empty() || target.m_has_unsent_acknowledgement ||
-         now < target.m_watched_until ||
+  return !target.GetRuns().empty() || now < target.m_watched_until ||
          now >= target.m_last_report_received + kMaxClockAge;
 }
 
@@ -122,7 +127,7 @@
       order.lease_until_ms = GrantLease(target, now);
     }
     target.m_has_unsent_acknowledgement =
-        order.last_acknowledged_completion < target.m_acknowledged_completion;
+        order.last_acknowledged_completion < target.GetAcknowledgement();
     m_reports_in_flight.insert(id);
     orders.push_back(std::move(order));
   }
--- a/libraries/scheduling/target_ledger.cc
+++ b/libraries/scheduling/target_ledger.cc
@@ -80,8 +80,11 @@
 }
 
 void TargetLedger::ReleaseAcknowledgements(base::TimePoint now) {
+  const int64_t before = GetAcknowledgement();
   std::erase_if(m_held_acknowledgements,
                 [now](const auto& held) { return held.second <= now; });
+  m_has_unsent_acknowledgement =
+      m_has_unsent_acknowledgement || GetAcknowledgement() > before;
 }
 
 int64_t TargetLedger::GetAcknowledgement() const {
--- a/libraries/scheduling/tests/incarnations/settlement_test.cc
+++ b/libraries/scheduling/tests/incarnations/settlement_test.cc
@@ -1,5 +1,6 @@
 #include <CppUTest/TestHarness.h>
 
+#include <algorithm>
 #include <memory>
 #include <string>
 
@@ -238,6 +239,34 @@
   CHECK_TRUE(m_now >= sent + scheduling::kMaxOrderDelay);
 }
 
+TEST(Settlement, CompletionBeforeHeldOneIsAcknowledged) {
+  Begin();
+  const std::string t = m_orders.starts[0].target;
+  AnswerStart(OrderOutcome::kUnknown);
+  AnswerReports(kBorn1, {});
+  m_orders = Decide();
+  LONGS_EQUAL(1, m_orders.starts.size());
+  AnswerStart(OrderOutcome::kAccepted);
+  const auto ended = m_now;
+  int64_t acknowledged = 0;
+  while (acknowledged == 0 && m_now < ended + milliseconds(2'000)) {
+    m_now += milliseconds(10);
+    for (const auto& order : m_pool->CreateReportOrders(m_now)) {
+      auto report = MakeReport(order.target, kBorn1, {});
+      if (order.target == t) {
+        acknowledged =
+            std::max(acknowledged, order.last_acknowledged_completion);
+        report.ended = {
+            {1, {"gone", 0, 0, 0}, 1, scheduling::RunOutcome::kDone, ""},
+            {2, m_orders.starts[0].task, 2, scheduling::RunOutcome::kDone, ""}};
+      }
+      m_pool->OnReport(order, m_now, m_now, report);
+    }
+    m_pool->OnCommitted(m_pool->DequeueChanges(10));
+  }
+  LONGS_EQUAL(1, acknowledged);
+}
+
 TEST(Settlement, OtherIncarnationAtEarlierAddressEndsNoRunAtNewAddress) {
   Begin();
   const std::string t = m_orders.starts[0].target;
