Hold acknowledgements of tasks whose job has ended

What callers saw: nothing yet. A start after a completion that was taken note of (TWICE) can follow if the job ends before its repeated run does: by a cancellation, used-up attempts, or another member of its gang.

Cause: that an earlier start of the task is outstanding is stored in the job's task. Once the job is gone, the completion was acknowledged at once.

Fix: the run keeps the time until which its completion is held.

--- a/libraries/scheduling/pool_decisions.cc
+++ b/libraries/scheduling/pool_decisions.cc
@@ -294,6 +294,7 @@
   job.AssignRun(task, target.m_entry.id, run);
   Run entry = MakeRun(run, &step, now);
   entry.fence = target.m_fence;
+  entry.completion_held_until = task.bound_until;
   entry.checkpoint = task.progress.checkpoint;
   entry.is_resumed = !task.progress.checkpoint.empty();
   target.GetRuns()[name] = entry;
--- a/libraries/scheduling/pool_reports.cc
+++ b/libraries/scheduling/pool_reports.cc
@@ -251,8 +251,10 @@
 void PoolScheduler::ApplyCompletion(TargetLedger& target,
                                     const ReportedCompletion& completion,
                                     base::TimePoint now) {
+  base::TimePoint held_until;
   const auto run = target.GetRuns().find(completion.task);
   if (run != target.GetRuns().end() && run->second.number == completion.run) {
+    held_until = run->second.completion_held_until;
     const ActiveJob* ended = FindJob(completion.task.job);
     if (ended != nullptr && completion.how == RunOutcome::kDone) {
       RecordRunTime(*ended, completion.task.step, run->second, now);
@@ -274,8 +276,11 @@
   }
   ActiveJob* job = FindJob(completion.task.job);
   ActiveTask* task = FindTask(completion.task);
-  if (task != nullptr && task->IsBound(now)) {
-    target.HoldAcknowledgement(completion.number, task->bound_until);
+  if (task != nullptr) {
+    held_until = std::max(held_until, task->bound_until);
+  }
+  if (held_until > now) {
+    target.HoldAcknowledgement(completion.number, held_until);
   }
   if (job == nullptr || task == nullptr || IsTerminal(job->m_state)) {
     return;
@@ -377,6 +382,7 @@
     is_wanted = !IsTerminal(job->m_state) && !task->progress.done &&
                 (task->target.empty() || task->target == target.m_entry.id);
     task->last_run = std::max(task->last_run, reported.run);
+    run.completion_held_until = task->bound_until;
   }
   target.GetRuns()[reported.task] = run;
   if (!is_wanted) {
--- a/libraries/scheduling/target_ledger.h
+++ b/libraries/scheduling/target_ledger.h
@@ -58,6 +58,9 @@
   int64_t load = 0;
   int paced_percent = 100;
   base::TimePoint started;
+  // Until then, an earlier start of the task may still be executed, so the
+  // completion of the run is not acknowledged.
+  base::TimePoint completion_held_until;
   // When the state last changed.
   base::TimePoint last_state_change;
   // When the percentage last increased or the checkpoint last changed.
--- a/libraries/scheduling/tests/incarnations/settlement_test.cc
+++ b/libraries/scheduling/tests/incarnations/settlement_test.cc
@@ -267,6 +267,33 @@
   LONGS_EQUAL(1, acknowledged);
 }
 
+TEST(Settlement, CompletionOfEndedJobIsHeldWhileEarlierStartCanRunTaskAgain) {
+  Begin();
+  const std::string t = m_orders.starts[0].target;
+  const auto sent = m_now;
+  AnswerStart(OrderOutcome::kUnknown);
+  AnswerReports(kBorn1, {});
+  m_orders = Decide();
+  LONGS_EQUAL(1, m_orders.starts.size());
+  AnswerStart(OrderOutcome::kAccepted);
+  AnswerReports(kBorn1, {GetStartedRun()});
+  // The run is done before the stop reaches it.
+  m_pool->CancelJob("job");
+  while (m_now < sent + scheduling::kMaxOrderDelay - milliseconds(200)) {
+    m_now += milliseconds(60);
+    for (const auto& order : m_pool->CreateReportOrders(m_now)) {
+      auto report = MakeReport(order.target, kBorn1, {});
+      if (order.target == t) {
+        LONGS_EQUAL(0, order.last_acknowledged_completion);
+        report.ended.push_back(
+            {1, m_orders.starts[0].task, 2, scheduling::RunOutcome::kDone, ""});
+      }
+      m_pool->OnReport(order, m_now, m_now, report);
+    }
+    m_pool->OnCommitted(m_pool->DequeueChanges(10));
+  }
+}
+
 TEST(Settlement, OtherIncarnationAtEarlierAddressEndsNoRunAtNewAddress) {
   Begin();
   const std::string t = m_orders.starts[0].target;
