Keep a target that holds back acknowledgements

What callers saw: nothing yet. A target that left the registry and returned (the store was down, or it was cut off) gets its held completions acknowledged: the job has ended, so a new ledger holds none. An unanswered start may then run the task after it was taken note of (TWICE).

Cause: the ledger was erased with its holds after the lease had expired or when the registry entry went.

Evidence: TargetWithHeldAcknowledgementsIsNotForgotten failed on (the target was erased within 15 s of the unanswered start). It also checks that the target is erased afterwards.

Fix: a ledger with held acknowledgements is kept until the last one is released, at most 15 s after the unanswered start. A confirmed end still erases it: its list ends too.

--- a/libraries/scheduling/pool_scheduler.cc
+++ b/libraries/scheduling/pool_scheduler.cc
@@ -103,7 +103,8 @@
   target->m_is_registered = false;
   const bool is_unused =
       target->GetRuns().empty() && target->GetLeaseBound() <= now &&
-      target->m_processed_completion == target->m_acknowledged_completion;
+      target->m_processed_completion == target->m_acknowledged_completion &&
+      !target->HoldsAcknowledgements();
   if (is_unused) {
     EraseTarget(id);
   }
@@ -265,7 +266,9 @@
     if (!target.GetRuns().empty()) {
       DropLostRuns(target, "the lease has expired");
     }
-    if (!target.m_is_registered && m_reports_in_flight.count(id) == 0) {
+    // If the target returns, it still lists the held completions.
+    if (!target.m_is_registered && m_reports_in_flight.count(id) == 0 &&
+        !target.HoldsAcknowledgements()) {
       expired.push_back(id);
     }
   }
--- a/libraries/scheduling/target_ledger.h
+++ b/libraries/scheduling/target_ledger.h
@@ -108,6 +108,9 @@
   // Holds back the acknowledgement of a completion and of all later ones.
   void HoldAcknowledgement(int64_t completion, base::TimePoint until);
   void ReleaseAcknowledgements(base::TimePoint now);
+  bool HoldsAcknowledgements() const {
+    return !m_held_acknowledgements.empty();
+  }
   // Returns the number up to which stored completions may be acknowledged.
   int64_t GetAcknowledgement() const;
 
--- a/libraries/scheduling/tests/incarnations/settlement_test.cc
+++ b/libraries/scheduling/tests/incarnations/settlement_test.cc
@@ -294,6 +294,41 @@
   }
 }
 
+TEST(Settlement, TargetWithHeldAcknowledgementsIsNotForgotten) {
+  Begin();
+  const std::string t = m_orders.starts[0].target;
+  const auto sent = m_now;
+  AnswerStart(OrderOutcome::kUnknown);
+  AnswerReports(kBorn1, {});
+  m_orders = Decide();
+  LONGS_EQUAL(1, m_orders.starts.size());
+  AnswerStart(OrderOutcome::kAccepted);
+  for (const auto& order : m_pool->CreateReportOrders(m_now)) {
+    auto report = MakeReport(order.target, kBorn1, {});
+    if (order.target == t) {
+      report.ended.push_back(
+          {1, m_orders.starts[0].task, 2, scheduling::RunOutcome::kDone, ""});
+    }
+    m_pool->OnReport(order, m_now, m_now, report);
+  }
+  m_pool->OnCommitted(m_pool->DequeueChanges(10));
+  m_pool->RemoveTarget(t, m_now);
+  while (m_now < sent + scheduling::kMaxOrderDelay - milliseconds(200)) {
+    Decide();
+    for (const auto& order : m_pool->CreateReportOrders(m_now)) {
+      m_pool->OnReportFailed(order, OrderOutcome::kUnknown, m_now);
+    }
+    LONGS_EQUAL(1, m_pool->GetTargets().count(t));
+  }
+  while (m_now < sent + 2 * scheduling::kMaxOrderDelay) {
+    Decide();
+    for (const auto& order : m_pool->CreateReportOrders(m_now)) {
+      m_pool->OnReportFailed(order, OrderOutcome::kUnknown, m_now);
+    }
+  }
+  LONGS_EQUAL(0, m_pool->GetTargets().count(t));
+}
+
 TEST(Settlement, OtherIncarnationAtEarlierAddressEndsNoRunAtNewAddress) {
   Begin();
   const std::string t = m_orders.starts[0].target;
