Repeat an unanswered start only right after a report

What callers saw: nothing yet. The repeat of an unanswered start was sent to its target up to half a second after its last report.

Fix: tasks bound to a target start there within 100 ms of its report, the time for which acknowledgements also rely on the incarnation. This narrows the window and does not close it.

--- a/libraries/scheduling/pool_decisions.cc
+++ b/libraries/scheduling/pool_decisions.cc
@@ -20,6 +20,9 @@
 // A lapsed owner starts tasks on targets that have reported within this time. A
 // target with runs reports as soon as one ends.
 constexpr auto kMaxLapsedReportAge = std::chrono::milliseconds(300);
+// A task is repeated on the target that it is bound to within this time of a
+// report, as a later incarnation may have executed the earlier start.
+constexpr auto kMaxBoundReportAge = std::chrono::milliseconds(100);
 constexpr auto kPlacementPeriod = std::chrono::milliseconds(50);
 // Occurrences start no earlier than this long after their due time on the
 // host's clock.
@@ -237,8 +240,12 @@
     request.avoided = {task.avoided_target};
     request.required = task.IsBound(now) ? task.bound_target : "";
     request.excluded = FindStoppingTargets(name);
-    const std::optional<size_t> candidate_index =
-        PlaceTask(request, candidates);
+    std::optional<size_t> candidate_index = PlaceTask(request, candidates);
+    if (candidate_index && task.IsBound(now) &&
+        now > m_targets.at(task.bound_target).m_last_report_received +
+                  kMaxBoundReportAge) {
+      candidate_index.reset();
+    }
     if (!candidate_index && task.IsBound(now)) {
       ++bound;
       continue;
--- a/libraries/scheduling/tests/incarnations/restart_test.cc
+++ b/libraries/scheduling/tests/incarnations/restart_test.cc
@@ -169,6 +169,19 @@
   }
 }
 
+TEST(Restart, UnansweredStartIsRepeatedOnlyRightAfterReport) {
+  AnswerStart(scheduling::OrderOutcome::kUnknown);
+  m_pool.SetCordoned(m_orders.starts[0].target, true);
+  AnswerReports(kFirstBornMs, {});
+  LONGS_EQUAL(0, Decide().starts.size());
+  m_pool.SetCordoned(m_orders.starts[0].target, false);
+  // Since that report, the target may have begun again and executed the start.
+  m_now += milliseconds(300);
+  LONGS_EQUAL(0, Decide().starts.size());
+  AnswerReports(kFirstBornMs, {});
+  LONGS_EQUAL(1, Decide().starts.size());
+}
+
 TEST(Restart, StopAcceptedByEarlierIncarnationSettlesNothing) {
   AnswerStart(scheduling::OrderOutcome::kUnknown);
   m_pool.CancelJob("job");
