Start a task refused as outdated only after a report

Cause: a target that refuses a run as outdated knows another run of the task, maybe one of an earlier start that a new incarnation executed. The task was released at once. If it was no longer bound to the target, it started elsewhere.

Evidence: TaskOfOutdatedStartWaitsForReportOfItsOtherRun failed on (one start, expected none).

Fix: the run counts as present until a report under a higher token, like one without an answer. The report lists the other run, which is then adopted.

--- a/libraries/scheduling/pool_decisions.cc
+++ b/libraries/scheduling/pool_decisions.cc
@@ -368,6 +368,15 @@
   }
   LogDecision("start-refused", order.task, order.run, order.target,
               ExplainRefusal(result.outcome));
+  // Another run of the task may be present; the next report lists it.
+  if (result.outcome == OrderOutcome::kOutdated) {
+    if (run.state == RunState::kStarting) {
+      run.state = RunState::kUncertain;
+      run.last_state_change = now;
+      ShutOutStart(*target, order.task);
+    }
+    return;
+  }
   DropRun(*target, order.task);
   ActiveJob* job = FindJob(order.task.job);
   switch (result.outcome) {
--- a/libraries/scheduling/tests/incarnations/restart_test.cc
+++ b/libraries/scheduling/tests/incarnations/restart_test.cc
@@ -182,6 +182,28 @@
   LONGS_EQUAL(1, Decide().starts.size());
 }
 
+TEST(Restart, TaskOfOutdatedStartWaitsForReportOfItsOtherRun) {
+  const std::vector<scheduling::ReportedRun> earlier{GetStartedRun()};
+  const auto sent = m_now;
+  AnswerStart(scheduling::OrderOutcome::kUnknown);
+  AnswerReports(kFirstBornMs, {});
+  m_pool.SetCordoned(m_orders.starts[0].target, true);
+  while (m_now < sent + scheduling::kMaxOrderDelay - milliseconds(150)) {
+    LONGS_EQUAL(0, Decide().starts.size());
+    AnswerReports(kFirstBornMs, {});
+  }
+  m_pool.SetCordoned(m_orders.starts[0].target, false);
+  m_orders = Decide();
+  LONGS_EQUAL(1, m_orders.starts.size());
+  // The next incarnation has executed the first start.
+  m_now += milliseconds(150);
+  AnswerStart(scheduling::OrderOutcome::kOutdated);
+  for (int i = 0; i < 5; ++i) {
+    LONGS_EQUAL(0, Decide().starts.size());
+    AnswerReports(kSecondBornMs, earlier);
+  }
+}
+
 TEST(Restart, StopAcceptedByEarlierIncarnationSettlesNothing) {
   AnswerStart(scheduling::OrderOutcome::kUnknown);
   m_pool.CancelJob("job");
