Place bound tasks of a step first

What callers saw: nothing yet; a gang can wait up to 15 s although it fits.

Cause: members were placed by index. A member that may start anywhere took the room on the target to which a later one is bound, in each pass alike.

Evidence: GangWaitsForNoRoomThatItsOwnUnboundMemberTakes failed on (no start, expected two).

Fix: tasks that are bound to a target are placed before the others.

--- a/libraries/scheduling/pool_decisions.cc
+++ b/libraries/scheduling/pool_decisions.cc
@@ -230,6 +230,10 @@
   if (step.gang && waiting.size() < tasks.size()) {
     return true;
   }
+  // Bound tasks first, as the others may be able to start elsewhere.
+  std::stable_partition(waiting.begin(), waiting.end(), [&tasks, now](int i) {
+    return tasks[static_cast<size_t>(i)].IsBound(now);
+  });
   const Resources demand = GetReservedResources(step.demand, step.best_effort);
   std::vector<std::pair<int, size_t>> placements;
   // Tasks that have to wait for the target that they are bound to.
--- a/libraries/scheduling/tests/incarnations/restart_test.cc
+++ b/libraries/scheduling/tests/incarnations/restart_test.cc
@@ -204,6 +204,33 @@
   }
 }
 
+TEST(Restart, GangWaitsForNoRoomThatItsOwnUnboundMemberTakes) {
+  AnswerStart(scheduling::OrderOutcome::kAccepted);
+  AnswerReports(kFirstBornMs, {GetStartedRun()});
+  scheduling::JobSpec gang;
+  gang.id = "gang";
+  gang.steps.resize(1);
+  gang.steps[0].count = 2;
+  gang.steps[0].gang = true;
+  gang.steps[0].demand = {20'000, 1'000, 0};
+  gang.steps[0].estimate_ms = 1'000;
+  gang.steps[0].data_rack = "rack";
+  m_pool.AddJob(gang, MakeInitialProgress(gang), false);
+  const auto starts = Decide().starts;
+  LONGS_EQUAL(2, starts.size());
+  m_pool.OnStartResult(starts[0], {scheduling::OrderOutcome::kNoTicket, {}},
+                       m_now);
+  m_pool.OnStartResult(starts[1], {scheduling::OrderOutcome::kUnknown, {}},
+                       m_now);
+  AnswerReports(kFirstBornMs, {GetStartedRun()});
+  auto preferred = MakeTarget(starts[1].target, kFirstBornMs);
+  preferred.labels = {"", "rack"};
+  m_pool.UpdateTarget(preferred, m_now);
+  m_now += milliseconds(1'000);
+  AnswerReports(kFirstBornMs, {GetStartedRun()});
+  LONGS_EQUAL(2, Decide().starts.size());
+}
+
 TEST(Restart, StopAcceptedByEarlierIncarnationSettlesNothing) {
   AnswerStart(scheduling::OrderOutcome::kUnknown);
   m_pool.CancelJob("job");
