--- a/libraries/scheduling/pool_decisions.cc
+++ b/libraries/scheduling/pool_decisions.cc
@@ -20,6 +20,9 @@
 // A lapsed owner starts tasks on targets that have reported within this time. A
 // target with runs reports as soon as one ends.
 constexpr auto kMaxLapsedReportAge = std::chrono::milliseconds(300);
+// A task is repeated on the target that it is bound to within this time of a
+// report, as a later incarnation may have executed the earlier start.
+constexpr auto kMaxBoundReportAge = std::chrono::milliseconds(100);
 constexpr auto kPlacementPeriod = std::chrono::milliseconds(50);
 // Occurrences start no earlier than this long after their due time on the
 // host's clock.
@@ -227,6 +230,10 @@
   if (step.gang && waiting.size() < tasks.size()) {
     return true;
   }
+  // Bound tasks first, as the others may be able to start elsewhere.
+  std::stable_partition(waiting.begin(), waiting.end(), [&tasks, now](int i) {
+    return tasks[static_cast<size_t>(i)].IsBound(now);
+  });
   const Resources demand = GetReservedResources(step.demand, step.best_effort);
   std::vector<std::pair<int, size_t>> placements;
   // Tasks that have to wait for the target that they are bound to.
@@ -237,8 +244,12 @@
     request.avoided = {task.avoided_target};
     request.required = task.IsBound(now) ? task.bound_target : "";
     request.excluded = FindStoppingTargets(name);
-    const std::optional<size_t> candidate_index =
-        PlaceTask(request, candidates);
+    std::optional<size_t> candidate_index = PlaceTask(request, candidates);
+    if (candidate_index && task.IsBound(now) &&
+        now > m_targets.at(task.bound_target).m_last_report_received +
+                  kMaxBoundReportAge) {
+      candidate_index.reset();
+    }
     if (!candidate_index && task.IsBound(now)) {
       ++bound;
       continue;
@@ -294,6 +305,7 @@
   job.AssignRun(task, target.m_entry.id, run);
   Run entry = MakeRun(run, &step, now);
   entry.fence = target.m_fence;
+  entry.completion_held_until = task.bound_until;
   entry.checkpoint = task.progress.checkpoint;
   entry.is_resumed = !task.progress.checkpoint.empty();
   target.GetRuns()[name] = entry;
@@ -360,6 +372,15 @@
   }
   LogDecision("start-refused", order.task, order.run, order.target,
               ExplainRefusal(result.outcome));
+  // Another run of the task may be present; the next report lists it.
+  if (result.outcome == OrderOutcome::kOutdated) {
+    if (run.state == RunState::kStarting) {
+      run.state = RunState::kUncertain;
+      run.last_state_change = now;
+      ShutOutStart(*target, order.task);
+    }
+    return;
+  }
   DropRun(*target, order.task);
   ActiveJob* job = FindJob(order.task.job);
   switch (result.outcome) {
--- a/libraries/scheduling/pool_reports.cc
+++ b/libraries/scheduling/pool_reports.cc
@@ -84,11 +84,16 @@
   if (!target.m_has_accepted_token) {
     return true;
   }
+  if (target.m_processed_completion > target.m_acknowledged_completion) {
+    return now >= target.m_last_report_attempt + kMaxCommitWait;
+  }
+  if (target.m_has_unsent_acknowledgement) {
+    return true;
+  }
   if (target.m_processed_completion > target.GetAcknowledgement()) {
     return now >= target.m_last_report_attempt + kMaxCommitWait;
   }
-  return !target.GetRuns().empty() || target.m_has_unsent_acknowledgement ||
-         now < target.m_watched_until ||
+  return !target.GetRuns().empty() || now < target.m_watched_until ||
          now >= target.m_last_report_received + kMaxClockAge;
 }
 
@@ -122,7 +127,7 @@
       order.lease_until_ms = GrantLease(target, now);
     }
     target.m_has_unsent_acknowledgement =
-        order.last_acknowledged_completion < target.m_acknowledged_completion;
+        order.last_acknowledged_completion < target.GetAcknowledgement();
     m_reports_in_flight.insert(id);
     orders.push_back(std::move(order));
   }
@@ -217,6 +222,13 @@
     ApplyRunning(*target, reported, now);
   }
   ResolveUnlistedRuns(*target, report, order.fence, sent);
+  // A later incarnation may have executed an earlier start of a task than the
+  // one that has just been resolved.
+  for (const ReportedRun& reported : report.running) {
+    if (target->GetRuns().count(reported.task) == 0) {
+      AdoptRun(*target, reported, now);
+    }
+  }
 }
 
 void PoolScheduler::ApplyCompletions(TargetLedger& target,
@@ -239,8 +251,10 @@
 void PoolScheduler::ApplyCompletion(TargetLedger& target,
                                     const ReportedCompletion& completion,
                                     base::TimePoint now) {
+  base::TimePoint held_until;
   const auto run = target.GetRuns().find(completion.task);
   if (run != target.GetRuns().end() && run->second.number == completion.run) {
+    held_until = run->second.completion_held_until;
     const ActiveJob* ended = FindJob(completion.task.job);
     if (ended != nullptr && completion.how == RunOutcome::kDone) {
       RecordRunTime(*ended, completion.task.step, run->second, now);
@@ -262,8 +276,11 @@
   }
   ActiveJob* job = FindJob(completion.task.job);
   ActiveTask* task = FindTask(completion.task);
-  if (task != nullptr && task->IsBound(now)) {
-    target.HoldAcknowledgement(completion.number, task->bound_until);
+  if (task != nullptr) {
+    held_until = std::max(held_until, task->bound_until);
+  }
+  if (held_until > now) {
+    target.HoldAcknowledgement(completion.number, held_until);
   }
   if (job == nullptr || task == nullptr || IsTerminal(job->m_state)) {
     return;
@@ -365,6 +382,7 @@
     is_wanted = !IsTerminal(job->m_state) && !task->progress.done &&
                 (task->target.empty() || task->target == target.m_entry.id);
     task->last_run = std::max(task->last_run, reported.run);
+    run.completion_held_until = task->bound_until;
   }
   target.GetRuns()[reported.task] = run;
   if (!is_wanted) {
--- a/libraries/scheduling/tests/incarnations/restart_test.cc
+++ b/libraries/scheduling/tests/incarnations/restart_test.cc
@@ -153,6 +153,84 @@
   LONGS_EQUAL(1, Decide().starts.size());
 }
 
+TEST(Restart, EarlierRunListedInsteadOfUnlistedOneIsNotStartedBesideIt) {
+  const std::vector<scheduling::ReportedRun> earlier{GetStartedRun()};
+  AnswerStart(scheduling::OrderOutcome::kUnknown);
+  AnswerReports(kFirstBornMs, {});
+  m_orders = Decide();
+  LONGS_EQUAL(1, m_orders.starts.size());
+  AnswerStart(scheduling::OrderOutcome::kAccepted);
+  // The next incarnation has executed the first start only.
+  for (int i = 0; i < 5; ++i) {
+    AnswerReports(kSecondBornMs, earlier);
+    m_pool.UpdateTarget(MakeTarget(m_orders.starts[0].target, kSecondBornMs),
+                        m_now);
+    LONGS_EQUAL(0, Decide().starts.size());
+  }
+}
+
+TEST(Restart, UnansweredStartIsRepeatedOnlyRightAfterReport) {
+  AnswerStart(scheduling::OrderOutcome::kUnknown);
+  m_pool.SetCordoned(m_orders.starts[0].target, true);
+  AnswerReports(kFirstBornMs, {});
+  LONGS_EQUAL(0, Decide().starts.size());
+  m_pool.SetCordoned(m_orders.starts[0].target, false);
+  // Since that report, the target may have begun again and executed the start.
+  m_now += milliseconds(300);
+  LONGS_EQUAL(0, Decide().starts.size());
+  AnswerReports(kFirstBornMs, {});
+  LONGS_EQUAL(1, Decide().starts.size());
+}
+
+TEST(Restart, TaskOfOutdatedStartWaitsForReportOfItsOtherRun) {
+  const std::vector<scheduling::ReportedRun> earlier{GetStartedRun()};
+  const auto sent = m_now;
+  AnswerStart(scheduling::OrderOutcome::kUnknown);
+  AnswerReports(kFirstBornMs, {});
+  m_pool.SetCordoned(m_orders.starts[0].target, true);
+  while (m_now < sent + scheduling::kMaxOrderDelay - milliseconds(150)) {
+    LONGS_EQUAL(0, Decide().starts.size());
+    AnswerReports(kFirstBornMs, {});
+  }
+  m_pool.SetCordoned(m_orders.starts[0].target, false);
+  m_orders = Decide();
+  LONGS_EQUAL(1, m_orders.starts.size());
+  // The next incarnation has executed the first start.
+  m_now += milliseconds(150);
+  AnswerStart(scheduling::OrderOutcome::kOutdated);
+  for (int i = 0; i < 5; ++i) {
+    LONGS_EQUAL(0, Decide().starts.size());
+    AnswerReports(kSecondBornMs, earlier);
+  }
+}
+
+TEST(Restart, GangWaitsForNoRoomThatItsOwnUnboundMemberTakes) {
+  AnswerStart(scheduling::OrderOutcome::kAccepted);
+  AnswerReports(kFirstBornMs, {GetStartedRun()});
+  scheduling::JobSpec gang;
+  gang.id = "gang";
+  gang.steps.resize(1);
+  gang.steps[0].count = 2;
+  gang.steps[0].gang = true;
+  gang.steps[0].demand = {20'000, 1'000, 0};
+  gang.steps[0].estimate_ms = 1'000;
+  gang.steps[0].data_rack = "rack";
+  m_pool.AddJob(gang, MakeInitialProgress(gang), false);
+  const auto starts = Decide().starts;
+  LONGS_EQUAL(2, starts.size());
+  m_pool.OnStartResult(starts[0], {scheduling::OrderOutcome::kNoTicket, {}},
+                       m_now);
+  m_pool.OnStartResult(starts[1], {scheduling::OrderOutcome::kUnknown, {}},
+                       m_now);
+  AnswerReports(kFirstBornMs, {GetStartedRun()});
+  auto preferred = MakeTarget(starts[1].target, kFirstBornMs);
+  preferred.labels = {"", "rack"};
+  m_pool.UpdateTarget(preferred, m_now);
+  m_now += milliseconds(1'000);
+  AnswerReports(kFirstBornMs, {GetStartedRun()});
+  LONGS_EQUAL(2, Decide().starts.size());
+}
+
 TEST(Restart, StopAcceptedByEarlierIncarnationSettlesNothing) {
   AnswerStart(scheduling::OrderOutcome::kUnknown);
   m_pool.CancelJob("job");
--- a/libraries/scheduling/tests/incarnations/settlement_test.cc
+++ b/libraries/scheduling/tests/incarnations/settlement_test.cc
@@ -1,5 +1,6 @@
 #include <CppUTest/TestHarness.h>
 
+#include <algorithm>
 #include <memory>
 #include <string>
 
@@ -238,6 +239,96 @@
   CHECK_TRUE(m_now >= sent + scheduling::kMaxOrderDelay);
 }
 
+TEST(Settlement, CompletionBeforeHeldOneIsAcknowledged) {
+  Begin();
+  const std::string t = m_orders.starts[0].target;
+  AnswerStart(OrderOutcome::kUnknown);
+  AnswerReports(kBorn1, {});
+  m_orders = Decide();
+  LONGS_EQUAL(1, m_orders.starts.size());
+  AnswerStart(OrderOutcome::kAccepted);
+  const auto ended = m_now;
+  int64_t acknowledged = 0;
+  while (acknowledged == 0 && m_now < ended + milliseconds(2'000)) {
+    m_now += milliseconds(10);
+    for (const auto& order : m_pool->CreateReportOrders(m_now)) {
+      auto report = MakeReport(order.target, kBorn1, {});
+      if (order.target == t) {
+        acknowledged =
+            std::max(acknowledged, order.last_acknowledged_completion);
+        report.ended = {
+            {1, {"gone", 0, 0, 0}, 1, scheduling::RunOutcome::kDone, ""},
+            {2, m_orders.starts[0].task, 2, scheduling::RunOutcome::kDone, ""}};
+      }
+      m_pool->OnReport(order, m_now, m_now, report);
+    }
+    m_pool->OnCommitted(m_pool->DequeueChanges(10));
+  }
+  LONGS_EQUAL(1, acknowledged);
+}
+
+TEST(Settlement, CompletionOfEndedJobIsHeldWhileEarlierStartCanRunTaskAgain) {
+  Begin();
+  const std::string t = m_orders.starts[0].target;
+  const auto sent = m_now;
+  AnswerStart(OrderOutcome::kUnknown);
+  AnswerReports(kBorn1, {});
+  m_orders = Decide();
+  LONGS_EQUAL(1, m_orders.starts.size());
+  AnswerStart(OrderOutcome::kAccepted);
+  AnswerReports(kBorn1, {GetStartedRun()});
+  // The run is done before the stop reaches it.
+  m_pool->CancelJob("job");
+  while (m_now < sent + scheduling::kMaxOrderDelay - milliseconds(200)) {
+    m_now += milliseconds(60);
+    for (const auto& order : m_pool->CreateReportOrders(m_now)) {
+      auto report = MakeReport(order.target, kBorn1, {});
+      if (order.target == t) {
+        LONGS_EQUAL(0, order.last_acknowledged_completion);
+        report.ended.push_back(
+            {1, m_orders.starts[0].task, 2, scheduling::RunOutcome::kDone, ""});
+      }
+      m_pool->OnReport(order, m_now, m_now, report);
+    }
+    m_pool->OnCommitted(m_pool->DequeueChanges(10));
+  }
+}
+
+TEST(Settlement, TargetWithHeldAcknowledgementsIsNotForgotten) {
+  Begin();
+  const std::string t = m_orders.starts[0].target;
+  const auto sent = m_now;
+  AnswerStart(OrderOutcome::kUnknown);
+  AnswerReports(kBorn1, {});
+  m_orders = Decide();
+  LONGS_EQUAL(1, m_orders.starts.size());
+  AnswerStart(OrderOutcome::kAccepted);
+  for (const auto& order : m_pool->CreateReportOrders(m_now)) {
+    auto report = MakeReport(order.target, kBorn1, {});
+    if (order.target == t) {
+      report.ended.push_back(
+          {1, m_orders.starts[0].task, 2, scheduling::RunOutcome::kDone, ""});
+    }
+    m_pool->OnReport(order, m_now, m_now, report);
+  }
+  m_pool->OnCommitted(m_pool->DequeueChanges(10));
+  m_pool->RemoveTarget(t, m_now);
+  while (m_now < sent + scheduling::kMaxOrderDelay - milliseconds(200)) {
+    Decide();
+    for (const auto& order : m_pool->CreateReportOrders(m_now)) {
+      m_pool->OnReportFailed(order, OrderOutcome::kUnknown, m_now);
+    }
+    LONGS_EQUAL(1, m_pool->GetTargets().count(t));
+  }
+  while (m_now < sent + 2 * scheduling::kMaxOrderDelay) {
+    Decide();
+    for (const auto& order : m_pool->CreateReportOrders(m_now)) {
+      m_pool->OnReportFailed(order, OrderOutcome::kUnknown, m_now);
+    }
+  }
+  LONGS_EQUAL(0, m_pool->GetTargets().count(t));
+}
+
 TEST(Settlement, OtherIncarnationAtEarlierAddressEndsNoRunAtNewAddress) {
   Begin();
   const std::string t = m_orders.starts[0].target;
