Count a lease on an earlier incarnation's clock beyond the first report

Cause: a target restarted and took the lease of an order that was sent for its earlier clock, so it lasted for the maximum (10 s). The ledger counts such a lease only while a run is unlisted. The report listed the runs, and with them the long bound went.

Fix: the lease is the target's, not the run's. Each report until the token has shut earlier orders out extends the target's bound by the maximum.

Targets that begin under a new id are not affected.

--- a/libraries/scheduling/pool_reports.cc
+++ b/libraries/scheduling/pool_reports.cc
@@ -202,6 +202,13 @@
                 "shown by a report from a new incarnation");
     RestartIncarnation(*target);
   }
+  // Until it is shut out, an order that was sent before may grant a lease on
+  // the earlier incarnation's clock. Such a lease lasts for the maximum.
+  const bool may_have_earlier_lease =
+      target->m_has_answered_owner && !target->m_has_accepted_token;
+  if (may_have_earlier_lease) {
+    target->ExtendLeaseBound(GetLeaseBound(m_options.max_lease, now));
+  }
   if (!target->m_is_responsive || !target->m_has_accepted_token) {
     m_may_start_more = true;
   }
--- a/libraries/scheduling/tests/incarnations/settlement_test.cc
+++ b/libraries/scheduling/tests/incarnations/settlement_test.cc
@@ -136,6 +136,19 @@
   }
 }
 
+TEST(Settlement, LeaseGrantedForEarlierIncarnationsClockOutlastsFirstReport) {
+  Begin();
+  AnswerStart(OrderOutcome::kAccepted);
+  // Incarnation 2 has taken the lease of an order that was sent before.
+  AnswerReports(kBorn2, {GetStartedRun()});
+  AnswerReports(kBorn2, {GetStartedRun()});
+  const auto listed = m_now;
+  while (m_now < listed + milliseconds(9'500)) {
+    FailReportsOfStartedTarget();
+    LONGS_EQUAL(0, Decide().starts.size());
+  }
+}
+
 TEST(Settlement, AcceptedStartThatOvertakesEarlierReportWithHigherTokenIsKept) {
   Begin();
   const std::string t = m_orders.starts[0].target;
