Log it when a target that counted as ended reports again

An owner that drops all runs of a target draws one of several conclusions: another process answered at its address, its host was moved or maintained, host lists lack it, a report came from a later incarnation, or its lease ran out. If two runs of one task follow, the logs have not said which conclusion was wrong, or that one was.

The owner now remembers its last conclusions, one a target and 1,024 at most, with the incarnation and the runs that they concern. A report of that incarnation which was ordered afterwards logs event 522 with the reason and counts shallotwick_wrong_target_ends_total. The expiry of a lease ends the runs and not the target, so only a run that is still listed contradicts it. If the start of the incarnation was not known, every later report counts, and ended_incarnation is 0.

--- a/libraries/scheduling/pool_reports.cc
+++ b/libraries/scheduling/pool_reports.cc
@@ -194,6 +194,10 @@
   if (target == nullptr) {
     return;
   }
+  const auto wrong = m_ended_targets.TakeContradicted(order, sent, report);
+  if (wrong && m_on_wrong_target_end) {
+    m_on_wrong_target_end(*wrong);
+  }
   const bool is_restarted =
       target->m_reported_born_ms != 0 && report.incarnation_started_ms != 0 &&
       report.incarnation_started_ms != target->m_reported_born_ms;
--- a/libraries/scheduling/pool_scheduler.cc
+++ b/libraries/scheduling/pool_scheduler.cc
@@ -114,10 +114,13 @@
   if (target == nullptr) {
     return;
   }
+  TargetEnd end = MakeTargetEnd(*target, reason);
   DropLostRuns(*target, reason);
   ResetIncarnation(*target);
   target->CopyLeaseBounds(TargetLedger(target->m_entry));
   RequireNewReport(*target);
+  end.since_fence = target->m_fence;
+  m_ended_targets.Add(std::move(end));
   if (!target->m_is_registered) {
     EraseTarget(id);
   }
@@ -170,6 +173,8 @@
 }
 
 void PoolScheduler::RestartIncarnation(TargetLedger& target) {
+  constexpr char kReason[] = "a report is from a new incarnation";
+  TargetEnd end = MakeTargetEnd(target, kReason);
   std::vector<TaskName> lost;
   std::map<TaskName, Run> unresolved;
   for (const auto& [name, run] : target.GetRuns()) {
@@ -184,12 +189,14 @@
   }
   for (const TaskName& name : lost) {
     LogDecision("run-lost", name, target.GetRuns()[name].number,
-                target.m_entry.id, "a report is from a new incarnation");
+                target.m_entry.id, kReason);
     DropRun(target, name);
   }
   ResetIncarnation(target);
   target.GetRuns() = std::move(unresolved);
   RequireNewReport(target);
+  end.since_fence = target.m_fence;
+  m_ended_targets.Add(std::move(end));
   for (const auto& [name, run] : target.GetRuns()) {
     ShutOutStart(target, name);
   }
@@ -259,7 +266,12 @@
       continue;
     }
     if (!target.GetRuns().empty()) {
-      DropLostRuns(target, "the lease has expired");
+      constexpr char kReason[] = "the lease has expired";
+      TargetEnd end = MakeTargetEnd(target, kReason);
+      end.is_incarnation_ended = false;
+      end.since = now;
+      m_ended_targets.Add(std::move(end));
+      DropLostRuns(target, kReason);
     }
     if (!target.m_is_registered && m_reports_in_flight.count(id) == 0) {
       expired.push_back(id);
--- a/libraries/scheduling/pool_scheduler.h
+++ b/libraries/scheduling/pool_scheduler.h
@@ -12,6 +12,7 @@
 #include "hosts/capacity_demand.h"
 #include "scheduling/active_job.h"
 #include "scheduling/change_queue.h"
+#include "scheduling/ended_targets.h"
 #include "scheduling/placement.h"
 #include "scheduling/target_ledger.h"
 #include "scheduling/target_messages.h"
@@ -80,6 +81,9 @@
 
   // Called for each scheduling decision; used for logging.
   std::function<void(const SchedulingDecision&)> m_on_decision;
+  // Called for a report of a target that was counted as ended; used for
+  // logging.
+  std::function<void(const WrongTargetEnd&)> m_on_wrong_target_end;
 
   void SetRoutes(std::map<std::string, RoutePolicy> routes);
 
@@ -282,6 +286,7 @@
   // The targets with a report in flight.
   std::set<std::string> m_reports_in_flight;
   std::set<std::pair<std::string, TaskName>> m_runs_to_stop;
+  EndedTargets m_ended_targets;
   ChangeQueue m_changes;
   uint64_t m_last_generation = 0;
   // The token of targets that are not known yet. At least as high as that of
--- a/services/shallotwick-scheduler/pool_runner.cc
+++ b/services/shallotwick-scheduler/pool_runner.cc
@@ -88,6 +88,10 @@
       m_took_over_at(base::RuntimeClock::now()) {
   m_scheduler.m_on_decision =
       [this](const scheduling::SchedulingDecision& note) { LogDecision(note); };
+  m_scheduler.m_on_wrong_target_end =
+      [this](const scheduling::WrongTargetEnd& wrong) {
+        LogWrongTargetEnd(wrong);
+      };
   m_jobs.m_on_reset = [this](const std::vector<storage::VersionedRow>& rows) {
     OnJobsReset(rows);
   };
@@ -492,6 +496,23 @@
       .Increment();
 }
 
+void PoolRunner::LogWrongTargetEnd(const scheduling::WrongTargetEnd& wrong) {
+  base::Log(
+      base::events::kTargetAlive,
+      {{"pool", m_options.service},
+       {"target", wrong.end.target},
+       {"incarnation", std::to_string(wrong.incarnation_started_ms)},
+       {"ended_incarnation", std::to_string(wrong.end.incarnation_started_ms)},
+       {"reason", wrong.end.reason},
+       {"lost", std::to_string(wrong.end.lost_runs.size())},
+       {"present", std::to_string(wrong.present_runs)},
+       {"fence", std::to_string(m_options.owner_version)}});
+  m_metrics
+      .GetCounter("shallotwick_wrong_target_ends_total",
+                  {{"reason", wrong.end.reason}})
+      .Increment();
+}
+
 void PoolRunner::LogDecision(const scheduling::SchedulingDecision& note) const {
   base::Log(base::events::kTaskDecision,
             {{"pool", m_options.service},
--- a/services/shallotwick-scheduler/pool_runner.h
+++ b/services/shallotwick-scheduler/pool_runner.h
@@ -133,6 +133,7 @@
   void AbandonPool(const char* reason);
   void CountOutcome(const char* order, scheduling::OrderOutcome outcome);
   void LogDecision(const scheduling::SchedulingDecision& note) const;
+  void LogWrongTargetEnd(const scheduling::WrongTargetEnd& wrong);
 
   base::EventLoop& m_loop;
   storage::RowStore& m_store;
