End a target by another process's answer only where it has answered itself

Callers could see two runs of one task. An owner that got a 421 at the address that the registry named dropped all runs of the target and started their tasks elsewhere. An entry of another writer, a stale entry or the roster of a former owner may name an address at which the target does not listen. Whatever answers there says nothing of the target, which works on.

The owner now remembers at which address the current incarnation has answered one of its report orders, and a 421 ends the target only there. Elsewhere it is a failed order, and the target's host in two host lists or the end of its lease ends the wait. After a takeover no target has answered yet, so the address of the roster alone proves nothing.

--- a/libraries/scheduling/pool_decisions.cc
+++ b/libraries/scheduling/pool_decisions.cc
@@ -48,7 +48,7 @@
     case OrderOutcome::kFenced:
       return "overtaken by a higher fencing token";
     case OrderOutcome::kOtherIncarnation:
-      return "sent to a former address";
+      return "another process is at the address";
     default:
       return "invalid";
   }
--- a/libraries/scheduling/pool_reports.cc
+++ b/libraries/scheduling/pool_reports.cc
@@ -217,6 +217,7 @@
     m_may_start_more = true;
   }
   target->m_reported_born_ms = report.incarnation_started_ms;
+  target->m_answered_address = order.address;
   target->m_is_responsive = true;
   target->m_missed_reports = 0;
   target->m_has_answered_owner = true;
--- a/libraries/scheduling/pool_scheduler.cc
+++ b/libraries/scheduling/pool_scheduler.cc
@@ -233,7 +233,8 @@
                                   const std::string& address, uint64_t fence,
                                   const char* reason) {
   const TargetLedger* target = FindTarget(id);
-  if (target == nullptr || target->m_entry.address != address ||
+  if (target == nullptr || address.empty() ||
+      target->m_answered_address != address ||
       fence < target->m_required_fence) {
     return false;
   }
--- a/libraries/scheduling/pool_scheduler.h
+++ b/libraries/scheduling/pool_scheduler.h
@@ -213,9 +213,9 @@
   // Makes sure that a start without a response is executed no more.
   void ShutOutStart(TargetLedger& target, const TaskName& name);
   void EraseTarget(const std::string& id);
-  // Handles the answer of another incarnation to an order. Returns whether the
-  // target has ended. If it is now at another address or may have restarted
-  // since the order was sent, the answer says nothing of it.
+  // Handles the answer of another process to an order. Returns whether the
+  // target has ended. The answer says nothing of a target that has not answered
+  // at this address itself or may have restarted since the order was sent.
   bool EndIfReplaced(const std::string& id, const std::string& address,
                      uint64_t fence, const char* reason);
   // Handles the refusal of an order because of its token: by another owner's
--- a/libraries/scheduling/target_ledger.h
+++ b/libraries/scheduling/target_ledger.h
@@ -122,6 +122,9 @@
   // An operation that ends all runs on the target may be in progress.
   bool m_is_leaving = false;
   int64_t m_reported_born_ms = 0;
+  // The address at which the current incarnation has last answered this owner;
+  // empty if it has not.
+  std::string m_answered_address;
   // Distinguishes incarnations of targets, including those with the same id.
   uint64_t m_generation = 0;
   int64_t m_processed_completion = 0;
