Let a host list show whether an accepted move has ended a target

The platform answers 200 to a move that is already done, too. The owner took each 200 for the end of the target that it had planned to move, and dropped the runs of a target that had not been touched. Maintenance waits for a newer host list instead.

Both now use AcceptedOperations, which keeps the host as it was listed when the operation was requested, and resolves it by a newer list that names the host: a host that is up with the same target is unchanged, any other host's target has ended. Until then the target stays cordoned; a host whose transfer is on its way was released by the next pass before.

--- a/services/shallotwick-scheduler/capacity_broker.cc
+++ b/services/shallotwick-scheduler/capacity_broker.cc
@@ -77,6 +77,10 @@
   if (!m_ledger.IsLoaded() || m_standby_pools.empty()) {
     return;
   }
+  m_accepted_operations.Resolve(
+      m_ledger, [this](const hosts::FleetHost& host, bool has_target_ended) {
+        OnTransferResolved(host, has_target_ended);
+      });
   m_pending_transfers = ReadPendingTransfers();
   Pools pools = ReadPools();
   TrackDemands(pools, now);
@@ -276,7 +280,9 @@
   }
   std::set<std::string>& previous = m_cordoned_for_transfer[pool];
   for (const std::string& name : previous) {
-    if (to_cordon.count(name) == 0 && !m_is_reserved(name)) {
+    const bool is_leaving =
+        m_is_reserved(name) || m_pending_transfers.count(name) > 0;
+    if (to_cordon.count(name) == 0 && !is_leaving) {
       SetCordoned(pool, {name}, false);
     }
   }
@@ -413,12 +419,12 @@
     transfers.erase(std::prev(transfers.end()));
   }
   HostOperationRequest request;
-  std::map<std::string, std::string> targets;
+  std::map<std::string, hosts::FleetHost> listed;
   hosts::HostTransfers record = m_transfers[pool];
   for (const auto& [name, transfer] : transfers) {
     SetCordoned(transfer.from, {name}, true);
     request.hosts.push_back(name);
-    targets[name] = m_ledger.GetHosts().at(name).target;
+    listed[name] = m_ledger.GetHosts().at(name);
     m_transfer_ended_at.erase(name);
     record[name] = transfer;
   }
@@ -430,12 +436,12 @@
                         hosts::HostOperations::OnOutcome on_done) {
     m_operations.Move(host, transfers.at(host).to, fence, std::move(on_done));
   };
-  request.on_done = m_lifetime.Guard([this, pool, transfers, targets](
-                                         const std::string& host,
-                                         hosts::HostOperationOutcome outcome) {
-    m_writing_transfers.erase(pool);
-    OnTransferred(pool, host, transfers.at(host), targets.at(host), outcome);
-  });
+  request.on_done = m_lifetime.Guard(
+      [this, pool, listed](const std::string& host,
+                           hosts::HostOperationOutcome outcome) {
+        m_writing_transfers.erase(pool);
+        OnTransferred(pool, listed.at(host), outcome);
+      });
   request.on_refused = m_lifetime.Guard([this, pool, transfers] {
     m_writing_transfers.erase(pool);
     for (const auto& [name, transfer] : transfers) {
@@ -483,22 +489,32 @@
 }
 
 void CapacityBroker::OnTransferred(const std::string& pool,
-                                   const std::string& host,
-                                   const hosts::HostTransfer& transfer,
-                                   const std::string& target,
+                                   const hosts::FleetHost& host,
                                    hosts::HostOperationOutcome outcome) {
   if (outcome != hosts::HostOperationOutcome::kDone) {
-    m_transfers[pool].erase(host);
-    SetCordoned(transfer.from, {host}, false);
+    m_transfers[pool].erase(host.name);
+    SetCordoned(host.pool, {host.name}, false);
     return;
   }
-  m_transfer_ended_at[host] = base::RuntimeClock::now();
+  const auto now = base::RuntimeClock::now();
+  m_transfer_ended_at[host.name] = now;
+  m_accepted_operations.Add(host, now);
+}
+
+void CapacityBroker::OnTransferResolved(const hosts::FleetHost& host,
+                                        bool has_target_ended) {
   const auto pools = m_get_pools();
-  const auto runner = pools.find(transfer.from);
-  if (runner != pools.end()) {
-    runner->second->GetScheduler().OnTargetEnded(target, "its host is moved");
-    runner->second->Wake();
+  const auto found = pools.find(host.pool);
+  if (found == pools.end()) {
+    return;
+  }
+  PoolRunner& runner = *found->second;
+  if (has_target_ended) {
+    runner.GetScheduler().OnTargetEnded(host.target, "its host is moved");
+  } else if (!m_is_reserved(host.name)) {
+    runner.GetScheduler().SetCordoned(host.target, false);
   }
+  runner.Wake();
 }
 
 }  // namespace shallotwick::scheduler
--- a/services/shallotwick-scheduler/capacity_broker.h
+++ b/services/shallotwick-scheduler/capacity_broker.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "accepted_operations.h"
 #include "base/event_loop.h"
 #include "host_ledger.h"
 #include "hosts/capacity_plan.h"
@@ -100,10 +101,10 @@
   void RemoveVisibleTransfers(const std::string& pool, base::TimePoint now);
   void SetCordoned(const std::string& pool,
                    const std::vector<std::string>& names, bool cordoned);
-  void OnTransferred(const std::string& pool, const std::string& host,
-                     const hosts::HostTransfer& transfer,
-                     const std::string& target,
+  // `host`: as it was listed when the transfer was ordered.
+  void OnTransferred(const std::string& pool, const hosts::FleetHost& host,
                      hosts::HostOperationOutcome outcome);
+  void OnTransferResolved(const hosts::FleetHost& host, bool has_target_ended);
 
   hosts::HostOperations& m_operations;
   HostLedger& m_ledger;
@@ -128,6 +129,7 @@
   // Pools whose record is being written.
   std::set<std::string> m_writing_transfers;
   std::map<std::string, base::TimePoint> m_transfer_ended_at;
+  AcceptedOperations m_accepted_operations;
   // The transfers of all owners, as read at the begin of the last pass.
   hosts::HostTransfers m_pending_transfers;
   base::Lifetime m_lifetime;
--- a/services/shallotwick-scheduler/wave_coordinator.cc
+++ b/services/shallotwick-scheduler/wave_coordinator.cc
@@ -66,7 +66,10 @@
   if (!m_ledger.IsLoaded()) {
     return;
   }
-  ResolveAcceptedRequests();
+  m_accepted_operations.Resolve(
+      m_ledger, [this](const hosts::FleetHost& host, bool has_target_ended) {
+        OnMaintenanceResolved(host, has_target_ended);
+      });
   for (const auto& [number, wave] : m_waves) {
     const auto reported = m_reported_status.find(number);
     if (reported != m_reported_status.end() && reported->second) {
@@ -220,35 +223,21 @@
   return true;
 }
 
-// A newer host list shows whether a host whose maintenance was accepted went
-// down. If it did, its target and all of the target's runs have ended.
-void WaveCoordinator::ResolveAcceptedRequests() {
-  std::vector<std::string> resolved;
-  for (const auto& [name, accepted] : m_accepted_requests) {
-    if (m_ledger.GetListTime() <= accepted.accepted_at) {
-      continue;
-    }
-    const auto listed = m_ledger.GetHosts().find(name);
-    if (listed == m_ledger.GetHosts().end()) {
-      continue;
-    }
-    resolved.push_back(name);
-    const bool is_unchanged = listed->second.state == hosts::HostState::kUp &&
-                              listed->second.target == accepted.host.target;
-    PoolRunner* pool = m_find_pool(accepted.host.pool);
-    if (pool == nullptr) {
-      continue;
-    }
-    if (is_unchanged) {
-      ResumeScheduling(*pool, accepted.host.target);
-    } else {
-      pool->GetScheduler().OnTargetEnded(accepted.host.target,
-                                         "its host is down for maintenance");
-      pool->Wake();
-    }
+// The platform may have done the maintenance before the current target started,
+// which then keeps running: at the request of a previous holder, or at an
+// earlier one that was executed late, after its repetition had been rejected.
+void WaveCoordinator::OnMaintenanceResolved(const hosts::FleetHost& host,
+                                            bool has_target_ended) {
+  PoolRunner* pool = m_find_pool(host.pool);
+  if (pool == nullptr) {
+    return;
   }
-  for (const std::string& name : resolved) {
-    m_accepted_requests.erase(name);
+  if (has_target_ended) {
+    pool->GetScheduler().OnTargetEnded(host.target,
+                                       "its host is down for maintenance");
+    pool->Wake();
+  } else {
+    ResumeScheduling(*pool, host.target);
   }
 }
 
@@ -368,11 +357,7 @@
   if (outcome == hosts::HostOperationOutcome::kDone) {
     m_maintenance_started_at[host.name] = base::RuntimeClock::now();
     m_preparing.erase(host.name);
-    // The platform may have done the maintenance before the current target
-    // started, which then keeps running: at the request of a previous holder,
-    // or at an earlier one that was executed late, after its repetition had
-    // been rejected.
-    m_accepted_requests[host.name] = {host, base::RuntimeClock::now()};
+    m_accepted_operations.Add(host, base::RuntimeClock::now());
     return;
   }
   SetLeaving(host, false);
--- a/services/shallotwick-scheduler/wave_coordinator.h
+++ b/services/shallotwick-scheduler/wave_coordinator.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "accepted_operations.h"
 #include "base/event_loop.h"
 #include "host_ledger.h"
 #include "hosts/maintenance_wave.h"
@@ -61,7 +62,8 @@
                                   const storage::VersionedRow& row,
                                   const hosts::WaveRecord& record,
                                   base::TimePoint now);
-  void ResolveAcceptedRequests();
+  void OnMaintenanceResolved(const hosts::FleetHost& host,
+                             bool has_target_ended);
   void CordonNextHosts(const hosts::MaintenanceWave& wave,
                        const hosts::WaveRecord& record, int free_slots,
                        base::TimePoint now);
@@ -90,13 +92,7 @@
   std::map<std::string, base::TimePoint> m_preparing;
   // Hosts whose maintenance was started by this process, and when.
   std::map<std::string, base::TimePoint> m_maintenance_started_at;
-  // Hosts whose maintenance the platform has accepted, with their state at the
-  // time of the request, until a newer host list shows the effect.
-  struct AcceptedRequest {
-    hosts::FleetHost host;
-    base::TimePoint accepted_at;
-  };
-  std::map<std::string, AcceptedRequest> m_accepted_requests;
+  AcceptedOperations m_accepted_operations;
   std::map<std::string, base::TimePoint> m_missing_since;
   base::Lifetime m_lifetime;
 };
