Don't take a host that two host lists skip for one that has ended

A target that is cut off was counted as ended, and its tasks started elsewhere, once two host lists in a row lacked it. The lists are read page by page. Hosts that move meanwhile shift others past the page's end, so a list may lack a host on which nothing has changed.

A host that is listed without the target is shown by its own row; two such lists end the target as before, also while hosts move. A target that is absent together with its host ends by two lists only if these are settled: they name the same hosts, and each host once. A host that moves past the place to which the list has been read is named twice or not at all, and then the decision waits for the next list. After a takeover the first two lists still end a target that is gone, unless hosts move between pages at that time; then it is a list later, or the lease.

The existing tests of the host lists pass the same lists in the new type.

--- a/services/shallotwick-scheduler/host_ledger.cc
+++ b/services/shallotwick-scheduler/host_ledger.cc
@@ -1,5 +1,6 @@
 #include "host_ledger.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -97,6 +98,7 @@
   m_is_started = false;
   m_rows.Stop();
   m_hosts.clear();
+  m_names_hosts_once = false;
 }
 
 void HostLedger::OnRow(const storage::VersionedRow& row) {
@@ -157,11 +159,7 @@
       [this, requested_at](bool is_listed,
                            const std::vector<hosts::FleetHost>& listed) {
         if (is_listed && m_is_started) {
-          m_hosts.clear();
-          for (const hosts::FleetHost& host : listed) {
-            m_hosts[host.name] = host;
-          }
-          m_list_time = requested_at;
+          OnHostsListed(listed, requested_at);
           m_on_change();
         }
         m_loop.RunAfter(kHostListPeriod,
@@ -169,6 +167,35 @@
       }));
 }
 
+void HostLedger::OnHostsListed(const std::vector<hosts::FleetHost>& listed,
+                               base::TimePoint requested_at) {
+  std::map<std::string, hosts::FleetHost> hosts;
+  for (const hosts::FleetHost& host : listed) {
+    hosts[host.name] = host;
+  }
+  const bool names_hosts_once = hosts.size() == listed.size();
+  const bool has_same_hosts =
+      std::equal(hosts.begin(), hosts.end(), m_hosts.begin(), m_hosts.end(),
+                 [](const auto& left, const auto& right) {
+                   return left.first == right.first;
+                 });
+  m_is_list_settled = names_hosts_once && m_names_hosts_once && has_same_hosts;
+  m_names_hosts_once = names_hosts_once;
+  m_hosts = std::move(hosts);
+  m_list_time = requested_at;
+}
+
+HostListing HostLedger::GetListing() const {
+  HostListing listing;
+  listing.requested_at = m_list_time;
+  listing.is_settled = m_is_list_settled;
+  for (const auto& [name, host] : m_hosts) {
+    listing.targets[name] =
+        host.state == hosts::HostState::kUp ? host.target : "";
+  }
+  return listing;
+}
+
 bool HostLedger::IsFree(const std::string& host, base::TimePoint now) const {
   const auto ended = m_operation_ended_at.find(host);
   const bool is_list_older =
--- a/services/shallotwick-scheduler/host_ledger.h
+++ b/services/shallotwick-scheduler/host_ledger.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "base/event_loop.h"
+#include "host_listing.h"
 #include "hosts/host_operations.h"
 #include "storage/row_store.h"
 #include "table_follower.h"
@@ -61,6 +62,8 @@
   }
   // Time at which the list returned by GetHosts was requested.
   base::TimePoint GetListTime() const { return m_list_time; }
+  // Returns what the list shows about targets.
+  HostListing GetListing() const;
   bool IsLoaded() const { return m_rows.IsLoaded() && !m_hosts.empty(); }
 
   // Returns whether this holder may begin an operation on the host.
@@ -98,6 +101,8 @@
 
   void OnRow(const storage::VersionedRow& row);
   void RefreshList();
+  void OnHostsListed(const std::vector<hosts::FleetHost>& listed,
+                     base::TimePoint requested_at);
   void SendOperation(const HostOperationRequest& request,
                      const std::string& host, const hosts::HostFence& fence);
 
@@ -117,6 +122,10 @@
   std::map<std::string, base::TimePoint> m_operation_ended_at;
   std::map<std::string, hosts::FleetHost> m_hosts;
   base::TimePoint m_list_time;
+  // Whether the list names each host once, and whether it and the list before
+  // both do so for the same hosts.
+  bool m_names_hosts_once = false;
+  bool m_is_list_settled = false;
   bool m_is_started = false;
   bool m_is_listing = false;
   base::Lifetime m_lifetime;
--- a/services/shallotwick-scheduler/pool_runner.cc
+++ b/services/shallotwick-scheduler/pool_runner.cc
@@ -307,41 +307,52 @@
 
 // Without this, the tasks of a crashed target wait for the end of its lease,
 // and after a takeover all tasks of the pool do. A newly started target may be
-// missing from the list, and a host that moves while the list is read page by
-// page may be missing from one list; hence the minimum age and the second list.
-void PoolRunner::EndUnlistedTargets(const std::set<std::string>& live,
-                                    base::TimePoint requested_at) {
-  if (!m_is_loaded || m_is_lost || requested_at < m_took_over_at) {
+// missing from the list; hence the minimum age and the second list. A host may
+// be missing from lists that were read while others moved, so a target that is
+// absent with its host has ended only if the lists are settled.
+void PoolRunner::EndUnlistedTargets(const HostListing& listing) {
+  if (!m_is_loaded || m_is_lost || listing.requested_at < m_took_over_at) {
     return;
   }
-  std::map<std::string, base::TimePoint> missing;
+  std::map<std::string, UnlistedTarget> unlisted;
   const int64_t youngest_ms = m_get_unix_ms() - kMaxListingDelay.count();
   for (const std::string& id :
-       m_scheduler.ListUnresponsiveTargets(requested_at)) {
-    const scheduling::TargetEntry& entry =
-        m_scheduler.GetTargets().at(id).GetEntry();
-    if (live.count(id) > 0 || entry.incarnation_started_ms > youngest_ms) {
+       m_scheduler.ListUnresponsiveTargets(listing.requested_at)) {
+    const scheduling::TargetLedger& target = m_scheduler.GetTargets().at(id);
+    const scheduling::TargetEntry& entry = target.GetEntry();
+    if (listing.HasTarget(id) || entry.incarnation_started_ms > youngest_ms) {
       continue;
     }
+    const bool is_host_listed = listing.ShowsHostWithout(entry);
     const auto before = m_unlisted_targets.find(id);
     const bool has_reported_since =
         before == m_unlisted_targets.end() ||
-        m_scheduler.GetTargets().at(id).m_last_report_received >=
-            before->second;
+        target.m_last_report_received >= before->second.since;
     if (has_reported_since) {
-      missing[id] = requested_at;
+      unlisted[id] = {listing.requested_at, is_host_listed};
       continue;
     }
-    base::Log(base::events::kTargetEnded,
-              {{"pool", m_options.service},
-               {"target", id},
-               {"runs", std::to_string(m_scheduler.CountRuns(id))},
-               {"reason",
-                "missing from two consecutive lists of hosts that are up"}});
-    m_scheduler.OnTargetEnded(id, "missing from the host lists");
-    Wake();
+    const bool has_ended =
+        is_host_listed ? before->second.is_host_listed : listing.is_settled;
+    if (has_ended) {
+      EndUnlistedTarget(id, is_host_listed ? "its host is listed without it"
+                                           : "missing from the host lists");
+    } else {
+      unlisted[id] = before->second;
+      unlisted[id].is_host_listed |= is_host_listed;
+    }
   }
-  m_unlisted_targets = std::move(missing);
+  m_unlisted_targets = std::move(unlisted);
+}
+
+void PoolRunner::EndUnlistedTarget(const std::string& id, const char* reason) {
+  base::Log(base::events::kTargetEnded,
+            {{"pool", m_options.service},
+             {"target", id},
+             {"runs", std::to_string(m_scheduler.CountRuns(id))},
+             {"reason", reason}});
+  m_scheduler.OnTargetEnded(id, reason);
+  Wake();
 }
 
 void PoolRunner::OnTargetRemoved(const std::string& id) {
--- a/services/shallotwick-scheduler/pool_runner.h
+++ b/services/shallotwick-scheduler/pool_runner.h
@@ -11,6 +11,7 @@
 
 #include "base/event_loop.h"
 #include "base/metrics.h"
+#include "host_listing.h"
 #include "hosts/arrival_forecast.h"
 #include "scheduling/pool_scheduler.h"
 #include "scheduling/serving_config.h"
@@ -70,11 +71,8 @@
       const std::map<std::string, scheduling::TargetEntry>& targets);
   void OnTargetChanged(const scheduling::TargetEntry& entry);
   void OnTargetRemoved(const std::string& id);
-  // Ends unresponsive targets that two consecutive host lists do not contain.
-  // `live` holds the targets of all hosts that are up, according to the
-  // platform's list requested at `requested_at`.
-  void EndUnlistedTargets(const std::set<std::string>& live,
-                          base::TimePoint requested_at);
+  // Ends unresponsive targets that two consecutive host lists show to be gone.
+  void EndUnlistedTargets(const HostListing& listing);
   // Stops sending orders. Calls back once all orders in flight have been
   // answered and all progress is stored.
   void Quiesce(std::function<void()> on_quiesced);
@@ -114,6 +112,7 @@
   void RecordJobIfEnded(const storage::VersionedRow& row);
   void RemoveExpiredProgress();
   void ReportQueues();
+  void EndUnlistedTarget(const std::string& id, const char* reason);
   void RunPeriodically();
   void RunSchedulingPass();
   void SendReports(base::TimePoint now);
@@ -158,9 +157,15 @@
   std::map<std::string, scheduling::JobState> m_ended_jobs;
   // Completion times of the ended jobs, oldest first.
   std::deque<std::pair<base::TimePoint, std::string>> m_ended_jobs_by_time;
-  // Unresponsive targets that the last host list did not contain, with the time
-  // at which that list was requested.
-  std::map<std::string, base::TimePoint> m_unlisted_targets;
+  struct UnlistedTarget {
+    // When the first list that lacks the target was requested.
+    base::TimePoint since;
+    // Whether a list showed the target's host without it.
+    bool is_host_listed = false;
+  };
+
+  // Unresponsive targets that the last host list did not contain.
+  std::map<std::string, UnlistedTarget> m_unlisted_targets;
   bool m_is_removing_progress = false;
   base::TimePoint m_queues_reported_at;
   bool m_is_reporting_queues = false;
--- a/services/shallotwick-scheduler/scheduler_process.cc
+++ b/services/shallotwick-scheduler/scheduler_process.cc
@@ -436,14 +436,9 @@
     return;
   }
   m_applied_list_time = requested_at;
-  std::set<std::string> live;
-  for (const auto& [name, host] : m_host_ledger.GetHosts()) {
-    if (host.state == hosts::HostState::kUp) {
-      live.insert(host.target);
-    }
-  }
+  const HostListing listing = m_host_ledger.GetListing();
   for (const auto& [pool, runner] : m_pools) {
-    runner->EndUnlistedTargets(live, requested_at);
+    runner->EndUnlistedTargets(listing);
   }
 }
 
--- a/services/shallotwick-scheduler/tests/scheduler_test.cc
+++ b/services/shallotwick-scheduler/tests/scheduler_test.cc
@@ -42,6 +42,18 @@
   return job;
 }
 
+// Returns a settled host list with a host for each of the targets.
+scheduler::HostListing MakeListing(const std::set<std::string>& live,
+                                   base::TimePoint requested_at) {
+  scheduler::HostListing listing;
+  listing.requested_at = requested_at;
+  listing.is_settled = true;
+  for (const std::string& target : live) {
+    listing.targets["host of " + target] = target;
+  }
+  return listing;
+}
+
 // Ignores all orders; its targets never report.
 class UnresponsiveTargets : public scheduling::TargetOrders {
  public:
@@ -427,12 +439,13 @@
   const auto now = base::RuntimeClock::now();
   const std::set<std::string> live = {"i-2"};
   // Lists requested before this ownership are ignored.
-  pool->EndUnlistedTargets(live, now - std::chrono::seconds(10));
-  pool->EndUnlistedTargets(live, now - std::chrono::seconds(10));
+  pool->EndUnlistedTargets(MakeListing(live, now - std::chrono::seconds(10)));
+  pool->EndUnlistedTargets(MakeListing(live, now - std::chrono::seconds(10)));
   LONGS_EQUAL(2, pool->GetScheduler().GetTargets().size());
-  pool->EndUnlistedTargets(live, now);
+  pool->EndUnlistedTargets(MakeListing(live, now));
   LONGS_EQUAL(2, pool->GetScheduler().GetTargets().size());
-  pool->EndUnlistedTargets(live, now + std::chrono::milliseconds(400));
+  pool->EndUnlistedTargets(
+      MakeListing(live, now + std::chrono::milliseconds(400)));
   LONGS_EQUAL(1, pool->GetScheduler().GetTargets().size());
   CHECK_TRUE(pool->GetScheduler().GetTargets().count("i-2") == 1);
 }
@@ -445,7 +458,7 @@
   entry.id = "i-1";
   pool->OnTargetChanged(entry);
   const auto first_list = base::RuntimeClock::now();
-  pool->EndUnlistedTargets({}, first_list);
+  pool->EndUnlistedTargets(MakeListing({}, first_list));
   scheduling::ReportOrder order;
   order.target = entry.id;
   const auto reported_at = first_list + std::chrono::milliseconds(100);
@@ -456,9 +469,11 @@
     pool->GetScheduler().OnReportFailed(
         order, scheduling::OrderOutcome::kUnknown, reported_at);
   }
-  pool->EndUnlistedTargets({}, first_list + std::chrono::milliseconds(400));
+  pool->EndUnlistedTargets(
+      MakeListing({}, first_list + std::chrono::milliseconds(400)));
   LONGS_EQUAL(1, pool->GetScheduler().CountRuns("i-1"));
-  pool->EndUnlistedTargets({}, first_list + std::chrono::milliseconds(800));
+  pool->EndUnlistedTargets(
+      MakeListing({}, first_list + std::chrono::milliseconds(800)));
   LONGS_EQUAL(0, pool->GetScheduler().CountRuns("i-1"));
 }
 
@@ -479,7 +494,8 @@
   entry.incarnation_started_ms = base::WallClockMilliseconds();
   pool->OnTargetChanged(entry);
   for (int list = 1; list <= 3; ++list) {
-    pool->EndUnlistedTargets({}, now + std::chrono::milliseconds(400) * list);
+    pool->EndUnlistedTargets(
+        MakeListing({}, now + std::chrono::milliseconds(400) * list));
   }
   LONGS_EQUAL(1, pool->GetScheduler().CountRuns("i-reports"));
   LONGS_EQUAL(2, pool->GetScheduler().GetTargets().size());
