Don't count a report as recent that was read late

An owner that was suspended, or whose answer waited in a socket's buffer, took the time at which it handled a report for the time of the report. It then acknowledged completions to a target that may have restarted since, which discards its own completions under the same numbers, and a lapsed owner started tasks on it as if it had just been heard.

A report now counts as recent only if it is also used within a second of its order: the target may have created it at any time since then. An older one is followed by a report that is answered at once, which allows both again.

With the former condition put back, ReportThatWaitedIsNotAcknowledgedTo- NextIncarnation fails (expected acknowledgement 0, was 1), as does LapsedOwnerStartsNothingAfterReportThatWaited (expected 0 starts, was 1), each with a report that is handled 3 s after its order.

--- a/libraries/scheduling/pool_decisions.cc
+++ b/libraries/scheduling/pool_decisions.cc
@@ -86,7 +86,7 @@
   const bool is_met =
       m_is_ownership_confirmed ||
       (target.m_was_met_by_confirmed_owner && target.m_missed_reports == 0 &&
-       now <= target.m_last_report_received + kMaxLapsedReportAge);
+       target.HasReportWithin(kMaxLapsedReportAge, now));
   return is_met && target.m_is_registered && !target.m_entry.draining &&
          target.m_has_accepted_token && target.m_is_in_roster &&
          target.m_is_responsive && !target.m_is_cordoned && target.HasClock() &&
--- a/libraries/scheduling/pool_reports.cc
+++ b/libraries/scheduling/pool_reports.cc
@@ -48,7 +48,7 @@
 }
 
 bool HasRecentReport(const TargetLedger& target, base::TimePoint now) {
-  return now < target.m_last_report_received + kMaxAcknowledgementDelay;
+  return target.HasReportWithin(kMaxAcknowledgementDelay, now);
 }
 
 // Returns whether the target has hardly had the time to restart and to complete
@@ -226,6 +226,7 @@
       target->m_was_met_by_confirmed_owner || m_is_ownership_confirmed;
   target->m_last_report_attempt = now;
   target->m_last_report_received = now;
+  target->m_last_report_ordered = sent;
   target->ObserveClock(report.clock_ms, now);
   ApplyCompletions(*target, report, now);
   for (const ReportedRun& reported : report.running) {
--- a/libraries/scheduling/target_ledger.cc
+++ b/libraries/scheduling/target_ledger.cc
@@ -4,6 +4,13 @@
 #include <utility>
 
 namespace shallotwick::scheduling {
+namespace {
+
+// The maximum time from the order of a report, which the target may hold for
+// half a second, to its receipt, and up to the use of the report.
+constexpr auto kMaxReportTime = std::chrono::milliseconds(1'000);
+
+}  // namespace
 
 const char* NameOf(RunState state) {
   switch (state) {
@@ -74,6 +81,12 @@
   m_unlisted_lease_bound = other.m_unlisted_lease_bound;
 }
 
+bool TargetLedger::HasReportWithin(base::Duration age,
+                                   base::TimePoint now) const {
+  return now < m_last_report_received + age &&
+         now < m_last_report_ordered + kMaxReportTime;
+}
+
 int64_t TargetLedger::EstimateClockMs(base::TimePoint now) const {
   const auto since =
       std::chrono::duration<double, std::milli>(now - m_clock_observed);
--- a/libraries/scheduling/target_ledger.h
+++ b/libraries/scheduling/target_ledger.h
@@ -93,6 +93,9 @@
   // for whose clock the lease was not granted, may have started them.
   void ExtendUnlistedLeaseBound(base::TimePoint bound);
   void CopyLeaseBounds(const TargetLedger& other);
+  // Returns whether a report was received within `age`, without having waited
+  // for long in a buffer or on the way.
+  bool HasReportWithin(base::Duration age, base::TimePoint now) const;
   bool HasClock() const { return m_clock_ms.has_value(); }
 
   TargetEntry m_entry;
@@ -137,8 +140,10 @@
   int m_failure_streak = 0;
   // When a report was last received, or the last attempt to get one failed.
   base::TimePoint m_last_report_attempt;
-  // When a report was last received.
+  // When a report was last received, and when it was ordered. The target may
+  // have created it at any time in between.
   base::TimePoint m_last_report_received;
+  base::TimePoint m_last_report_ordered;
   base::TimePoint m_last_paced;
   // Until then, a start without a response might still be executed by a later
   // incarnation. Reports are requested all the time, to notice a restart.
