Don't send requests whose time was over before they could be sent

After a suspension of the process, its event loop handles sockets before timers. A request that waited for its connection or for another request was then sent although its time had long been over, and a moment later ended as timed out with an unknown outcome. An order to start a task could reach its target that late, from an owner that another one had followed.

The connection pool now leaves such a request to its deadline, which ends it as not sent, and a connection that is established too late is closed before anything is written.

With the former code put back, both new tests fail: the outcome isn't kNotSent.

--- a/libraries/http/client_connection.cc
+++ b/libraries/http/client_connection.cc
@@ -17,7 +17,9 @@
       m_opened_at(std::chrono::steady_clock::now()) {}
 
 void ClientConnection::Send(std::string message, bool is_head,
-                            size_t largest_body_bytes) {
+                            size_t largest_body_bytes,
+                            std::chrono::steady_clock::time_point send_by) {
+  m_send_by = send_by;
   m_message = std::move(message);
   m_written = 0;
   m_parser.emplace(is_head, largest_body_bytes);
@@ -39,6 +41,11 @@
     Fail(error.message());
     return;
   }
+  // The process may have been suspended, and its caller has given up by now.
+  if (std::chrono::steady_clock::now() >= m_send_by) {
+    Fail("connected too late");
+    return;
+  }
   std::error_code ignored;
   // A failure is harmless: without TCP_NODELAY, data may be delayed but is not
   // lost.
--- a/libraries/http/client_connection.h
+++ b/libraries/http/client_connection.h
@@ -26,8 +26,10 @@
   // Called when the connection closed while it carried no request.
   std::function<void()> m_on_idle_close;
 
-  // Sends a request, after connecting if necessary.
-  void Send(std::string message, bool is_head, size_t largest_body_bytes);
+  // Sends a request, after connecting if necessary. It is not sent if the
+  // connection is established only after `send_by`.
+  void Send(std::string message, bool is_head, size_t largest_body_bytes,
+            std::chrono::steady_clock::time_point send_by);
   // Closes the connection and ends the current request with `error`.
   void Abort(const char* error, bool has_first_byte_timed_out);
   // Closes the connection without calling any callback.
@@ -53,6 +55,7 @@
   asio::ip::tcp::socket m_socket;
   asio::ip::tcp::endpoint m_server;
   std::chrono::steady_clock::time_point m_opened_at;
+  std::chrono::steady_clock::time_point m_send_by;
   std::string m_message;
   size_t m_written = 0;
   std::optional<ResponseParser> m_parser;
--- a/libraries/http/connection_pool.cc
+++ b/libraries/http/connection_pool.cc
@@ -133,7 +133,8 @@
     OnExchangeDone(id, std::move(result));
   };
   connection->Send(std::move(exchange.message), exchange.is_head,
-                   exchange.options.largest_body_bytes);
+                   exchange.options.largest_body_bytes,
+                   exchange.deadline->first);
   return true;
 }
 
@@ -189,16 +190,24 @@
 
 void ConnectionPool::AssignWaitingExchanges(const std::string& name) {
   Server& server = m_servers.at(name);
-  while (!server.waiting.empty()) {
-    const uint64_t id = server.waiting.front();
-    const auto exchange = m_exchanges.find(id);
+  const auto now = Clock::now();
+  auto next = server.waiting.begin();
+  while (next != server.waiting.end()) {
+    const auto exchange = m_exchanges.find(*next);
+    // After a suspension of the process, the timer may not have ended it yet.
+    const bool is_expired = exchange != m_exchanges.end() &&
+                            exchange->second.deadline->first <= now;
+    if (is_expired) {
+      ++next;
+      continue;
+    }
     if (exchange != m_exchanges.end() &&
-        !AssignConnection(server, id, exchange->second)) {
+        !AssignConnection(server, *next, exchange->second)) {
       return;
     }
-    server.waiting.pop_front();
+    next = server.waiting.erase(next);
   }
-  if (server.open_connections == 0) {
+  if (server.open_connections == 0 && server.waiting.empty()) {
     m_servers.erase(name);
   }
 }
@@ -243,9 +252,11 @@
     TransferResult result;
     result.error = "timed out waiting for a free connection";
     OnTransferEnd on_done = std::move(exchange.on_done);
+    const std::string name = exchange.server;
     m_deadlines.erase(exchange.deadline);
-    std::erase(m_servers.at(exchange.server).waiting, id);
+    std::erase(m_servers.at(name).waiting, id);
     m_exchanges.erase(id);
+    AssignWaitingExchanges(name);
     on_done(std::move(result));
     return;
   }
--- a/libraries/http/tests/transfer_test.cc
+++ b/libraries/http/tests/transfer_test.cc
@@ -360,3 +360,58 @@
                TransferOutcome::kNotSent);
   }
 }
+
+// A process that was suspended must not carry out what it has given up.
+TEST_GROUP(SuspendedPool) {
+  static constexpr auto kTimeout = milliseconds(50);
+  asio::io_context m_context{1};
+  http::ConnectionPool m_pool{m_context, 1};
+  fakes::ScriptedServer m_server{
+      [](int, int, const std::string&) -> fakes::ScriptedResponse {
+        std::this_thread::sleep_for(kTimeout / 2);
+        return {fakes::MakeAnswer("")};
+      }};
+  std::vector<TransferOutcome> m_outcomes;
+
+  void Send() {
+    m_pool.Send(m_server.GetUrl("/"), {"POST", "/", {}, "x"},
+                http::TransferOptions::WithTimeout(kTimeout),
+                [this](const http::TransferResult& result) {
+                  m_outcomes.push_back(result.outcome);
+                });
+  }
+
+  // Runs the loop until the condition holds.
+  void RunUntil(const std::function<bool()>& has_ended) {
+    while (!has_ended()) {
+      m_context.restart();
+      m_context.run_for(milliseconds(5));
+    }
+  }
+};
+
+TEST(SuspendedPool, RequestIsNotSentOnceItsTimeToConnectIsOver) {
+  Send();
+  std::this_thread::sleep_for(2 * kTimeout);
+  RunUntil([this] { return m_outcomes.size() == 1; });
+  CHECK_TRUE(m_outcomes[0] == TransferOutcome::kNotSent);
+  LONGS_EQUAL(0, m_server.GetRequests().size());
+}
+
+TEST(SuspendedPool, QueuedRequestIsNotSentOnceItsTimeIsOver) {
+  Send();
+  Send();
+  // The first request is written, and its answer is not read yet.
+  while (m_server.GetRequests().empty()) {
+    m_context.restart();
+    m_context.run_one_for(milliseconds(5));
+  }
+  std::this_thread::sleep_for(2 * kTimeout);
+  RunUntil([this] { return m_outcomes.size() == 2; });
+  CHECK_TRUE(m_outcomes[1] == TransferOutcome::kNotSent);
+  LONGS_EQUAL(1, m_server.GetRequests().size());
+  // Later requests are served as usual.
+  Send();
+  RunUntil([this] { return m_outcomes.size() == 3; });
+  CHECK_TRUE(m_outcomes[2] == TransferOutcome::kComplete);
+}
