Check the limit of leases again before orders are sent

An owner checked once, before it made its decisions, whether it may still grant leases, and then sent the orders. If the process was suspended in between, its starts went out after another host could have become the owner. A target that has restarted since knows no token of the next owner and accepts them.

Each start checks the limit again and otherwise counts as not sent; reports that would renew leases are not sent either. The pause that is left is the one between the check and the write.

With the former code put back, OwnerSuspendedBetweenDecisionAndOrderStartsNothing fails: one task runs (expected 0, was 1).

--- a/services/shallotwick-scheduler/pool_runner.cc
+++ b/services/shallotwick-scheduler/pool_runner.cc
@@ -396,17 +396,22 @@
     ConfirmOwnership();
   }
   const auto now = base::RuntimeClock::now();
-  const base::TimePoint lease_limit = m_get_lease_limit();
-  if (now < lease_limit && !m_on_quiesced) {
+  if (CanGrantLeases() && !m_on_quiesced) {
     WriteRoster();
-    m_scheduler.SetLeaseLimit(lease_limit);
+    m_scheduler.SetLeaseLimit(m_get_lease_limit());
     m_scheduler.SetOwnershipConfirmed(IsOwnershipConfirmed());
     SendOrders(m_scheduler.Decide(now, m_get_unix_ms()));
-    SendReports(now);
+    if (CanGrantLeases()) {
+      SendReports(now);
+    }
   }
   ScheduleCommit();
 }
 
+bool PoolRunner::CanGrantLeases() const {
+  return base::RuntimeClock::now() < m_get_lease_limit();
+}
+
 void PoolRunner::SendReports(base::TimePoint now) {
   for (const scheduling::ReportOrder& order :
        m_scheduler.CreateReportOrders(now)) {
@@ -443,6 +448,12 @@
 void PoolRunner::SendOrders(const scheduling::PoolOrders& orders) {
   using scheduling::OrderResult;
   for (const scheduling::StartOrder& order : orders.starts) {
+    // The process may have been suspended since the decision.
+    if (!CanGrantLeases()) {
+      m_scheduler.OnStartResult(order, {scheduling::OrderOutcome::kNotSent, {}},
+                                base::RuntimeClock::now());
+      continue;
+    }
     m_orders.Start(
         order, TrackOrder("start", [this, order](const OrderResult& result) {
           m_scheduler.OnStartResult(order, result, base::RuntimeClock::now());
--- a/services/shallotwick-scheduler/pool_runner.h
+++ b/services/shallotwick-scheduler/pool_runner.h
@@ -115,6 +115,7 @@
   void EndUnlistedTarget(const std::string& id, const char* reason);
   void RunPeriodically();
   void RunSchedulingPass();
+  bool CanGrantLeases() const;
   void SendReports(base::TimePoint now);
   void SendOrders(const scheduling::PoolOrders& orders);
   // Counts an order as in flight until its result has been received.
--- a/services/shallotwick-scheduler/tests/outage_test.cc
+++ b/services/shallotwick-scheduler/tests/outage_test.cc
@@ -295,6 +295,27 @@
   LONGS_EQUAL(0, m_target.m_running.size());
 }
 
+TEST(Outage, OwnerSuspendedBetweenDecisionAndOrderStartsNothing) {
+  const auto pool = StartPool();
+  m_lease_limit = base::RuntimeClock::now() + std::chrono::seconds(5);
+  bool is_suspended = false;
+  pool->m_get_unix_ms = [&pool, &is_suspended] {
+    if (!is_suspended && pool->GetScheduler().HasJob(kJob)) {
+      is_suspended = true;
+      base::RuntimeClock::Advance(std::chrono::seconds(6));
+    }
+    return base::WallClockMilliseconds();
+  };
+  PutJob(kJob);
+  Advance(std::chrono::milliseconds(500));
+  CHECK_TRUE(is_suspended);
+  LONGS_EQUAL(0, m_target.m_running.size());
+  // The session is renewed.
+  m_lease_limit = base::TimePoint::max();
+  Advance(std::chrono::milliseconds(1'500));
+  LONGS_EQUAL(1, m_target.m_running.size());
+}
+
 // Another host may have taken over and started such jobs.
 TEST(Outage, LapsedOwnerStartsNewJobsOnlyAfterItsOwnershipIsConfirmed) {
   const auto pool = StartPool();
