Count a former owner's lease in full on a target that has just restarted

After a takeover, the jobs of the former owner wait for a silent target until its lease has ended, which counted as long as owners grant leases. The former owner may have granted it for the clock of an earlier incarnation, though. On the clock of the next one it lasts for the target's maximum, so tasks could start elsewhere while the target still worked on them.

The new owner now reckons with the maximum if the registry shows at the takeover that the target has started within the last 20 s, so that the former owner may not have noticed. All other targets count as before, and a target that answers or is shown as ended by the host lists is waited for no longer. A target of the roster that the registry no longer lists has an unknown start and counts as before: this stays open.

With the former bound put back, LeaseOnTargetThatRestartedUnderFormerOwnerCountsInFull fails: a task runs 10.5 s after the takeover (expected 0, was 1).

--- a/libraries/scheduling/pool_scheduler.cc
+++ b/libraries/scheduling/pool_scheduler.cc
@@ -56,14 +56,17 @@
 }
 
 void PoolScheduler::AddRosterTarget(const TargetEntry& entry,
-                                    base::TimePoint now) {
+                                    base::TimePoint now,
+                                    bool may_have_restarted) {
   TargetLedger ledger(entry);
   ledger.m_is_registered = false;
   ledger.m_is_in_roster = true;
   ledger.m_fence = m_first_fence;
   ledger.m_required_fence = m_first_fence;
   ledger.m_generation = ++m_last_generation;
-  ledger.ExtendLeaseBound(GetLeaseBound(m_options.lease, now));
+  // The lease may have been granted for the clock of the incarnation before.
+  ledger.ExtendLeaseBound(GetLeaseBound(
+      may_have_restarted ? m_options.max_lease : m_options.lease, now));
   m_targets.emplace(entry.id, std::move(ledger));
 }
 
--- a/libraries/scheduling/pool_scheduler.h
+++ b/libraries/scheduling/pool_scheduler.h
@@ -101,8 +101,10 @@
   std::map<std::string, int64_t> CountQueuedByRoute() const;
 
   // Adds a target to which a previous owner granted a lease. Must be called
-  // before the first UpdateTarget.
-  void AddRosterTarget(const TargetEntry& entry, base::TimePoint now);
+  // before the first UpdateTarget. `may_have_restarted`: the previous owner may
+  // not have noticed a restart.
+  void AddRosterTarget(const TargetEntry& entry, base::TimePoint now,
+                       bool may_have_restarted = false);
   void UpdateTarget(const TargetEntry& entry, base::TimePoint now);
   // Handles the removal of a target from the registry. Runs on it may continue
   // until its lease expires.
--- a/services/shallotwick-scheduler/pool_runner.cc
+++ b/services/shallotwick-scheduler/pool_runner.cc
@@ -18,6 +18,8 @@
 // Batches events into one scheduling pass.
 constexpr auto kWakeDelay = std::chrono::milliseconds(8);
 constexpr auto kTickPeriod = std::chrono::milliseconds(100);
+// An owner has noticed any restart of its targets by this time.
+constexpr auto kMaxRestartNoticeTime = std::chrono::milliseconds(20'000);
 constexpr auto kReadRetryDelay = std::chrono::milliseconds(200);
 // A started target appears in the platform's host list within this time.
 constexpr auto kMaxListingDelay = std::chrono::milliseconds(3'000);
@@ -135,7 +137,7 @@
             entry.service = m_options.service;
             entry.address =
                 address.is_string() ? address.get<std::string>() : "";
-            m_scheduler.AddRosterTarget(entry, now);
+            m_scheduler.AddRosterTarget(entry, now, HasJustStarted(id));
             m_stored_roster[id] = entry.address;
           }
         }
@@ -145,6 +147,13 @@
       }));
 }
 
+bool PoolRunner::HasJustStarted(const std::string& target) const {
+  const auto found = m_targets_at_start.find(target);
+  return found != m_targets_at_start.end() &&
+         found->second.incarnation_started_ms >
+             m_get_unix_ms() - kMaxRestartNoticeTime.count();
+}
+
 // Progress is read before the jobs: a job added in between has no progress yet,
 // and one that ends in between no longer appears among the jobs.
 void PoolRunner::ReadProgress() {
--- a/services/shallotwick-scheduler/pool_runner.h
+++ b/services/shallotwick-scheduler/pool_runner.h
@@ -91,6 +91,9 @@
 
  private:
   void ReadRoster();
+  // Returns whether the registry showed at the takeover that the target has
+  // started so recently that the previous owner may not know.
+  bool HasJustStarted(const std::string& target) const;
   void ReadProgress();
   void OnJobsReset(const std::vector<storage::VersionedRow>& rows);
   void OnJobChanged(const storage::VersionedRow& row);
--- a/services/shallotwick-scheduler/tests/outage_test.cc
+++ b/services/shallotwick-scheduler/tests/outage_test.cc
@@ -183,6 +183,8 @@
   int64_t m_lapses = 0;
   base::TimePoint m_lease_limit = base::TimePoint::max();
   int m_losses = 0;
+  // Registered beside the target t1 at the takeover.
+  std::map<std::string, scheduling::TargetEntry> m_other_targets;
 
   void setup() override { base::RuntimeClock::Pause(); }
   void teardown() override { base::RuntimeClock::Resume(); }
@@ -237,6 +239,7 @@
     target.service = kService;
     target.address = "10.0.0.1:80";
     target.capacity = {16'000, 32'000, 0};
+    pool->m_targets_at_start = m_other_targets;
     pool->m_targets_at_start[target.id] = target;
     pool->Start();
     Advance(std::chrono::milliseconds(500));
@@ -363,6 +366,41 @@
   STRCMP_EQUAL("after", m_target.m_running.begin()->first.job.c_str());
 }
 
+// On the clock of a later incarnation, a lease lasts for the maximum.
+TEST(Outage, LeaseOnTargetThatRestartedUnderFormerOwnerCountsInFull) {
+  m_store.Put(scheduler::MakeRosterKey(kService),
+              R"({"silent":"10.0.0.2:80"})");
+  m_target.m_silent_target = "silent";
+  scheduling::TargetEntry silent;
+  silent.id = "silent";
+  silent.service = kService;
+  silent.address = "10.0.0.2:80";
+  silent.incarnation_started_ms = base::WallClockMilliseconds() - 1'000;
+  m_other_targets[silent.id] = silent;
+  PutJob(kJob);
+  const auto pool = StartPool();
+  Advance(std::chrono::milliseconds(10'000));
+  LONGS_EQUAL(0, m_target.m_running.size());
+  Advance(std::chrono::milliseconds(2'000));
+  LONGS_EQUAL(1, m_target.m_running.size());
+}
+
+TEST(Outage, LeaseOnTargetThatHasNotRestartedCountsAsGranted) {
+  m_store.Put(scheduler::MakeRosterKey(kService),
+              R"({"silent":"10.0.0.2:80"})");
+  m_target.m_silent_target = "silent";
+  scheduling::TargetEntry silent;
+  silent.id = "silent";
+  silent.service = kService;
+  silent.address = "10.0.0.2:80";
+  silent.incarnation_started_ms = base::WallClockMilliseconds() - 60'000;
+  m_other_targets[silent.id] = silent;
+  PutJob(kJob);
+  const auto pool = StartPool();
+  Advance(std::chrono::milliseconds(6'500));
+  LONGS_EQUAL(1, m_target.m_running.size());
+}
+
 // The row of an ended job may disappear before the owner learns that its own
 // write took effect.
 TEST(Outage, OwnerNeverConcludesFromMissingRowThatJobWasCancelled) {
