--- a/libraries/scheduling/pool_reports.cc
+++ b/libraries/scheduling/pool_reports.cc
@@ -48,7 +48,7 @@
 }
 
 bool HasRecentReport(const TargetLedger& target, base::TimePoint now) {
-  return now < target.m_last_report_received + kMaxAcknowledgementDelay;
+  return target.HasReportWithin(kMaxAcknowledgementDelay, now);
 }
 
 // Returns whether the target has hardly had the time to restart and to complete
@@ -194,6 +194,10 @@
   if (target == nullptr) {
     return;
   }
+  const auto wrong = m_ended_targets.TakeContradicted(order, sent, report);
+  if (wrong && m_on_wrong_target_end) {
+    m_on_wrong_target_end(*wrong);
+  }
   const bool is_restarted =
       target->m_reported_born_ms != 0 && report.incarnation_started_ms != 0 &&
       report.incarnation_started_ms != target->m_reported_born_ms;
@@ -213,6 +217,7 @@
     m_may_start_more = true;
   }
   target->m_reported_born_ms = report.incarnation_started_ms;
+  target->m_answered_address = order.address;
   target->m_is_responsive = true;
   target->m_missed_reports = 0;
   target->m_has_answered_owner = true;
@@ -221,6 +226,7 @@
       target->m_was_met_by_confirmed_owner || m_is_ownership_confirmed;
   target->m_last_report_attempt = now;
   target->m_last_report_received = now;
+  target->m_last_report_ordered = sent;
   target->ObserveClock(report.clock_ms, now);
   ApplyCompletions(*target, report, now);
   for (const ReportedRun& reported : report.running) {
--- a/libraries/scheduling/pool_scheduler.cc
+++ b/libraries/scheduling/pool_scheduler.cc
@@ -56,14 +56,17 @@
 }
 
 void PoolScheduler::AddRosterTarget(const TargetEntry& entry,
-                                    base::TimePoint now) {
+                                    base::TimePoint now,
+                                    bool may_have_restarted) {
   TargetLedger ledger(entry);
   ledger.m_is_registered = false;
   ledger.m_is_in_roster = true;
   ledger.m_fence = m_first_fence;
   ledger.m_required_fence = m_first_fence;
   ledger.m_generation = ++m_last_generation;
-  ledger.ExtendLeaseBound(GetLeaseBound(m_options.lease, now));
+  // The lease may have been granted for the clock of the incarnation before.
+  ledger.ExtendLeaseBound(GetLeaseBound(
+      may_have_restarted ? m_options.max_lease : m_options.lease, now));
   m_targets.emplace(entry.id, std::move(ledger));
 }
 
@@ -114,10 +117,13 @@
   if (target == nullptr) {
     return;
   }
+  TargetEnd end = MakeTargetEnd(*target, reason);
   DropLostRuns(*target, reason);
   ResetIncarnation(*target);
   target->CopyLeaseBounds(TargetLedger(target->m_entry));
   RequireNewReport(*target);
+  end.since_fence = target->m_fence;
+  m_ended_targets.Add(std::move(end));
   if (!target->m_is_registered) {
     EraseTarget(id);
   }
@@ -170,6 +176,8 @@
 }
 
 void PoolScheduler::RestartIncarnation(TargetLedger& target) {
+  constexpr char kReason[] = "a report is from a new incarnation";
+  TargetEnd end = MakeTargetEnd(target, kReason);
   std::vector<TaskName> lost;
   std::map<TaskName, Run> unresolved;
   for (const auto& [name, run] : target.GetRuns()) {
@@ -184,12 +192,14 @@
   }
   for (const TaskName& name : lost) {
     LogDecision("run-lost", name, target.GetRuns()[name].number,
-                target.m_entry.id, "a report is from a new incarnation");
+                target.m_entry.id, kReason);
     DropRun(target, name);
   }
   ResetIncarnation(target);
   target.GetRuns() = std::move(unresolved);
   RequireNewReport(target);
+  end.since_fence = target.m_fence;
+  m_ended_targets.Add(std::move(end));
   for (const auto& [name, run] : target.GetRuns()) {
     ShutOutStart(target, name);
   }
@@ -226,7 +236,8 @@
                                   const std::string& address, uint64_t fence,
                                   const char* reason) {
   const TargetLedger* target = FindTarget(id);
-  if (target == nullptr || target->m_entry.address != address ||
+  if (target == nullptr || address.empty() ||
+      target->m_answered_address != address ||
       fence < target->m_required_fence) {
     return false;
   }
@@ -259,7 +270,12 @@
       continue;
     }
     if (!target.GetRuns().empty()) {
-      DropLostRuns(target, "the lease has expired");
+      constexpr char kReason[] = "the lease has expired";
+      TargetEnd end = MakeTargetEnd(target, kReason);
+      end.is_incarnation_ended = false;
+      end.since = now;
+      m_ended_targets.Add(std::move(end));
+      DropLostRuns(target, kReason);
     }
     if (!target.m_is_registered && m_reports_in_flight.count(id) == 0) {
       expired.push_back(id);
--- a/libraries/scheduling/pool_scheduler.h
+++ b/libraries/scheduling/pool_scheduler.h
@@ -12,6 +12,7 @@
 #include "hosts/capacity_demand.h"
 #include "scheduling/active_job.h"
 #include "scheduling/change_queue.h"
+#include "scheduling/ended_targets.h"
 #include "scheduling/placement.h"
 #include "scheduling/target_ledger.h"
 #include "scheduling/target_messages.h"
@@ -80,6 +81,9 @@
 
   // Called for each scheduling decision; used for logging.
   std::function<void(const SchedulingDecision&)> m_on_decision;
+  // Called for a report of a target that was counted as ended; used for
+  // logging.
+  std::function<void(const WrongTargetEnd&)> m_on_wrong_target_end;
 
   void SetRoutes(std::map<std::string, RoutePolicy> routes);
 
@@ -97,8 +101,10 @@
   std::map<std::string, int64_t> CountQueuedByRoute() const;
 
   // Adds a target to which a previous owner granted a lease. Must be called
-  // before the first UpdateTarget.
-  void AddRosterTarget(const TargetEntry& entry, base::TimePoint now);
+  // before the first UpdateTarget. `may_have_restarted`: the previous owner may
+  // not have noticed a restart.
+  void AddRosterTarget(const TargetEntry& entry, base::TimePoint now,
+                       bool may_have_restarted = false);
   void UpdateTarget(const TargetEntry& entry, base::TimePoint now);
   // Handles the removal of a target from the registry. Runs on it may continue
   // until its lease expires.
@@ -209,9 +215,9 @@
   // Makes sure that a start without a response is executed no more.
   void ShutOutStart(TargetLedger& target, const TaskName& name);
   void EraseTarget(const std::string& id);
-  // Handles the answer of another incarnation to an order. Returns whether the
-  // target has ended. If it is now at another address or may have restarted
-  // since the order was sent, the answer says nothing of it.
+  // Handles the answer of another process to an order. Returns whether the
+  // target has ended. The answer says nothing of a target that has not answered
+  // at this address itself or may have restarted since the order was sent.
   bool EndIfReplaced(const std::string& id, const std::string& address,
                      uint64_t fence, const char* reason);
   // Handles the refusal of an order because of its token: by another owner's
@@ -282,6 +288,7 @@
   // The targets with a report in flight.
   std::set<std::string> m_reports_in_flight;
   std::set<std::pair<std::string, TaskName>> m_runs_to_stop;
+  EndedTargets m_ended_targets;
   ChangeQueue m_changes;
   uint64_t m_last_generation = 0;
   // The token of targets that are not known yet. At least as high as that of
--- a/services/shallotwick-scheduler/pool_runner.cc
+++ b/services/shallotwick-scheduler/pool_runner.cc
@@ -18,6 +18,8 @@
 // Batches events into one scheduling pass.
 constexpr auto kWakeDelay = std::chrono::milliseconds(8);
 constexpr auto kTickPeriod = std::chrono::milliseconds(100);
+// An owner has noticed any restart of its targets by this time.
+constexpr auto kMaxRestartNoticeTime = std::chrono::milliseconds(20'000);
 constexpr auto kReadRetryDelay = std::chrono::milliseconds(200);
 // A started target appears in the platform's host list within this time.
 constexpr auto kMaxListingDelay = std::chrono::milliseconds(3'000);
@@ -88,6 +90,10 @@
       m_took_over_at(base::RuntimeClock::now()) {
   m_scheduler.m_on_decision =
       [this](const scheduling::SchedulingDecision& note) { LogDecision(note); };
+  m_scheduler.m_on_wrong_target_end =
+      [this](const scheduling::WrongTargetEnd& wrong) {
+        LogWrongTargetEnd(wrong);
+      };
   m_jobs.m_on_reset = [this](const std::vector<storage::VersionedRow>& rows) {
     OnJobsReset(rows);
   };
@@ -131,7 +137,7 @@
             entry.service = m_options.service;
             entry.address =
                 address.is_string() ? address.get<std::string>() : "";
-            m_scheduler.AddRosterTarget(entry, now);
+            m_scheduler.AddRosterTarget(entry, now, HasJustStarted(id));
             m_stored_roster[id] = entry.address;
           }
         }
@@ -141,6 +147,13 @@
       }));
 }
 
+bool PoolRunner::HasJustStarted(const std::string& target) const {
+  const auto found = m_targets_at_start.find(target);
+  return found != m_targets_at_start.end() &&
+         found->second.incarnation_started_ms >
+             m_get_unix_ms() - kMaxRestartNoticeTime.count();
+}
+
 // Progress is read before the jobs: a job added in between has no progress yet,
 // and one that ends in between no longer appears among the jobs.
 void PoolRunner::ReadProgress() {
@@ -303,41 +316,52 @@
 
 // Without this, the tasks of a crashed target wait for the end of its lease,
 // and after a takeover all tasks of the pool do. A newly started target may be
-// missing from the list, and a host that moves while the list is read page by
-// page may be missing from one list; hence the minimum age and the second list.
-void PoolRunner::EndUnlistedTargets(const std::set<std::string>& live,
-                                    base::TimePoint requested_at) {
-  if (!m_is_loaded || m_is_lost || requested_at < m_took_over_at) {
+// missing from the list; hence the minimum age and the second list. A host may
+// be missing from lists that were read while others moved, so a target that is
+// absent with its host has ended only if the lists are settled.
+void PoolRunner::EndUnlistedTargets(const HostListing& listing) {
+  if (!m_is_loaded || m_is_lost || listing.requested_at < m_took_over_at) {
     return;
   }
-  std::map<std::string, base::TimePoint> missing;
+  std::map<std::string, UnlistedTarget> unlisted;
   const int64_t youngest_ms = m_get_unix_ms() - kMaxListingDelay.count();
   for (const std::string& id :
-       m_scheduler.ListUnresponsiveTargets(requested_at)) {
-    const scheduling::TargetEntry& entry =
-        m_scheduler.GetTargets().at(id).GetEntry();
-    if (live.count(id) > 0 || entry.incarnation_started_ms > youngest_ms) {
+       m_scheduler.ListUnresponsiveTargets(listing.requested_at)) {
+    const scheduling::TargetLedger& target = m_scheduler.GetTargets().at(id);
+    const scheduling::TargetEntry& entry = target.GetEntry();
+    if (listing.HasTarget(id) || entry.incarnation_started_ms > youngest_ms) {
       continue;
     }
+    const bool is_host_listed = listing.ShowsHostWithout(entry);
     const auto before = m_unlisted_targets.find(id);
     const bool has_reported_since =
         before == m_unlisted_targets.end() ||
-        m_scheduler.GetTargets().at(id).m_last_report_received >=
-            before->second;
+        target.m_last_report_received >= before->second.since;
     if (has_reported_since) {
-      missing[id] = requested_at;
+      unlisted[id] = {listing.requested_at, is_host_listed};
       continue;
     }
-    base::Log(base::events::kTargetEnded,
-              {{"pool", m_options.service},
-               {"target", id},
-               {"runs", std::to_string(m_scheduler.CountRuns(id))},
-               {"reason",
-                "missing from two consecutive lists of hosts that are up"}});
-    m_scheduler.OnTargetEnded(id, "missing from the host lists");
-    Wake();
+    const bool has_ended =
+        is_host_listed ? before->second.is_host_listed : listing.is_settled;
+    if (has_ended) {
+      EndUnlistedTarget(id, is_host_listed ? "its host is listed without it"
+                                           : "missing from the host lists");
+    } else {
+      unlisted[id] = before->second;
+      unlisted[id].is_host_listed |= is_host_listed;
+    }
   }
-  m_unlisted_targets = std::move(missing);
+  m_unlisted_targets = std::move(unlisted);
+}
+
+void PoolRunner::EndUnlistedTarget(const std::string& id, const char* reason) {
+  base::Log(base::events::kTargetEnded,
+            {{"pool", m_options.service},
+             {"target", id},
+             {"runs", std::to_string(m_scheduler.CountRuns(id))},
+             {"reason", reason}});
+  m_scheduler.OnTargetEnded(id, reason);
+  Wake();
 }
 
 void PoolRunner::OnTargetRemoved(const std::string& id) {
@@ -381,17 +405,22 @@
     ConfirmOwnership();
   }
   const auto now = base::RuntimeClock::now();
-  const base::TimePoint lease_limit = m_get_lease_limit();
-  if (now < lease_limit && !m_on_quiesced) {
+  if (CanGrantLeases() && !m_on_quiesced) {
     WriteRoster();
-    m_scheduler.SetLeaseLimit(lease_limit);
+    m_scheduler.SetLeaseLimit(m_get_lease_limit());
     m_scheduler.SetOwnershipConfirmed(IsOwnershipConfirmed());
     SendOrders(m_scheduler.Decide(now, m_get_unix_ms()));
-    SendReports(now);
+    if (CanGrantLeases()) {
+      SendReports(now);
+    }
   }
   ScheduleCommit();
 }
 
+bool PoolRunner::CanGrantLeases() const {
+  return base::RuntimeClock::now() < m_get_lease_limit();
+}
+
 void PoolRunner::SendReports(base::TimePoint now) {
   for (const scheduling::ReportOrder& order :
        m_scheduler.CreateReportOrders(now)) {
@@ -428,6 +457,12 @@
 void PoolRunner::SendOrders(const scheduling::PoolOrders& orders) {
   using scheduling::OrderResult;
   for (const scheduling::StartOrder& order : orders.starts) {
+    // The process may have been suspended since the decision.
+    if (!CanGrantLeases()) {
+      m_scheduler.OnStartResult(order, {scheduling::OrderOutcome::kNotSent, {}},
+                                base::RuntimeClock::now());
+      continue;
+    }
     m_orders.Start(
         order, TrackOrder("start", [this, order](const OrderResult& result) {
           m_scheduler.OnStartResult(order, result, base::RuntimeClock::now());
@@ -492,6 +527,23 @@
       .Increment();
 }
 
+void PoolRunner::LogWrongTargetEnd(const scheduling::WrongTargetEnd& wrong) {
+  base::Log(
+      base::events::kTargetAlive,
+      {{"pool", m_options.service},
+       {"target", wrong.end.target},
+       {"incarnation", std::to_string(wrong.incarnation_started_ms)},
+       {"ended_incarnation", std::to_string(wrong.end.incarnation_started_ms)},
+       {"reason", wrong.end.reason},
+       {"lost", std::to_string(wrong.end.lost_runs.size())},
+       {"present", std::to_string(wrong.present_runs)},
+       {"fence", std::to_string(m_options.owner_version)}});
+  m_metrics
+      .GetCounter("shallotwick_wrong_target_ends_total",
+                  {{"reason", wrong.end.reason}})
+      .Increment();
+}
+
 void PoolRunner::LogDecision(const scheduling::SchedulingDecision& note) const {
   base::Log(base::events::kTaskDecision,
             {{"pool", m_options.service},
