Log why a long-running task waits

A long-running task that was not placed left no trace: nothing told a wait for a former owner's runs from a lack of targets, of room or of a session, or from a pass that had ended before.

Event 520 now has the decision task-waits, with the reason and the target that the task waits for, at each change of the reason: at most one line a second and step, and 20 steps in 0.2 s.

--- a/libraries/scheduling/pool_decisions.cc
+++ b/libraries/scheduling/pool_decisions.cc
@@ -69,6 +69,7 @@
     m_may_start_more = false;
     m_last_placement = now;
     StartWaitingTasks(now, wall_ms, orders);
+    LogWaitingTasks(now, wall_ms);
   }
   AddStopOrders(now, orders);
   PaceBestEffortRuns(now, orders);
@@ -94,12 +95,14 @@
          !target.HasUnknownDemand();
 }
 
-bool PoolScheduler::HasTargetPendingToken(base::TimePoint now) const {
-  return std::any_of(m_targets.begin(), m_targets.end(),
-                     [now](const auto& entry) {
-                       return !entry.second.m_has_answered_owner &&
-                              entry.second.GetLeaseBound() > now;
-                     });
+const TargetLedger* PoolScheduler::FindTargetPendingToken(
+    base::TimePoint now) const {
+  for (const auto& [id, target] : m_targets) {
+    if (!target.m_has_answered_owner && target.GetLeaseBound() > now) {
+      return &target;
+    }
+  }
+  return nullptr;
 }
 
 std::vector<Candidate> PoolScheduler::MakeCandidates(
@@ -141,7 +144,7 @@
 
 std::vector<ActiveJob*> PoolScheduler::RankWaitingJobs(base::TimePoint now,
                                                        int64_t wall_ms) {
-  const bool may_have_unknown_runs = HasTargetPendingToken(now);
+  const bool may_have_unknown_runs = FindTargetPendingToken(now) != nullptr;
   std::vector<std::pair<QueueRank, ActiveJob*>> ranked;
   for (auto& [id, job] : m_jobs) {
     const bool is_blocked = IsTerminal(job.m_state) ||
@@ -195,6 +198,32 @@
   }
 }
 
+std::vector<int> PoolScheduler::ListWaitingTasks(ActiveJob& job,
+                                                 StepPosition position) {
+  const auto& tasks = job.GetStep(position.first, position.second);
+  std::vector<int> waiting;
+  for (int i = 0; i < static_cast<int>(tasks.size()); ++i) {
+    const ActiveTask& task = tasks[static_cast<size_t>(i)];
+    if (!task.progress.done && task.target.empty()) {
+      waiting.push_back(i);
+    }
+  }
+  return waiting;
+}
+
+PlacementRequest PoolScheduler::MakePlacementRequest(ActiveJob& job,
+                                                     StepPosition position) {
+  PlacementRequest request;
+  request.step = &job.GetSpec().steps[static_cast<size_t>(position.second)];
+  request.preferred_rack = request.step->data_rack;
+  for (const ActiveTask& task : job.GetStep(position.first, position.second)) {
+    if (!task.progress.done && !task.target.empty()) {
+      ++request.sibling_counts[task.target];
+    }
+  }
+  return request;
+}
+
 // Starts as many tasks of a step as possible. Returns false if a task could not
 // be placed.
 bool PoolScheduler::StartStep(ActiveJob& job, StepPosition position,
@@ -203,23 +232,7 @@
   const auto [occurrence, step_index] = position;
   const StepSpec& step = job.GetSpec().steps[static_cast<size_t>(step_index)];
   auto& tasks = job.GetStep(occurrence, step_index);
-  PlacementRequest request;
-  request.step = &step;
-  request.preferred_rack = step.data_rack;
-  std::vector<int> waiting;
-  int64_t last_run = 0;
-  for (int i = 0; i < static_cast<int>(tasks.size()); ++i) {
-    const ActiveTask& task = tasks[static_cast<size_t>(i)];
-    last_run = std::max(last_run, task.last_run);
-    if (task.progress.done) {
-      continue;
-    }
-    if (!task.target.empty()) {
-      ++request.sibling_counts[task.target];
-      continue;
-    }
-    waiting.push_back(i);
-  }
+  const std::vector<int> waiting = ListWaitingTasks(job, position);
   if (waiting.empty() || !FitsLeaseLimit(job, step_index, now)) {
     return true;
   }
@@ -227,6 +240,7 @@
   if (step.gang && waiting.size() < tasks.size()) {
     return true;
   }
+  PlacementRequest request = MakePlacementRequest(job, position);
   const Resources demand = GetReservedResources(step.demand, step.best_effort);
   std::vector<std::pair<int, size_t>> placements;
   for (int i : waiting) {
@@ -256,6 +270,10 @@
     }
     return false;
   }
+  int64_t last_run = 0;
+  for (const ActiveTask& task : tasks) {
+    last_run = std::max(last_run, task.last_run);
+  }
   for (const auto& [i, candidate_index] : placements) {
     const int64_t previous_run =
         step.gang ? last_run : tasks[static_cast<size_t>(i)].last_run;
--- a/libraries/scheduling/pool_scheduler.h
+++ b/libraries/scheduling/pool_scheduler.h
@@ -15,6 +15,7 @@
 #include "scheduling/placement.h"
 #include "scheduling/target_ledger.h"
 #include "scheduling/target_messages.h"
+#include "scheduling/wait_log.h"
 
 namespace shallotwick::scheduling {
 
@@ -255,7 +256,9 @@
   void AcknowledgeStoredCompletions();
 
   bool IsUsable(const TargetLedger& target, base::TimePoint now) const;
-  bool HasTargetPendingToken(base::TimePoint now) const;
+  // Returns a target that may have runs of a previous owner and has not
+  // answered this one yet, or null.
+  const TargetLedger* FindTargetPendingToken(base::TimePoint now) const;
   bool NeedsReport(const TargetLedger& target, base::TimePoint now) const;
   std::vector<Candidate> MakeCandidates(base::TimePoint now) const;
   QueueRank Rank(const ActiveJob& job, const RunTimeCorrection& correction,
@@ -263,6 +266,12 @@
   std::vector<ActiveJob*> RankWaitingJobs(base::TimePoint now, int64_t wall_ms);
   void StartWaitingTasks(base::TimePoint now, int64_t wall_ms,
                          PoolOrders& orders);
+  // Returns the indexes of the tasks that are neither done nor assigned.
+  static std::vector<int> ListWaitingTasks(ActiveJob& job,
+                                           StepPosition position);
+  // Returns the constraints for all tasks of a step.
+  static PlacementRequest MakePlacementRequest(ActiveJob& job,
+                                               StepPosition position);
   bool StartStep(ActiveJob& job, StepPosition position,
                  std::vector<Candidate>& candidates, base::TimePoint now,
                  PoolOrders& orders);
@@ -271,6 +280,10 @@
                        TargetLedger& target, int64_t run, base::TimePoint now);
   void AddStopOrders(base::TimePoint now, PoolOrders& orders);
   void PaceBestEffortRuns(base::TimePoint now, PoolOrders& orders);
+  void LogWaitingTasks(base::TimePoint now, int64_t wall_ms);
+  TaskWait ExplainWait(ActiveJob& job, const TaskName& name,
+                       const std::vector<Candidate>& candidates,
+                       base::TimePoint now) const;
   void LogDecision(const char* what, const TaskName& task, int64_t run,
                    const std::string& target, const char* reason) const;
 
@@ -292,6 +305,8 @@
   // An event has occurred that may allow a task to start.
   bool m_may_start_more = true;
   base::TimePoint m_last_placement;
+  WaitLog m_wait_log;
+  base::TimePoint m_last_wait_check;
   bool m_has_urgent_change = false;
   bool m_is_superseded = false;
   bool m_is_ownership_confirmed = true;
--- /dev/null
+++ b/libraries/scheduling/tests/long_running_test.cc
@@ -0,0 +1,150 @@
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "scheduling/pool_scheduler.h"
+#include "scheduling/wait_log.h"
+
+namespace base = shallotwick::base;
+namespace scheduling = shallotwick::scheduling;
+using scheduling::OrderOutcome;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr int64_t kWallMs = 1'000'000;
+
+scheduling::PoolSchedulerOptions MakeOptions() {
+  scheduling::PoolSchedulerOptions options;
+  options.first_fence = 1'000;
+  options.last_fence = 1'999;
+  return options;
+}
+
+scheduling::TargetEntry MakeTarget(const std::string& id) {
+  scheduling::TargetEntry entry;
+  entry.id = id;
+  entry.address = "10.0.0.1:1";
+  entry.capacity = {4'000, 65'536, 0};
+  return entry;
+}
+
+scheduling::JobSpec MakeLongRunningJob(const std::string& id, int count) {
+  scheduling::JobSpec job;
+  job.id = id;
+  job.steps.resize(1);
+  job.steps[0].count = count;
+  job.steps[0].demand = {1'000, 1'000, 0};
+  job.steps[0].long_running = true;
+  return job;
+}
+
+}  // namespace
+
+TEST_GROUP(LongRunning) {
+  base::TimePoint m_now{std::chrono::seconds(1'000)};
+  scheduling::PoolScheduler m_pool{MakeOptions()};
+  std::vector<std::string> m_waits;
+
+  void setup() override {
+    m_pool.m_on_decision = [this](const scheduling::SchedulingDecision& note) {
+      if (note.what == "task-waits") {
+        m_waits.push_back(note.target.empty()
+                              ? note.reason
+                              : note.target + " " + note.reason);
+      }
+    };
+  }
+
+  void Register(const std::string& id) {
+    m_pool.UpdateTarget(MakeTarget(id), m_now);
+  }
+
+  void AddJob(const scheduling::JobSpec& job, bool predates_ownership = false) {
+    m_pool.AddJob(job, MakeInitialProgress(job), predates_ownership);
+  }
+
+  // Answers all reports but those of the target `silent`.
+  void AnswerReports(const std::string& silent = "") {
+    const auto sent = m_now;
+    m_now += milliseconds(2);
+    for (const auto& order : m_pool.CreateReportOrders(sent)) {
+      if (order.target == silent) {
+        m_pool.OnReportFailed(order, OrderOutcome::kUnknown, m_now);
+        continue;
+      }
+      scheduling::TargetReport report;
+      report.clock_ms = 5'000;
+      m_pool.OnReport(order, sent, m_now, report);
+    }
+    m_pool.ConfirmRoster(m_pool.GetRoster());
+  }
+
+  scheduling::PoolOrders DecideAfter(base::Duration duration) {
+    m_now += duration;
+    return m_pool.Decide(m_now, kWallMs);
+  }
+};
+
+TEST(LongRunning, ReasonOfWaitIsLoggedAtEachChange) {
+  m_pool.AddRosterTarget(MakeTarget("t0"), m_now);
+  Register("t1");
+  AnswerReports("t0");
+  AddJob(MakeLongRunningJob("job", 5), true);
+  for (int i = 0; i < 10; ++i) {
+    DecideAfter(milliseconds(250));
+  }
+  LONGS_EQUAL(1, m_waits.size());
+  STRCMP_EQUAL("t0 runs of a former owner are not known there",
+               m_waits[0].c_str());
+  // The bound of the former owner's leases has passed; four tasks fit on t1.
+  LONGS_EQUAL(4, DecideAfter(milliseconds(5'000)).starts.size());
+  LONGS_EQUAL(2, m_waits.size());
+  STRCMP_EQUAL("no room on the targets that can be used", m_waits[1].c_str());
+  m_pool.CancelJob("job");
+  DecideAfter(milliseconds(1'100));
+  LONGS_EQUAL(3, m_waits.size());
+  STRCMP_EQUAL("waits no more", m_waits[2].c_str());
+}
+
+TEST(LongRunning, WaitsWithoutTargetSessionOrBackOffNameTheirReason) {
+  AddJob(MakeLongRunningJob("job", 1));
+  DecideAfter(milliseconds(250));
+  STRCMP_EQUAL("no target can be used", m_waits.back().c_str());
+  m_pool.SetLeaseLimit(m_now + milliseconds(3'000));
+  Register("t0");
+  AnswerReports();
+  DecideAfter(milliseconds(1'000));
+  STRCMP_EQUAL("session too short for a lease", m_waits.back().c_str());
+  m_pool.SetLeaseLimit(base::TimePoint::max());
+  const auto starts = DecideAfter(milliseconds(60)).starts;
+  LONGS_EQUAL(1, starts.size());
+  m_pool.OnStartResult(starts[0], {OrderOutcome::kInvalid, std::nullopt},
+                       m_now);
+  DecideAfter(milliseconds(1'000));
+  STRCMP_EQUAL("back-off after a refused start", m_waits.back().c_str());
+}
+
+TEST(LongRunning, WaitLogIsBounded) {
+  scheduling::WaitLog log;
+  std::map<scheduling::TaskName, scheduling::TaskWait> waits;
+  for (int i = 0; i < 1'000; ++i) {
+    const scheduling::TaskName step{"job" + std::to_string(i), 0, 0, 0};
+    waits[step] = {step, "", "a"};
+  }
+  LONGS_EQUAL(20, log.Update(waits, m_now).size());
+  // A reason that keeps changing is logged once a second.
+  std::map<scheduling::TaskName, scheduling::TaskWait> changing;
+  const scheduling::TaskName step{"changing", 0, 0, 0};
+  scheduling::WaitLog fresh;
+  size_t lines = 0;
+  for (int i = 0; i < 101; ++i) {
+    changing[step] = {step, "", i % 2 == 0 ? "a" : "b"};
+    lines += fresh.Update(changing, m_now).size();
+    m_now += milliseconds(50);
+  }
+  CHECK_TRUE(lines >= 3 && lines <= 6);
+}
