Check long-running tasks in the model of a pool

The model checked what must not run, but not what must: a long-running task that waits although there is room for it. It now does, by the users' rule: from 6 s after the last run of a task, for 3 s that are calm like the 4 s before them, with room for two such tasks on the targets in reach. Tasks that run behind a cut do not count.

Faults come in bursts, each followed by a calm time.

Long-running tasks of the model last 600 s instead of 60, since the longer plays took their end for a completion.

--- a/libraries/scheduling/tests/incarnations/seeded_play.h
+++ b/libraries/scheduling/tests/incarnations/seeded_play.h
@@ -15,4 +15,14 @@
 void CheckSeeds(const PoolModelOptions& options, uint32_t in_ci,
                 int64_t task_ms = 400);
 
+// Plays bursts of faults, each followed by a calm time, with long-running jobs
+// beside short ones. `poison_jobs` fail wherever they run; `unplaceable_jobs`
+// are long-running and fit on no target. Otherwise as CheckSeeds.
+struct LongRunningPlay {
+  PoolModelOptions options;
+  int poison_jobs = 0;
+  int unplaceable_jobs = 0;
+};
+void CheckLongRunningSeeds(const LongRunningPlay& play, uint32_t in_ci);
+
 }  // namespace shallotwick::scheduling::testing
--- a/libraries/scheduling/tests/long_running_test.cc
+++ b/libraries/scheduling/tests/long_running_test.cc
@@ -148,3 +148,39 @@
   }
   CHECK_TRUE(lines >= 3 && lines <= 6);
 }
+
+TEST(LongRunning, TaskPrecedesQueueOfShortJobs) {
+  Register("t0");
+  AnswerReports();
+  for (int i = 0; i < 100; ++i) {
+    scheduling::JobSpec job = MakeLongRunningJob("a" + std::to_string(i), 200);
+    job.steps[0].long_running = false;
+    AddJob(job);
+  }
+  AddJob(MakeLongRunningJob("b", 1));
+  const auto starts = DecideAfter(milliseconds(60)).starts;
+  LONGS_EQUAL(4, starts.size());
+  STRCMP_EQUAL("b", starts[0].task.job.c_str());
+}
+
+// The quarantine of targets on which other jobs fail grows up to 6 s.
+TEST(LongRunning, TargetWithRunOfUnknownJobTakesTaskOnceThatRunIsStopped) {
+  Register("t0");
+  const auto sent = m_now;
+  for (const auto& order : m_pool.CreateReportOrders(sent)) {
+    scheduling::TargetReport report;
+    report.clock_ms = 5'000;
+    report.running = {{{"unknown", 0, 0, 0}, 7, "", 0, 0}};
+    m_pool.OnReport(order, sent, m_now, report);
+  }
+  m_pool.ConfirmRoster(m_pool.GetRoster());
+  AddJob(MakeLongRunningJob("job", 1));
+  const auto orders = DecideAfter(milliseconds(60));
+  LONGS_EQUAL(0, orders.starts.size());
+  LONGS_EQUAL(1, orders.stops.size());
+  m_pool.OnStopResult(orders.stops[0], {OrderOutcome::kAccepted, std::nullopt},
+                      m_now);
+  m_now += milliseconds(10);
+  AnswerReports();
+  LONGS_EQUAL(1, DecideAfter(milliseconds(60)).starts.size());
+}
--- a/libraries/scheduling/tests/pool_model.cc
+++ b/libraries/scheduling/tests/pool_model.cc
@@ -11,12 +11,16 @@
 constexpr auto kStopTime = std::chrono::milliseconds(300);
 constexpr uint64_t kFencesPerOwner = 4'096;
 constexpr int kStepsPerFaultInjection = 50;
+constexpr int kStepsPerHostList = 200;
+constexpr int kStepsPerCheck = 25;
 constexpr int64_t kWallOffsetMs = 1'700'000'000'000;
 constexpr auto kLease = std::chrono::milliseconds(4'000);
 // The minimum time from the lapse of an owner's session until another host may
 // take over its pool.
 constexpr auto kTakeoverMargin = std::chrono::milliseconds(400);
 
+constexpr char kPoison[] = "poison";
+
 std::string Describe(const TaskName& name) {
   return name.job + "." + std::to_string(name.occurrence) + "." +
          std::to_string(name.step) + "." + std::to_string(name.index);
@@ -26,20 +30,32 @@
 
 PoolModel::PoolModel(const PoolModelOptions& options, uint32_t seed)
     : m_options(options), m_random(seed), m_now(kStart) {
-  for (int i = 0; i < options.targets; ++i) {
-    auto target = std::make_unique<Target>();
-    target->entry.id = "t" + std::to_string(i);
-    target->entry.service = "pool";
-    target->entry.address = "10.0.0." + std::to_string(i) + ":1";
-    target->entry.capacity = {options.cpu_milli, 65'536, 0};
-    target->entry.labels = {"a", "r" + std::to_string(i / 4)};
-    target->entry.incarnation_started_ms = GetWallMs() - i;
-    target->born = m_now - m_options.initial_age;
-    m_targets.push_back(std::move(target));
+  for (int i = 0; i < options.targets + options.silent_entries; ++i) {
+    AddTarget();
+    Target& target = *m_targets.back();
+    target.entry.incarnation_started_ms = GetWallMs() - i;
+    target.born = m_now - m_options.initial_age;
+    target.is_silent_entry = i >= options.targets;
+    target.is_up = !target.is_silent_entry;
+    target.back_at = base::TimePoint::max();
+    target.is_gone = target.is_silent_entry;
   }
   Takeover();
 }
 
+void PoolModel::AddTarget() {
+  const int number = m_next_target++;
+  auto target = std::make_unique<Target>();
+  target->entry.id = "t" + std::to_string(number);
+  target->entry.service = "pool";
+  target->entry.address = "10.0.0." + std::to_string(number) + ":1";
+  target->entry.capacity = {m_options.cpu_milli, 65'536, 0};
+  target->entry.labels = {"a", "r" + std::to_string(number / 4)};
+  target->entry.incarnation_started_ms = GetWallMs();
+  target->born = m_now;
+  m_targets.push_back(std::move(target));
+}
+
 int64_t PoolModel::GetWallMs() const {
   return kWallOffsetMs + std::chrono::duration_cast<std::chrono::milliseconds>(
                              m_now.time_since_epoch())
@@ -130,6 +146,9 @@
   m_options.cancel_chance = 0;
   m_options.failure_share = 0;
   m_options.drain_chance = 0;
+  m_options.gone_chance = 0;
+  m_options.owner_loss_chance = 0;
+  m_options.host_list_outage_chance = 0;
 }
 
 void PoolModel::RunFor(base::Duration duration) {
@@ -147,14 +166,25 @@
     m_events.pop_front();
     action();
   }
-  if (m_steps % kStepsPerFaultInjection == 0) {
+  if (m_steps % kStepsPerFaultInjection == 0 && !m_is_paused) {
     InjectFaults();
   }
   for (const auto& target : m_targets) {
     AdvanceTarget(*target);
   }
   RunLapsedOwner();
-  RunOwner();
+  if (m_owner_lost_until && m_now >= *m_owner_lost_until) {
+    Takeover();
+  }
+  if (!m_owner_lost_until) {
+    RunOwner();
+  }
+  if (m_options.has_host_lists && m_steps % kStepsPerHostList == 0) {
+    ReadHostList();
+  }
+  if (m_options.checks_long_running && m_steps % kStepsPerCheck == 0) {
+    CheckLongRunningTasks();
+  }
 }
 
 void PoolModel::RunLapsedOwner() {
@@ -178,8 +208,12 @@
   const size_t victim =
       std::uniform_int_distribution<size_t>(0, m_targets.size() - 1)(m_random);
   Target& target = *m_targets[victim];
+  if (target.is_gone) {
+    return;
+  }
   const auto outage = std::chrono::milliseconds(
       std::uniform_int_distribution<int>(500, 9'000)(m_random));
+  InjectLosses(target, outage);
   if (Draw(m_options.crash_chance) && target.is_up) {
     Crash(target, outage, false);
   }
@@ -201,7 +235,9 @@
     });
     Schedule(outage, [this, id] {
       Find(id)->is_partitioned = false;
-      m_owner->UpdateTarget(Find(id)->entry, m_now);
+      if (!Find(id)->is_gone) {
+        m_owner->UpdateTarget(Find(id)->entry, m_now);
+      }
     });
   }
   if (Draw(m_options.takeover_chance)) {
@@ -223,6 +259,127 @@
   }
 }
 
+// Draws only for options in use, so that the seeds of other plays keep their
+// course.
+void PoolModel::InjectLosses(Target& target, base::Duration outage) {
+  if (m_options.gone_chance > 0 && Draw(m_options.gone_chance) &&
+      target.is_up) {
+    ReplaceTarget(target, outage);
+  }
+  if (m_options.owner_loss_chance > 0 && !m_owner_lost_until &&
+      Draw(m_options.owner_loss_chance)) {
+    LoseOwner();
+  }
+  if (m_options.host_list_outage_chance > 0 && m_now >= m_host_lists_from &&
+      Draw(m_options.host_list_outage_chance)) {
+    m_host_lists_from = m_now + outage;
+  }
+}
+
+// The registry goes on listing a target that has gone for a while.
+void PoolModel::ReplaceTarget(Target& target, base::Duration outage) {
+  Crash(target, outage, false);
+  target.back_at = base::TimePoint::max();
+  target.is_gone = true;
+  Trace("target gone", {}, 0, target.entry.id);
+  Schedule(std::chrono::milliseconds(4'500),
+           [this, id = target.entry.id] { m_owner->RemoveTarget(id, m_now); });
+  Schedule(outage, [this] {
+    AddTarget();
+    m_owner->UpdateTarget(m_targets.back()->entry, m_now);
+  });
+}
+
+void PoolModel::LoseOwner() {
+  Trace("owner lost", {}, 0, "");
+  m_owner_lost_until =
+      m_now + m_options.min_takeover_delay +
+      DrawUpTo(m_options.max_takeover_delay - m_options.min_takeover_delay);
+}
+
+void PoolModel::ReadHostList() {
+  if (m_owner_lost_until || m_now < m_host_lists_from) {
+    return;
+  }
+  std::set<std::string> live;
+  for (const auto& target : m_targets) {
+    if (target->is_up || target->is_silent_entry) {
+      live.insert(target->entry.id);
+    }
+  }
+  Schedule(std::chrono::milliseconds(50),
+           [this, live, requested = m_now, generation = m_generation] {
+             if (generation == m_generation && !m_owner_lost_until) {
+               m_host_lists.Apply(*m_owner, live, requested, GetWallMs());
+             }
+           });
+}
+
+bool PoolModel::HasActiveFault() const {
+  if (!m_is_paused || m_now < m_host_lists_from) {
+    return true;
+  }
+  return std::any_of(
+      m_targets.begin(), m_targets.end(), [](const auto& target) {
+        return !target->is_gone && (!target->is_up || target->is_partitioned);
+      });
+}
+
+int PoolModel::CountRoom(const StepSpec& step, const std::string& job) const {
+  const Resources demand = GetReservedResources(step.demand, step.best_effort);
+  int room = 0;
+  for (const auto& target : m_targets) {
+    const std::vector<std::string>& labels = target->entry.labels;
+    const bool is_in_reach =
+        target->is_up && !target->is_partitioned && !target->entry.draining &&
+        (step.required_label.empty() ||
+         std::find(labels.begin(), labels.end(), step.required_label) !=
+             labels.end());
+    if (!is_in_reach) {
+      continue;
+    }
+    Resources used = demand;
+    int siblings = 0;
+    for (const auto& [name, run] : target->runs) {
+      used = used + run.demand;
+      siblings += name.job == job ? 1 : 0;
+    }
+    while (used.Fits(target->entry.capacity) &&
+           (step.most_per_target == 0 || siblings < step.most_per_target)) {
+      ++room;
+      ++siblings;
+      used = used + demand;
+    }
+  }
+  return room;
+}
+
+void PoolModel::CheckLongRunningTasks() {
+  if (HasActiveFault()) {
+    m_long_running.ObserveFault(m_now);
+  }
+  for (const auto& [id, stored] : m_store) {
+    const StepSpec& step = stored.spec.steps[0];
+    if (!step.long_running) {
+      continue;
+    }
+    if (IsTerminal(stored.progress.state)) {
+      m_long_running.Forget(id);
+      continue;
+    }
+    const bool has_room = CountRoom(step, id) >= 2;
+    for (int i = 0; i < step.count; ++i) {
+      const TaskName name{id, 0, 0, i};
+      const bool is_running = std::any_of(
+          m_targets.begin(), m_targets.end(),
+          [&name](const auto& target) { return target->runs.count(name) > 0; });
+      if (m_long_running.Observe(name, is_running, has_room, m_now)) {
+        RecordViolation("long-running task waits with room: " + Describe(name));
+      }
+    }
+  }
+}
+
 void PoolModel::Crash(Target& target, base::Duration outage, bool is_refusing) {
   target.is_refusing = is_refusing;
   target.is_up = false;
@@ -305,6 +462,8 @@
   ++m_generation;
   m_fence += kFencesPerOwner;
   m_commits_in_flight = 0;
+  m_owner_lost_until.reset();
+  m_host_lists.Reset();
   PoolSchedulerOptions options;
   options.first_fence = m_fence;
   options.last_fence = m_fence + kFencesPerOwner - 1;
@@ -337,7 +496,9 @@
     m_owner->AddRosterTarget(entry, m_now);
   }
   for (const auto& target : m_targets) {
-    if (target->is_up && !target->is_partitioned) {
+    const bool is_registered =
+        (target->is_up && !target->is_partitioned) || target->is_silent_entry;
+    if (is_registered) {
       m_owner->UpdateTarget(target->entry, m_now);
     }
   }
@@ -370,7 +531,7 @@
       on_response(*sender, result);
     }
   };
-  const bool is_lost = Draw(m_options.lost_share);
+  const bool is_lost = Draw(GetLostShare());
   TraceSend(order, is_lost);
   const bool is_late = is_lost && Draw(m_options.late_share);
   const auto arrival =
@@ -487,10 +648,11 @@
   ModelRun run;
   run.number = order.run;
   run.demand = step.demand;
-  run.fails = Draw(m_options.failure_share);
+  // A poison job fails wherever it runs.
+  run.fails = Draw(m_options.failure_share) || order.payload == kPoison;
   const auto run_time = std::chrono::milliseconds(
       step.long_running
-          ? 60'000
+          ? 600'000
           : std::uniform_int_distribution<int64_t>(
                 step.estimate_ms / 2, step.estimate_ms * 3 / 2)(m_random));
   run.ends = m_now + run_time;
@@ -654,7 +816,7 @@
   }
   ++m_commits_in_flight;
   const int generation = m_generation;
-  const bool is_refused = Draw(m_options.lost_share);
+  const bool is_refused = Draw(GetLostShare());
   // Commits may complete out of order.
   const auto delay = std::chrono::milliseconds(Draw(0.2) ? 40 : 5);
   Schedule(delay, [this, batch, generation, is_refused] {
--- a/libraries/scheduling/tests/pool_model.h
+++ b/libraries/scheduling/tests/pool_model.h
@@ -4,12 +4,15 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
 #include <vector>
 
 #include "scheduling/pool_scheduler.h"
+#include "scheduling/tests/host_list_model.h"
+#include "scheduling/tests/long_running_check.h"
 
 namespace shallotwick::scheduling::testing {
 
@@ -60,6 +63,20 @@
   double failure_share = 0;
   bool long_running_jobs = false;
   int max_attempts = 3;
+  // A target ends for good; one with another id takes its place.
+  double gone_chance = 0;
+  // The owner ends; another host takes over after up to this delay.
+  double owner_loss_chance = 0;
+  base::Duration min_takeover_delay{0};
+  base::Duration max_takeover_delay{0};
+  // The owner reads the list of hosts that are up, twice for each conclusion.
+  bool has_host_lists = false;
+  double host_list_outage_chance = 0;
+  // Registered entries that answer nothing and whose hosts are always listed.
+  int silent_entries = 0;
+  // Whether a long-running task that does not run is a violation, as it is to
+  // the users.
+  bool checks_long_running = false;
 };
 
 // An in-memory model of a pool: targets with leases, fencing tokens and delayed
@@ -82,6 +99,8 @@
   // Stops the injection of faults, so that crashed and partitioned targets
   // recover.
   void StopFaults();
+  // Suspends faults, so that a calm time follows; those that last go on.
+  void SetFaultsPaused(bool paused) { m_is_paused = paused; }
 
   const std::vector<std::string>& GetViolations() const { return m_violations; }
   // Returns the number of jobs that are stored as completed.
@@ -119,6 +138,10 @@
     bool is_refusing = false;
     // Whether this incarnation has answered a report order.
     bool has_reported = false;
+    // Never up again.
+    bool is_gone = false;
+    // A registered entry that names no target.
+    bool is_silent_entry = false;
   };
   struct Stored {
     JobSpec spec;
@@ -132,6 +155,17 @@
 
   void Step();
   void InjectFaults();
+  void InjectLosses(Target& target, base::Duration outage);
+  void ReplaceTarget(Target& target, base::Duration outage);
+  void AddTarget();
+  void LoseOwner();
+  void ReadHostList();
+  // Whether a fault has an effect now.
+  bool HasActiveFault() const;
+  void CheckLongRunningTasks();
+  // Returns how many such tasks the targets in reach have room for.
+  int CountRoom(const StepSpec& step, const std::string& job) const;
+  double GetLostShare() const { return m_is_paused ? 0 : m_options.lost_share; }
   void AdvanceTarget(Target& target);
   void EndRun(Target& target, const TaskName& name, RunOutcome how);
   void Crash(Target& target, base::Duration outage, bool is_refusing);
@@ -191,6 +225,13 @@
   int m_commits_in_flight = 0;
   int64_t m_steps = 0;
   int64_t m_starts = 0;
+  bool m_is_paused = false;
+  int m_next_target = 0;
+  // The time of the next takeover after a loss of the owner.
+  std::optional<base::TimePoint> m_owner_lost_until;
+  base::TimePoint m_host_lists_from;
+  HostListModel m_host_lists;
+  LongRunningCheck m_long_running;
 };
 
 }  // namespace shallotwick::scheduling::testing
