Place the other tasks of a step if one must avoid a target

A task was not placed on the only target with room while another task of its step had an earlier run there that was being stopped: the first task without a target ended the placement of the whole step. A stop that gets no answer held it up to the end of that target's lease.

TaskWhoseOtherRunIsBeingStoppedHoldsNoOtherTaskOfItsStep failed before: expected <1>, but was <0> starts. The tasks of a step have the same needs, so the first that fits nowhere still ends it, unless that task has targets of its own to avoid. Gangs are placed as a whole, as before.

--- a/libraries/scheduling/pool_decisions.cc
+++ b/libraries/scheduling/pool_decisions.cc
@@ -251,7 +251,11 @@
     const std::optional<size_t> candidate_index =
         PlaceTask(request, candidates);
     if (!candidate_index) {
-      break;
+      // The others have the same needs, but not the same earlier runs.
+      if (request.excluded.empty() || step.gang) {
+        break;
+      }
+      continue;
     }
     Candidate& chosen = candidates[*candidate_index];
     chosen.room = chosen.room - demand;
--- a/libraries/scheduling/tests/long_running_test.cc
+++ b/libraries/scheduling/tests/long_running_test.cc
@@ -149,6 +149,29 @@
   CHECK_TRUE(lines >= 3 && lines <= 6);
 }
 
+TEST(LongRunning, TaskWhoseOtherRunIsBeingStoppedHoldsNoOtherTaskOfItsStep) {
+  Register("t0");
+  AnswerReports();
+  AddJob(MakeLongRunningJob("job", 2));
+  LONGS_EQUAL(2, DecideAfter(milliseconds(60)).starts.size());
+  // t1 has another run of task 0, which is stopped; then t0 ends.
+  Register("t1");
+  const auto sent = m_now;
+  for (const auto& order : m_pool.CreateReportOrders(sent)) {
+    if (order.target == "t1") {
+      scheduling::TargetReport report;
+      report.clock_ms = 5'000;
+      report.running = {{{"job", 0, 0, 0}, 7, "", 0, 0}};
+      m_pool.OnReport(order, sent, m_now, report);
+    }
+  }
+  m_pool.ConfirmRoster(m_pool.GetRoster());
+  m_pool.OnTargetEnded("t0", "test");
+  const auto starts = DecideAfter(milliseconds(60)).starts;
+  LONGS_EQUAL(1, starts.size());
+  LONGS_EQUAL(1, starts[0].task.index);
+}
+
 TEST(LongRunning, TaskPrecedesQueueOfShortJobs) {
   Register("t0");
   AnswerReports();
