Let no number of steps without room keep a long-running task waiting

40 steps that fit nowhere ended a pass over the queue. Long-running jobs go first in it, so 40 of them that wait for a label or for larger targets kept all later ones waiting for good, with room for them.

TaskStartsBehindManyStepsThatFitOnNoTarget failed before: expected <1>, but was <0> starts.

So that a pass stays short, a need for which no target has room is tried once a pass.

--- a/libraries/scheduling/pool_decisions.cc
+++ b/libraries/scheduling/pool_decisions.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "scheduling/failed_placements.h"
 #include "scheduling/pool_scheduler.h"
 
 namespace shallotwick::scheduling {
@@ -13,9 +14,6 @@
 constexpr auto kNoRoomBackoff = std::chrono::milliseconds(300);
 constexpr auto kInvalidOrderBackoff = std::chrono::milliseconds(2'000);
 constexpr auto kNoTicketBackoff = std::chrono::milliseconds(1'000);
-// The pool is considered full after this number of steps that could not be
-// placed completely in one pass.
-constexpr int kMaxUnplaceableSteps = 40;
 constexpr auto kStallCheckPeriod = std::chrono::milliseconds(200);
 // A lapsed owner starts tasks on targets that have reported within this time. A
 // target with runs reports as soon as one ends.
@@ -178,19 +176,23 @@
   if (candidates.empty() || m_jobs.empty()) {
     return;
   }
-  int unplaceable_steps = 0;
+  FailedPlacements failed;
   for (ActiveJob* job : RankWaitingJobs(now, wall_ms)) {
     const JobSpec& spec = job->GetSpec();
     for (int k = 0; k < spec.GetOccurrenceCount(); ++k) {
       if (spec.occurrences > 0 && job->GetDueMs(k) + kClockMarginMs > wall_ms) {
         break;
       }
-      for (int step = 0; step < static_cast<int>(spec.steps.size()); ++step) {
-        if (job->CountUnfinished(k, step) == 0 || !job->IsStepReady(k, step)) {
+      for (int i = 0; i < static_cast<int>(spec.steps.size()); ++i) {
+        const StepSpec& step = spec.steps[static_cast<size_t>(i)];
+        const bool is_waiting =
+            job->CountUnfinished(k, i) > 0 && job->IsStepReady(k, i);
+        if (!is_waiting || failed.IsHopeless(step) ||
+            StartStep(*job, {k, i}, candidates, now, orders)) {
           continue;
         }
-        if (!StartStep(*job, {k, step}, candidates, now, orders) &&
-            ++unplaceable_steps >= kMaxUnplaceableSteps) {
+        failed.Add(step, candidates);
+        if (failed.IsPoolFull()) {
           return;
         }
       }
--- a/libraries/scheduling/tests/incarnations/long_running_play_test.cc
+++ b/libraries/scheduling/tests/incarnations/long_running_play_test.cc
@@ -50,6 +50,12 @@
   CheckLongRunningSeeds(play, 4);
 }
 
+TEST(LongRunningPlay, TasksRunBesideLongRunningJobsWithoutRoom) {
+  LongRunningPlay play = MakePlay();
+  play.unplaceable_jobs = 45;
+  CheckLongRunningSeeds(play, 4);
+}
+
 TEST(LongRunningPlay, TasksRunAgainAfterLossOfSeveralOwnersInARow) {
   LongRunningPlay play = MakePlay();
   play.options.owner_loss_chance = 0.3;
--- a/libraries/scheduling/tests/long_running_test.cc
+++ b/libraries/scheduling/tests/long_running_test.cc
@@ -172,6 +172,20 @@
   LONGS_EQUAL(1, starts[0].task.index);
 }
 
+TEST(LongRunning, TaskStartsBehindManyStepsThatFitOnNoTarget) {
+  Register("t0");
+  AnswerReports();
+  for (int i = 0; i < 50; ++i) {
+    scheduling::JobSpec job = MakeLongRunningJob("a" + std::to_string(i), 1);
+    job.steps[0].demand.cpu_milli = 100'000;
+    AddJob(job);
+  }
+  AddJob(MakeLongRunningJob("b", 1));
+  const auto starts = DecideAfter(milliseconds(60)).starts;
+  LONGS_EQUAL(1, starts.size());
+  STRCMP_EQUAL("b", starts[0].task.job.c_str());
+}
+
 TEST(LongRunning, TaskPrecedesQueueOfShortJobs) {
   Register("t0");
   AnswerReports();
