Keep long-running tasks from a failing target for 1.5 s, not up to 6 s

A job that fails wherever it runs puts all targets of its pool in quarantine, each up to 6 s and again and again, since every failure prolongs it. A long-running task without a run waited for the end of it, beside idle targets.

QuarantineOfAllTargetsHoldsTaskForAtMostTwoSeconds failed before: "waited 6000 ms".

A quarantine still holds all tasks back for 1.5 s after each failure; the rest of it, which grows with the failures in a row, holds back short tasks alone. Placement prefers targets without failures, as before.

--- a/libraries/scheduling/placement.cc
+++ b/libraries/scheduling/placement.cc
@@ -10,6 +10,7 @@
   const StepSpec& step = *request.step;
   const Resources demand = GetReservedResources(step.demand, step.best_effort);
   if (!demand.Fits(candidate.room) ||
+      (candidate.is_quarantined && !step.long_running) ||
       request.excluded.count(candidate.id) > 0) {
     return false;
   }
--- a/libraries/scheduling/placement.h
+++ b/libraries/scheduling/placement.h
@@ -19,6 +19,8 @@
   Resources room;
   // Consecutive failed or stalled runs on this target.
   int failure_streak = 0;
+  // Receives long-running tasks alone.
+  bool is_quarantined = false;
   // Runs with a latency target, which best-effort tasks would slow down.
   int latency_bound_runs = 0;
 
--- a/libraries/scheduling/pool_decisions.cc
+++ b/libraries/scheduling/pool_decisions.cc
@@ -116,6 +116,7 @@
     candidate.labels = target.m_entry.labels;
     candidate.room = target.GetFreeCapacity();
     candidate.failure_streak = target.m_failure_streak;
+    candidate.is_quarantined = now < target.m_quarantined_until;
     for (const auto& [name, run] : target.GetRuns()) {
       candidate.latency_bound_runs += run.latency_target_ms > 0 ? 1 : 0;
     }
--- a/libraries/scheduling/pool_reports.cc
+++ b/libraries/scheduling/pool_reports.cc
@@ -271,7 +271,9 @@
   } else if (is_failure) {
     ++target.m_failure_streak;
     if (target.m_failure_streak >= kQuarantineFailureStreak) {
-      target.m_suspended_until =
+      // Long-running tasks have no time to wait for more.
+      target.m_suspended_until = now + kQuarantineDuration;
+      target.m_quarantined_until =
           now + kQuarantineDuration *
                     std::min(target.m_failure_streak, kMaxQuarantineFactor);
     }
--- a/libraries/scheduling/target_ledger.h
+++ b/libraries/scheduling/target_ledger.h
@@ -130,6 +130,9 @@
   int64_t m_acknowledged_completion = 0;
   bool m_has_unsent_acknowledgement = false;
   base::TimePoint m_suspended_until;
+  // After failures of runs; until then the target receives long-running tasks
+  // alone.
+  base::TimePoint m_quarantined_until;
   // The number of failed or stalled runs since the last successful one.
   int m_failure_streak = 0;
   // When a report was last received, or the last attempt to get one failed.
--- a/libraries/scheduling/tests/incarnations/long_running_play_test.cc
+++ b/libraries/scheduling/tests/incarnations/long_running_play_test.cc
@@ -50,6 +50,12 @@
   CheckLongRunningSeeds(play, 4);
 }
 
+TEST(LongRunningPlay, TasksRunBesideJobsThatFailEverywhere) {
+  LongRunningPlay play = MakePlay();
+  play.poison_jobs = 100;
+  CheckLongRunningSeeds(play, 4);
+}
+
 TEST(LongRunningPlay, TasksRunBesideLongRunningJobsWithoutRoom) {
   LongRunningPlay play = MakePlay();
   play.unplaceable_jobs = 45;
--- a/libraries/scheduling/tests/long_running_test.cc
+++ b/libraries/scheduling/tests/long_running_test.cc
@@ -201,6 +201,46 @@
 }
 
 // The quarantine of targets on which other jobs fail grows up to 6 s.
+TEST(LongRunning, QuarantineOfAllTargetsHoldsTaskForAtMostTwoSeconds) {
+  m_pool.SetRoutes({{"", {0, 100, 1.0, 0}}});
+  Register("t0");
+  AnswerReports();
+  scheduling::JobSpec poison = MakeLongRunningJob("poison", 1);
+  poison.steps[0].long_running = false;
+  AddJob(poison);
+  for (int number = 1; number <= 5; ++number) {
+    std::vector<scheduling::StartOrder> starts;
+    for (int i = 0; i < 200 && starts.empty(); ++i) {
+      starts = DecideAfter(milliseconds(60)).starts;
+    }
+    LONGS_EQUAL(1, starts.size());
+    m_pool.OnStartResult(starts[0], {OrderOutcome::kAccepted, 6'000}, m_now);
+    const auto sent = m_now;
+    for (const auto& order : m_pool.CreateReportOrders(sent)) {
+      scheduling::TargetReport report;
+      report.clock_ms = 6'000;
+      report.ended = {{number, starts[0].task, starts[0].run,
+                       scheduling::RunOutcome::kFailed, ""}};
+      m_pool.OnReport(order, sent, m_now, report);
+    }
+    m_pool.OnCommitted(m_pool.DequeueChanges(10));
+  }
+  AddJob(MakeLongRunningJob("job", 1));
+  const auto failed = m_now;
+  std::vector<std::string> started;
+  while (started.empty() && m_now < failed + std::chrono::seconds(10)) {
+    for (const auto& start : DecideAfter(milliseconds(60)).starts) {
+      started.push_back(start.task.job);
+    }
+  }
+  const auto waited_ms =
+      std::chrono::duration_cast<milliseconds>(m_now - failed).count();
+  CHECK_TRUE(std::count(started.begin(), started.end(), "job") == 1);
+  if (waited_ms > 2'000) {
+    FAIL(("waited " + std::to_string(waited_ms) + " ms").c_str());
+  }
+}
+
 TEST(LongRunning, TargetWithRunOfUnknownJobTakesTaskOnceThatRunIsStopped) {
   Register("t0");
   const auto sent = m_now;
