Let the soak play larger deployments and executors that get a new id

The soak's stand-in had up to five executors in one zone, one page of hosts and the same id after every restart, and served orders whatever incarnation they named.

An executor may now return at its address under a new id, while its former registry entry stays until it expires; or it drains, leaves and takes its entry along. Orders that name another id are answered 421. The host list shows zones and racks, names no executor of a host that is down, and comes in pages. SHALLOTWICK_SOAK_EXECUTORS sets the number of executors, and SHALLOTWICK_SOAK_SCHEDULER the program of another build to compare with.

Two runs of a task are looked for at each start instead of every 2 ms, which finds the same: a second run can only come about by a start. Feeds read the rows that have changed instead of the whole table.

--- a/tests/harness/process.cc
+++ b/tests/harness/process.cc
@@ -31,7 +31,8 @@
 pid_t Spawn(const std::string& program, std::vector<std::string> arguments,
             const std::string& output_path,
             const std::map<std::string, std::string>& environment) {
-  const std::string path = std::string(SHALLOTWICK_BINARY_DIR) + "/" + program;
+  const std::string path =
+      (std::filesystem::path(SHALLOTWICK_BINARY_DIR) / program).string();
   arguments.insert(arguments.begin(), path);
   std::vector<char*> argument_pointers;
   for (std::string& argument : arguments) {
--- a/tests/harness/process.h
+++ b/tests/harness/process.h
@@ -24,7 +24,8 @@
 // when this object goes.
 class Process {
  public:
-  // Starts a program of this build by its path below the build directory.
+  // Starts a program of this build by its path below the build directory, or
+  // another one by its absolute path.
   Process(const std::string& program, std::vector<std::string> arguments,
           const std::string& log_path,
           const std::map<std::string, std::string>& environment = {});
--- a/tests/soak/fault_play.cc
+++ b/tests/soak/fault_play.cc
@@ -16,7 +16,13 @@
 namespace shallotwick::soak {
 namespace {
 
-constexpr int kCallers = 4;
+// One for each four executors, within these bounds.
+constexpr size_t kLeastCallers = 4;
+constexpr size_t kMostCallers = 16;
+// Of that many executors, one more restarts at the same time.
+constexpr size_t kExecutorsPerRestart = 12;
+constexpr int64_t kLeastRunMs = 100;
+constexpr int64_t kDrainMs = 2'000;
 constexpr auto kFaultTime = std::chrono::milliseconds(9'000);
 constexpr auto kLongestStop = std::chrono::milliseconds(4'000);
 constexpr auto kCallPeriod = std::chrono::milliseconds(60);
@@ -43,7 +49,8 @@
     : m_seed(seed),
       m_options(options),
       m_directory(std::move(directory)),
-      m_random(seed) {}
+      m_random(seed),
+      m_restart_random(seed) {}
 
 FaultPlay::~FaultPlay() {
   m_hosts.clear();
@@ -81,7 +88,7 @@
   host.was_ended_early = false;
   host.is_restart_planned = false;
   host.process = std::make_unique<harness::Process>(
-      "services/shallotwick-scheduler/shallotwick-scheduler",
+      m_options.scheduler,
       std::vector<std::string>{"--name", name, "--listen", "127.0.0.1:0",
                                "--ready-listen", "127.0.0.1:0", "--platform",
                                m_cluster->GetAddress(), "--hosts",
@@ -161,20 +168,48 @@
   const bool resets = Draw(0, 1) == 0;
   const Milliseconds down(Draw(0, 700));
   const Milliseconds delay(Draw(0, 1'500));
-  Plan(at, [this, executor, resets] {
-    if (m_executor_outages[executor]++ == 0) {
-      Note("i-" + std::to_string(executor) + " crashes" +
-           (resets ? ", connections reset" : ""));
-      m_cluster->CrashExecutor(executor, resets);
-    }
-  });
-  Plan(at + down, [this, executor, delay] {
-    if (--m_executor_outages[executor] == 0) {
-      m_cluster->BootExecutor(executor, delay);
-      Note("i-" + std::to_string(executor) + " is back, shown after " +
-           std::to_string(delay.count()) + " ms");
-    }
+  constexpr std::array<Restart, 6> kKinds = {Restart::kSameId, Restart::kSameId,
+                                             Restart::kSameId, Restart::kNewId,
+                                             Restart::kNewId,  Restart::kLeave};
+  const Restart restart = kKinds[std::uniform_int_distribution<size_t>(
+      0, kKinds.size() - 1)(m_restart_random)];
+  if (restart == Restart::kLeave) {
+    Plan(at, [this, executor] {
+      Note(m_cluster->GetExecutorId(executor) + " drains");
+      m_cluster->DrainExecutor(executor);
+    });
+    at += Milliseconds(kDrainMs);
+  }
+  Plan(at, [this, executor, restart, resets] {
+    BeginOutage(executor, restart, resets);
   });
+  Plan(at + down, [this, executor, delay] { EndOutage(executor, delay); });
+}
+
+void FaultPlay::BeginOutage(size_t executor, Restart restart, bool resets) {
+  ExecutorOutage& outage = m_executor_outages[executor];
+  outage.has_new_id = outage.has_new_id || restart != Restart::kSameId;
+  if (outage.count++ > 0) {
+    return;
+  }
+  if (restart == Restart::kLeave) {
+    Note(m_cluster->GetExecutorId(executor) + " leaves");
+    m_cluster->RemoveExecutor(executor);
+    return;
+  }
+  Note(m_cluster->GetExecutorId(executor) + " crashes" +
+       (resets ? ", connections reset" : ""));
+  m_cluster->CrashExecutor(executor, resets);
+}
+
+void FaultPlay::EndOutage(size_t executor, Milliseconds delay) {
+  ExecutorOutage& outage = m_executor_outages[executor];
+  if (--outage.count == 0) {
+    m_cluster->BootExecutor(executor, outage.has_new_id, delay);
+    outage.has_new_id = false;
+    Note(m_cluster->GetExecutorId(executor) + " is back, shown after " +
+         std::to_string(delay.count()) + " ms");
+  }
 }
 
 void FaultPlay::PlanCutOff(Milliseconds at) {
@@ -247,7 +282,10 @@
       PlanCutOff(at);
       break;
     default:
-      PlanExecutorRestart(at);
+      for (size_t i = 0; i <= m_executor_outages.size() / kExecutorsPerRestart;
+           ++i) {
+        PlanExecutorRestart(at);
+      }
       break;
   }
 }
@@ -317,19 +355,25 @@
   }
 }
 
-std::vector<std::string> FaultPlay::Run() {
+void FaultPlay::StartProcesses() {
+  const auto usual_executors = static_cast<size_t>(Draw(2, 5));
+  const size_t executors =
+      m_options.executors == 0 ? usual_executors : m_options.executors;
   m_cluster = std::make_unique<standin::ClusterStandin>(
-      static_cast<int>(Draw(2, 5)), 300);
+      static_cast<int>(executors), 300);
   m_cluster->SeedFaults(m_seed);
-  m_cluster->SetRunTime(100, Draw(200, 2'500));
+  m_cluster->SetRunTime(kLeastRunMs, Draw(200, 2'500));
+  m_executor_outages.resize(executors);
   const auto usual_hosts = static_cast<size_t>(Draw(2, 5));
   m_hosts.resize(m_options.hosts == 0 ? usual_hosts : m_options.hosts);
   m_addresses = std::make_unique<AddressBook>(m_hosts.size());
   for (size_t i = 0; i < m_hosts.size(); ++i) {
     StartHost(i);
   }
-  for (int i = 0; i < kCallers; ++i) {
-    m_callers.push_back(std::make_unique<Caller>(*m_addresses, m_seed, i));
+  const size_t callers = std::clamp(executors / 4, kLeastCallers, kMostCallers);
+  for (size_t i = 0; i < callers; ++i) {
+    m_callers.push_back(
+        std::make_unique<Caller>(*m_addresses, m_seed, static_cast<int>(i)));
   }
   // Faults before the first owner is there meet no runs.
   const auto is_owned = [this] {
@@ -341,11 +385,11 @@
   if (!harness::WaitFor(is_owned)) {
     m_broken.push_back("no process owns the pool before any fault");
   }
-  m_executor_outages.assign(m_cluster->GetExecutorCount(), 0);
-  PlanFaults();
-  m_begin = Clock::now();
+}
+
+void FaultPlay::RunCallers() {
   std::atomic<bool> is_over{false};
-  std::atomic<int> acting{kCallers};
+  std::atomic<size_t> acting{m_callers.size()};
   std::vector<std::thread> threads;
   for (const auto& caller : m_callers) {
     threads.emplace_back([&is_over, &acting, &caller] {
@@ -365,17 +409,31 @@
   for (std::thread& thread : threads) {
     thread.join();
   }
+}
+
+std::vector<std::string> FaultPlay::Run() {
+  StartProcesses();
+  PlanFaults();
+  m_begin = Clock::now();
+  RunCallers();
   Calm();
   CheckAnswers();
   std::vector<CalledJob> jobs;
-  int silent_calls = 0;
   for (const auto& caller : m_callers) {
     jobs.insert(jobs.end(), caller->GetJobs().begin(), caller->GetJobs().end());
-    silent_calls += caller->CountSilentCalls();
   }
   for (std::string& broken : FindBrokenPromises(jobs, *m_cluster)) {
     m_broken.push_back(std::move(broken));
   }
+  Summarize(jobs);
+  return m_broken;
+}
+
+void FaultPlay::Summarize(const std::vector<CalledJob>& jobs) {
+  int silent_calls = 0;
+  for (const auto& caller : m_callers) {
+    silent_calls += caller->CountSilentCalls();
+  }
   const auto accepted =
       std::count_if(jobs.begin(), jobs.end(),
                     [](const CalledJob& job) { return job.is_accepted; });
@@ -384,10 +442,12 @@
       events.begin(), events.end(),
       [](const standin::RunEvent& event) { return event.what == "lost"; });
   m_summary =
-      ("jobs " + std::to_string(jobs.size()) + ", accepted " +
-       std::to_string(accepted) + ", calls without an answer in time " +
-       std::to_string(silent_calls) + ", starts and ends " +
-       std::to_string(events.size()) + ", lost runs " + std::to_string(lost));
+      ("hosts " + std::to_string(m_hosts.size()) + ", executors " +
+       std::to_string(m_executor_outages.size()) + ", jobs " +
+       std::to_string(jobs.size()) + ", accepted " + std::to_string(accepted) +
+       ", calls without an answer in time " + std::to_string(silent_calls) +
+       ", starts and ends " + std::to_string(events.size()) + ", lost runs " +
+       std::to_string(lost));
   Note(m_summary);
   for (const std::string& broken : m_broken) {
     Note("BROKEN " + broken);
@@ -398,7 +458,6 @@
          << " " << event.executor << " " << event.task << " " << event.run
          << " " << event.what << "\n";
   }
-  return m_broken;
 }
 
 }  // namespace shallotwick::soak
--- a/tests/soak/fault_play.h
+++ b/tests/soak/fault_play.h
@@ -17,8 +17,13 @@
 namespace shallotwick::soak {
 
 struct FaultPlayOptions {
-  // The number of scheduler processes; 0 for a few, by the seed.
+  // The numbers of scheduler processes and of executors; 0 for a few, by the
+  // seed.
   size_t hosts = 0;
+  size_t executors = 0;
+  // The scheduler's program; an absolute path, or one in the build directory.
+  std::string scheduler =
+      "services/shallotwick-scheduler/shallotwick-scheduler";
   // See ClusterStandin::OrderFaults.
   bool late_orders_precede_reports = false;
 };
@@ -51,6 +56,12 @@
     Milliseconds restart_after{0};
     bool is_restart_planned = false;
   };
+  struct ExecutorOutage {
+    // Overlapping outages end with the last of them.
+    int count = 0;
+    bool has_new_id = false;
+  };
+  enum class Restart { kSameId, kNewId, kLeave };
 
   void StartHost(size_t host);
   // Notes addresses of processes that have started and restarts those that
@@ -60,10 +71,15 @@
   void PlanFault(Milliseconds at);
   void PlanSignal(Milliseconds at, size_t host, int signal);
   void PlanExecutorRestart(Milliseconds at);
+  void BeginOutage(size_t executor, Restart restart, bool resets);
+  void EndOutage(size_t executor, Milliseconds delay);
   void PlanCutOff(Milliseconds at);
   void SendSignal(size_t host, int signal);
   void PlayUntil(Milliseconds end);
+  void StartProcesses();
+  void RunCallers();
   void Calm();
+  void Summarize(const std::vector<CalledJob>& jobs);
   void CheckAnswers();
   void Plan(Milliseconds at, std::function<void()> action);
   int64_t Draw(int64_t least, int64_t most);
@@ -74,6 +90,8 @@
   FaultPlayOptions m_options;
   std::string m_directory;
   std::mt19937 m_random;
+  // Apart, so that the kinds of restarts don't change the plan of a seed.
+  std::mt19937 m_restart_random;
   Clock::time_point m_begin = Clock::now();
   std::unique_ptr<standin::ClusterStandin> m_cluster;
   std::vector<Host> m_hosts;
@@ -82,7 +100,7 @@
   std::multimap<Milliseconds, std::function<void()>> m_plan;
   // Overlapping faults of one kind end with the last of them.
   int m_store_outages = 0;
-  std::vector<int> m_executor_outages;
+  std::vector<ExecutorOutage> m_executor_outages;
   std::vector<std::string> m_broken;
   std::string m_summary;
 };
--- a/tests/soak/soak_test.cc
+++ b/tests/soak/soak_test.cc
@@ -27,6 +27,10 @@
   const uint32_t seeds = ReadNumber("SHALLOTWICK_SOAK_SEEDS", kUsualSeeds);
   shallotwick::soak::FaultPlayOptions options;
   options.hosts = ReadNumber("SHALLOTWICK_SOAK_HOSTS", 0);
+  options.executors = ReadNumber("SHALLOTWICK_SOAK_EXECUTORS", 0);
+  if (const char* path = std::getenv("SHALLOTWICK_SOAK_SCHEDULER")) {
+    options.scheduler = path;
+  }
   options.late_orders_precede_reports =
       ReadNumber("SHALLOTWICK_SOAK_EARLY_ORDERS", 0) != 0;
   std::string report;
--- a/tests/standin-cluster/cluster_standin.cc
+++ b/tests/standin-cluster/cluster_standin.cc
@@ -1,7 +1,6 @@
 #include "standin-cluster/cluster_standin.h"
 
 #include <algorithm>
-#include <map>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -10,9 +9,13 @@
 
 using nlohmann::json;
 
+constexpr int kOtherExecutor = 421;
 constexpr int64_t kLeastLateMs = 2'000;
 constexpr int64_t kMostLateMs = 12'000;
 constexpr auto kTick = std::chrono::milliseconds(2);
+// A silent executor's registry entry is removed after three status reports.
+constexpr auto kEntryExpiry = std::chrono::milliseconds(4'500);
+constexpr int64_t kDrainMs = 2'000;
 constexpr char kConfig[] = R"({"version":2,"routes":[{"name":"quote",
   "host":"127.0.0.1","prefix":"/quote/","sloMs":600,"priority":0,
   "service":"quotes","attempts":2,"stretch":1.6}],
@@ -86,21 +89,30 @@
 
 void ClusterStandin::WriteEntry(size_t executor) {
   const Executor& written = m_executors[executor];
-  const json entry = {{"service", "quotes"},
-                      {"addr", "127.0.0.1:" + std::to_string(written.port)},
-                      {"zone", "z"},
-                      {"state", "ready"},
-                      {"capacity", {{"cpu", 4'000}, {"memMb", 8'192}}},
-                      {"labels", {"a", "r1"}},
-                      {"machine", "m-" + std::to_string(executor)},
-                      {"born", written.model->GetBornMs()}};
+  const Machine machine = MakeMachine(executor);
+  json entry = {{"service", "quotes"},
+                {"addr", "127.0.0.1:" + std::to_string(written.port)},
+                {"zone", machine.zone},
+                {"state", "ready"},
+                {"capacity", {{"cpu", kMachineCpuMilli}, {"memMb", 8'192}}},
+                {"labels", {"a", machine.rack}},
+                {"machine", machine.name},
+                {"born", written.model->GetBornMs()}};
+  if (written.model->IsDraining()) {
+    entry["state"] = "draining";
+    entry["remainingMs"] = kDrainMs;
+  }
   m_rows.Put("servers", written.model->GetId(), entry.dump());
 }
 
 void ClusterStandin::WriteEntryAt(size_t executor, Clock::time_point at) {
   m_waiting.push_back({at, [this, executor](bool is_over) {
+                         const Executor& written = m_executors[executor];
+                         if (!written.model->IsUp()) {
+                           return true;
+                         }
                          if (!is_over || m_is_store_down ||
-                             m_executors[executor].is_cut_off) {
+                             written.is_cut_off) {
                            return false;
                          }
                          WriteEntry(executor);
@@ -108,6 +120,21 @@
                        }});
 }
 
+void ClusterStandin::RemoveEntryAt(const std::string& id,
+                                   Clock::time_point at) {
+  m_waiting.push_back({at, [this, id](bool is_over) {
+                         if (is_over) {
+                           m_rows.Remove("servers", id);
+                         }
+                         return is_over;
+                       }});
+}
+
+std::string ClusterStandin::GetExecutorId(size_t executor) const {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  return m_executors[executor].model->GetId();
+}
+
 void ClusterStandin::SetOrderFaults(const OrderFaults& faults) {
   const std::lock_guard<std::mutex> lock(m_mutex);
   m_faults = faults;
@@ -140,7 +167,19 @@
   }
 }
 
-void ClusterStandin::BootExecutor(size_t executor,
+void ClusterStandin::DrainExecutor(size_t executor) {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  m_executors[executor].model->SetDraining(true);
+  WriteEntryAt(executor, Clock::now());
+}
+
+void ClusterStandin::RemoveExecutor(size_t executor) {
+  CrashExecutor(executor, true);
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  RemoveEntryAt(m_executors[executor].model->GetId(), Clock::now());
+}
+
+void ClusterStandin::BootExecutor(size_t executor, bool has_new_id,
                                   std::chrono::milliseconds registry_delay) {
   // Only the thread that injects faults touches the servers.
   Executor& booted = m_executors[executor];
@@ -148,7 +187,10 @@
     booted.server = Listen(executor, booted.port);
   }
   const std::lock_guard<std::mutex> lock(m_mutex);
-  booted.model->Boot();
+  if (has_new_id) {
+    RemoveEntryAt(booted.model->GetId(), Clock::now() + kEntryExpiry);
+  }
+  booted.model->Boot(has_new_id);
   WriteEntryAt(executor, Clock::now() + registry_delay);
 }
 
@@ -214,22 +256,24 @@
     return;
   }
   if (path == "/v1/machines") {
-    json machines = json::array();
-    for (size_t i = 0; i < m_executors.size(); ++i) {
-      machines.push_back({{"machine", "m-" + std::to_string(i)},
-                          {"pool", "quotes"},
-                          {"state", "up"},
-                          {"zone", "z"},
-                          {"capacity", {{"cpu", 4'000}}},
-                          {"id", m_executors[i].model->GetId()}});
-    }
     respond(http::MakeJsonResponse(
-        200, json{{"machines", machines}, {"nextToken", nullptr}}.dump()));
+        200,
+        FormatPage(ListMachines(), ReadText(request, "pageToken")).dump()));
     return;
   }
   respond(http::MakeJsonResponse(404, "{}"));
 }
 
+std::vector<Machine> ClusterStandin::ListMachines() const {
+  std::vector<Machine> machines;
+  for (size_t i = 0; i < m_executors.size(); ++i) {
+    const ExecutorModel& model = *m_executors[i].model;
+    machines.push_back(MakeMachine(i));
+    machines.back().executor = model.IsUp() ? model.GetId() : "";
+  }
+  return machines;
+}
+
 void ClusterStandin::SetStoreDown(bool is_down) {
   const std::lock_guard lock(m_mutex);
   if (m_is_store_down != is_down) {
@@ -263,8 +307,12 @@
 std::pair<int, json> ClusterStandin::CarryOut(const Call& call) {
   ExecutorModel& model = *m_executors[call.executor].model;
   if (call.path == "/v1/run-start") {
+    const auto task = call.order.at("task").get<std::string>();
+    const int64_t present = model.FindRun(task);
     auto result = model.Start(call.order, call.came);
-    FindDoubledTasks();
+    if (present == 0 && model.FindRun(task) != 0) {
+      CheckDoubled(call.executor, task);
+    }
     return result;
   }
   if (call.path == "/v1/run-stop") {
@@ -282,6 +330,11 @@
       {at, [this, call](bool is_over) {
          const Executor& executor = m_executors[call.executor];
          const ExecutorModel& model = *executor.model;
+         // An executor with another id rejects it.
+         if (model.GetId() != call.id) {
+           --m_late_orders;
+           return true;
+         }
          const bool may_act =
              model.GetBornMs() == call.born_ms || model.HasReported() ||
              (m_faults.late_orders_precede_reports && call.path != "/v1/hold");
@@ -340,12 +393,22 @@
                                     const http::Request& request,
                                     const http::Respond& respond) {
   const std::lock_guard<std::mutex> lock(m_mutex);
-  const Call call{executor, m_executors[executor].model->GetBornMs(),
+  const ExecutorModel& model = *m_executors[executor].model;
+  const Call call{executor,
+                  model.GetId(),
+                  model.GetBornMs(),
                   http::GetPath(request.target),
-                  json::parse(request.body, nullptr, false), Clock::now()};
+                  json::parse(request.body, nullptr, false),
+                  Clock::now()};
   if (!IsReachable(call)) {
     return;
   }
+  const auto expected =
+      http::FindHeader(request.headers, "X-Shallotwick-Expect-Instance");
+  if (expected && *expected != call.id) {
+    Answer(call, kOtherExecutor, json::object(), respond);
+    return;
+  }
   const bool is_unanswered =
       std::bernoulli_distribution(m_faults.unanswered_share)(m_random);
   if (is_unanswered) {
@@ -373,33 +436,23 @@
   }
 }
 
-void ClusterStandin::FindDoubledTasks() {
-  std::map<std::string, int> running;
-  for (const Executor& executor : m_executors) {
-    if (!executor.model->IsUp()) {
-      continue;
-    }
-    executor.model->Advance();
-    for (const std::string& task : executor.model->ListRunning()) {
-      ++running[task];
-    }
-  }
-  std::set<std::string> doubled;
-  for (const auto& [task, count] : running) {
-    if (count < 2) {
-      continue;
-    }
-    doubled.insert(task);
-    if (m_doubled_now.count(task) == 0) {
+void ClusterStandin::CheckDoubled(size_t started, const std::string& task) {
+  for (size_t i = 0; i < m_executors.size(); ++i) {
+    ExecutorModel& model = *m_executors[i].model;
+    if (i != started && model.IsUp() && model.FindRun(task) != 0) {
       m_doubled.push_back(task);
+      return;
     }
   }
-  m_doubled_now = doubled;
 }
 
 void ClusterStandin::Advance() {
   const std::lock_guard<std::mutex> lock(m_mutex);
-  FindDoubledTasks();
+  for (const Executor& executor : m_executors) {
+    if (executor.model->IsUp()) {
+      executor.model->Advance();
+    }
+  }
   const auto now = Clock::now();
   // What is done may add to the list.
   std::list<Waiting> waiting;
--- a/tests/standin-cluster/cluster_standin.h
+++ b/tests/standin-cluster/cluster_standin.h
@@ -7,19 +7,19 @@
 #include <memory>
 #include <mutex>
 #include <random>
-#include <set>
 #include <string>
 #include <thread>
 #include <vector>
 
 #include "http/server.h"
 #include "standin-cluster/executor_model.h"
+#include "standin-cluster/machine_list.h"
 #include "standin-cluster/row_table.h"
 
 namespace shallotwick::standin {
 
-// The users' platform in one process of a test: its store, its list of hosts
-// and a few executors, spoken to by its published calls.
+// The users' platform in one process of a test: its store, its list of machines
+// and executors in several zones, spoken to by its published calls.
 class ClusterStandin {
  public:
   // Executors serve one service, "quotes"; each run takes `run_ms`.
@@ -28,6 +28,8 @@
 
   std::string GetAddress() const;
   size_t GetExecutorCount() const { return m_executors.size(); }
+  // The id that the executor has now.
+  std::string GetExecutorId(size_t executor) const;
   // Answers each call to the store with 503 while set.
   void SetStoreDown(bool is_down);
   // Returns for how long the store was up between two points in time.
@@ -56,8 +58,14 @@
   // An executor crashes. Its open connections are reset, or go on without
   // answers until it is back.
   void CrashExecutor(size_t executor, bool resets_connections);
-  // It is back under the same id; its registry entry shows that later.
-  void BootExecutor(size_t executor, std::chrono::milliseconds registry_delay);
+  // It announces that it will leave.
+  void DrainExecutor(size_t executor);
+  // It goes, and its registry entry with it.
+  void RemoveExecutor(size_t executor);
+  // It is back at the same address; the registry shows that later. With a new
+  // id, the former entry stays until its expiry.
+  void BootExecutor(size_t executor, bool has_new_id,
+                    std::chrono::milliseconds registry_delay);
   // While an executor is cut off it takes and answers no orders, and runs on.
   void SetCutOff(size_t executor, bool is_cut_off, bool has_entry);
   // Orders that are still to be carried out.
@@ -85,6 +93,7 @@
   // One call to an executor, and the incarnation that it came to.
   struct Call {
     size_t executor = 0;
+    std::string id;
     int64_t born_ms = 0;
     std::string path;
     nlohmann::json order;
@@ -103,18 +112,20 @@
               const http::Respond& respond);
   bool IsReachable(const Call& call) const;
   int64_t Draw(int64_t least, int64_t most);
-  void FindDoubledTasks();
+  std::vector<Machine> ListMachines() const;
+  // Notes a task that another executor runs at the start of a run.
+  void CheckDoubled(size_t started, const std::string& task);
   void Advance();
   void RunClock();
   void WriteEntry(size_t executor);
   void WriteEntryAt(size_t executor, Clock::time_point at);
+  void RemoveEntryAt(const std::string& id, Clock::time_point at);
 
   mutable std::mutex m_mutex;
   RowTable m_rows;
   std::vector<Executor> m_executors;
   std::list<Waiting> m_waiting;
   std::vector<std::string> m_doubled;
-  std::set<std::string> m_doubled_now;
   OrderFaults m_faults;
   std::mt19937 m_random;
   size_t m_late_orders = 0;
--- a/tests/standin-cluster/executor_model.cc
+++ b/tests/standin-cluster/executor_model.cc
@@ -21,7 +21,8 @@
 }  // namespace
 
 ExecutorModel::ExecutorModel(std::string id, int64_t run_ms)
-    : m_id(std::move(id)),
+    : m_name(id),
+      m_id(std::move(id)),
       m_least_run_ms(run_ms),
       m_most_run_ms(run_ms),
       m_born_ms(GetUnixMs()) {}
@@ -43,8 +44,12 @@
   m_ended = json::array();
 }
 
-void ExecutorModel::Boot() {
+void ExecutorModel::Boot(bool has_new_id) {
   m_is_up = true;
+  m_is_draining = false;
+  if (has_new_id) {
+    m_id = m_name + "-" + std::to_string(++m_life);
+  }
   m_born = Clock::now();
   m_born_ms = std::max(m_born_ms + 1, GetUnixMs());
 }
@@ -208,12 +213,10 @@
   Record(task, run, how);
 }
 
-std::vector<std::string> ExecutorModel::ListRunning() const {
-  std::vector<std::string> tasks;
-  for (const auto& [task, run] : m_runs) {
-    tasks.push_back(task);
-  }
-  return tasks;
+int64_t ExecutorModel::FindRun(const std::string& task) {
+  Advance();
+  const auto run = m_runs.find(task);
+  return run == m_runs.end() ? 0 : run->second.number;
 }
 
 }  // namespace shallotwick::standin
--- a/tests/standin-cluster/executor_model.h
+++ b/tests/standin-cluster/executor_model.h
@@ -40,11 +40,15 @@
 
   // All that runs or is known here is gone.
   void Crash();
-  // Begins again under the same id, with a clock and counts of its own.
-  void Boot();
+  // Begins again with a clock and counts of its own, under an id that no
+  // executor had if `has_new_id`.
+  void Boot(bool has_new_id);
   bool IsUp() const { return m_is_up; }
   int64_t GetBornMs() const { return m_born_ms; }
   bool HasReported() const { return m_has_reported; }
+  // What the executor says of itself in the registry.
+  void SetDraining(bool is_draining) { m_is_draining = is_draining; }
+  bool IsDraining() const { return m_is_draining; }
   // Each run takes between these times, which depend on its task and number.
   void SetRunTime(int64_t least_ms, int64_t most_ms);
   // Ends what is over or has lapsed. Returns whether something has ended.
@@ -55,8 +59,8 @@
   const std::vector<RunEvent>& GetEvents() const { return m_events; }
   // Ends as done that a hold has acknowledged and whose lease had not lapsed.
   const std::vector<RunEvent>& GetNotedEnds() const { return m_noted; }
-  // Runs that are present at the same time as another of their task.
-  std::vector<std::string> ListRunning() const;
+  // The number of the task's run that is present now; 0 if there is none.
+  int64_t FindRun(const std::string& task);
 
  private:
   struct Run {
@@ -74,11 +78,15 @@
   void Record(const std::string& task, int64_t run, const std::string& what,
               Clock::time_point ordered = {});
 
+  // The id of the first life; later ones add a number.
+  std::string m_name;
   std::string m_id;
+  int m_life = 1;
   int64_t m_least_run_ms;
   int64_t m_most_run_ms;
   bool m_is_up = true;
   bool m_has_reported = false;
+  bool m_is_draining = false;
   Clock::time_point m_born = Clock::now();
   int64_t m_born_ms;
   uint64_t m_fence = 0;
--- a/tests/standin-cluster/row_table.cc
+++ b/tests/standin-cluster/row_table.cc
@@ -1,8 +1,7 @@
 #include "standin-cluster/row_table.h"
 
-#include <algorithm>
 #include <restinio/utils/base64.hpp>
-#include <vector>
+#include <utility>
 
 namespace shallotwick::standin {
 namespace {
@@ -29,6 +28,16 @@
   return object;
 }
 
+void RowTable::Set(const Key& key, Row row) {
+  auto& changes = m_changes[std::get<0>(key)];
+  const auto [entry, is_new] = m_rows.try_emplace(key);
+  if (!is_new) {
+    changes.erase({entry->second.version, key});
+  }
+  changes.emplace(row.version, key);
+  entry->second = std::move(row);
+}
+
 std::pair<int, json> RowTable::Commit(const json& transaction) {
   json current = json::array();
   bool holds = true;
@@ -46,11 +55,11 @@
   }
   ++m_version;
   for (const json& entry : transaction.value("writes", json::array())) {
-    m_rows[ReadKey(entry)] =
-        Row{entry.at("value").get<std::string>(), m_version, false};
+    Set(ReadKey(entry),
+        Row{entry.at("value").get<std::string>(), m_version, false});
   }
   for (const json& entry : transaction.value("remove", json::array())) {
-    m_rows[ReadKey(entry)] = Row{"", m_version, true};
+    Set(ReadKey(entry), Row{"", m_version, true});
   }
   return {200, {{"ver", m_version}, {"nowMs", 1}}};
 }
@@ -83,31 +92,28 @@
 }
 
 json RowTable::ListChanges(const std::string& table, uint64_t after) const {
-  std::vector<std::pair<uint64_t, json>> changes;
-  for (const auto& [key, row] : m_rows) {
-    if (std::get<0>(key) == table && row.version > after) {
-      changes.emplace_back(row.version, Format(key, row));
-    }
-  }
-  std::sort(changes.begin(), changes.end(),
-            [](const auto& left, const auto& right) {
-              return left.first < right.first;
-            });
   json rows = json::array();
-  for (const auto& [version, row] : changes) {
-    rows.push_back(row);
+  const auto changes = m_changes.find(table);
+  if (changes != m_changes.end()) {
+    for (auto change = changes->second.lower_bound({after + 1, Key()});
+         change != changes->second.end(); ++change) {
+      const Key& key = change->second;
+      rows.push_back(Format(key, m_rows.at(key)));
+    }
   }
   return {{"rows", rows}, {"ver", m_version}, {"nowMs", 1}};
 }
 
 void RowTable::Put(const std::string& table, const std::string& key,
                    const std::string& value) {
-  m_rows[{table, "", key}] =
-      Row{restinio::utils::base64::encode(value), ++m_version, false};
+  ++m_version;
+  Set({table, "", key},
+      Row{restinio::utils::base64::encode(value), m_version, false});
 }
 
 void RowTable::Remove(const std::string& table, const std::string& key) {
-  m_rows[{table, "", key}] = Row{"", ++m_version, true};
+  ++m_version;
+  Set({table, "", key}, Row{"", m_version, true});
 }
 
 std::string RowTable::Get(const std::string& table, const std::string& part,
--- a/tests/standin-cluster/row_table.h
+++ b/tests/standin-cluster/row_table.h
@@ -3,8 +3,10 @@
 #include <cstdint>
 #include <map>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <string>
 #include <tuple>
+#include <utility>
 
 namespace shallotwick::standin {
 
@@ -37,8 +39,11 @@
   };
 
   static nlohmann::json Format(const Key& key, const Row& row);
+  void Set(const Key& key, Row row);
 
   std::map<Key, Row> m_rows;
+  // The rows of each table by the versions of their last changes.
+  std::map<std::string, std::set<std::pair<uint64_t, Key>>> m_changes;
   uint64_t m_version = 1;
 };
 
