Count the soak's limit from the work that is left

The limit is now 60 s plus the mean run time of the accepted tasks that have not ended, divided by the room of the executors that are up, so a job that waits for anything but room still fails. Jobs whose cancellation is confirmed add nothing, and neither do jobs that no caller was told are accepted. Where little is left the limit is the 60 s it was.

--- a/tests/soak/caller.cc
+++ b/tests/soak/caller.cc
@@ -81,7 +81,7 @@
   for (size_t i = 0; i < count; ++i) {
     job.counts.push_back(1 + static_cast<int>(Draw(3)));
     json step = {{"count", job.counts.back()},
-                 {"cpu", 500},
+                 {"cpu", kTaskCpuMilli},
                  {"memMb", 100},
                  {"estMs", 400}};
     if (i > 0) {
--- a/tests/soak/caller.h
+++ b/tests/soak/caller.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -26,6 +27,9 @@
   std::vector<std::string> m_addresses;
 };
 
+// What each task requests of a processor, in thousandths.
+inline constexpr int64_t kTaskCpuMilli = 500;
+
 // A job as its caller knows it.
 struct CalledJob {
   using Time = std::chrono::steady_clock::time_point;
--- a/tests/soak/fault_play.cc
+++ b/tests/soak/fault_play.cc
@@ -7,6 +7,7 @@
 #include <atomic>
 #include <csignal>
 #include <fstream>
+#include <set>
 #include <thread>
 #include <utility>
 
@@ -27,7 +28,8 @@
 constexpr auto kLongestStop = std::chrono::milliseconds(4'000);
 constexpr auto kCallPeriod = std::chrono::milliseconds(60);
 constexpr auto kTick = std::chrono::milliseconds(5);
-// Leases, sessions and late orders end within this time and jobs after it.
+// Leases, sessions and late orders end within this time. So do jobs after it,
+// besides the time that their tasks take in the executors' room.
 constexpr auto kCalmLimit = std::chrono::seconds(60);
 // Until a process that was told to end is killed.
 constexpr auto kGrace = std::chrono::milliseconds(8'000);
@@ -340,7 +342,36 @@
     }
     return are_over;
   };
-  harness::WaitFor(are_over, kCalmLimit);
+  const Milliseconds limit = kCalmLimit + EstimateRemainingWork();
+  Note("accepted jobs are to be over within " + std::to_string(limit.count()) +
+       " ms");
+  harness::WaitFor(are_over, limit);
+}
+
+FaultPlay::Milliseconds FaultPlay::EstimateRemainingWork() const {
+  std::set<std::string> done;
+  for (const standin::RunEvent& event : m_cluster->GetEvents()) {
+    if (event.what == "done") {
+      done.insert(event.task);
+    }
+  }
+  int64_t tasks = 0;
+  for (const auto& caller : m_callers) {
+    for (const CalledJob& job : caller->GetJobs()) {
+      if (!job.is_accepted || job.is_cancel_confirmed || IsOver(job.state)) {
+        continue;
+      }
+      for (size_t step = 0; step < job.counts.size(); ++step) {
+        for (int i = 0; i < job.counts[step]; ++i) {
+          tasks +=
+              1 - static_cast<int64_t>(done.count(MakeTaskName(job, step, i)));
+        }
+      }
+    }
+  }
+  const int64_t room =
+      std::max<int64_t>(1, m_cluster->GetUsableCpuMilli() / kTaskCpuMilli);
+  return Milliseconds(tasks * (kLeastRunMs + m_longest_run_ms) / 2 / room);
 }
 
 void FaultPlay::CheckAnswers() {
@@ -362,7 +393,8 @@
   m_cluster = std::make_unique<standin::ClusterStandin>(
       static_cast<int>(executors), 300);
   m_cluster->SeedFaults(m_seed);
-  m_cluster->SetRunTime(kLeastRunMs, Draw(200, 2'500));
+  m_longest_run_ms = Draw(200, 2'500);
+  m_cluster->SetRunTime(kLeastRunMs, m_longest_run_ms);
   m_executor_outages.resize(executors);
   const auto usual_hosts = static_cast<size_t>(Draw(2, 5));
   m_hosts.resize(m_options.hosts == 0 ? usual_hosts : m_options.hosts);
--- a/tests/soak/fault_play.h
+++ b/tests/soak/fault_play.h
@@ -79,6 +79,8 @@
   void StartProcesses();
   void RunCallers();
   void Calm();
+  // The time that the work of accepted jobs takes in all executors' room.
+  Milliseconds EstimateRemainingWork() const;
   void Summarize(const std::vector<CalledJob>& jobs);
   void CheckAnswers();
   void Plan(Milliseconds at, std::function<void()> action);
@@ -101,6 +103,7 @@
   // Overlapping faults of one kind end with the last of them.
   int m_store_outages = 0;
   std::vector<ExecutorOutage> m_executor_outages;
+  int64_t m_longest_run_ms = 0;
   std::vector<std::string> m_broken;
   std::string m_summary;
 };
--- a/tests/soak/promises.cc
+++ b/tests/soak/promises.cc
@@ -12,10 +12,6 @@
 // counting time without the store, from which owners learn of it.
 constexpr auto kCancellationLimit = std::chrono::seconds(1);
 
-std::string MakeTaskName(const CalledJob& job, size_t step, int index) {
-  return job.id + ".0." + std::to_string(step) + "." + std::to_string(index);
-}
-
 std::string Describe(const RunEvent& event) {
   return event.task + " run " + std::to_string(event.run) + " on " +
          event.executor;
@@ -121,6 +117,10 @@
 
 }  // namespace
 
+std::string MakeTaskName(const CalledJob& job, size_t step, int index) {
+  return job.id + ".0." + std::to_string(step) + "." + std::to_string(index);
+}
+
 std::vector<std::string> FindBrokenPromises(
     const std::vector<CalledJob>& jobs,
     const standin::ClusterStandin& cluster) {
--- a/tests/standin-cluster/cluster_standin.cc
+++ b/tests/standin-cluster/cluster_standin.cc
@@ -135,6 +135,15 @@
   return m_executors[executor].model->GetId();
 }
 
+int64_t ClusterStandin::GetUsableCpuMilli() const {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  return kMachineCpuMilli *
+         std::count_if(m_executors.begin(), m_executors.end(),
+                       [](const Executor& executor) {
+                         return executor.model->IsUp() && !executor.is_cut_off;
+                       });
+}
+
 void ClusterStandin::SetOrderFaults(const OrderFaults& faults) {
   const std::lock_guard<std::mutex> lock(m_mutex);
   m_faults = faults;
--- a/tests/standin-cluster/cluster_standin.h
+++ b/tests/standin-cluster/cluster_standin.h
@@ -30,6 +30,8 @@
   size_t GetExecutorCount() const { return m_executors.size(); }
   // The id that the executor has now.
   std::string GetExecutorId(size_t executor) const;
+  // The processor capacity of all executors that are up and reachable.
+  int64_t GetUsableCpuMilli() const;
   // Answers each call to the store with 503 while set.
   void SetStoreDown(bool is_down);
   // Returns for how long the store was up between two points in time.
