Give tasks to a target that returns before the roster is written anew

A target that left the registry and came back under its id took no tasks any more, idle and in reach, until another target of its pool came or went. When it left it was forgotten; the roster that leaves it out is written up to 0.5 s after the last one, or later while the store is slow. If it was back by then, the stored roster named it, so nothing was written and nothing confirmed it. With flapping entries, or after an outage of the store that let the entries of a whole pool expire, long-running tasks could wait with room on such targets.

TargetThatReturnsBeforeRosterIsWrittenTakesTasksAgain failed before: CHECK_TRUE(wait_until_in_roster()) failed after 2 s.

The roster is written while any target is unconfirmed. A write is needed, not just a look at the stored roster: one without the target may still be under way, and the new version turns it away.

The test of ended targets in the roster uses targets that answer; what it checks is the same.

--- a/libraries/scheduling/pool_scheduler.cc
+++ b/libraries/scheduling/pool_scheduler.cc
@@ -154,6 +154,12 @@
   }
 }
 
+bool PoolScheduler::NeedsRoster() const {
+  return std::any_of(m_targets.begin(), m_targets.end(), [](const auto& entry) {
+    return !entry.second.m_is_in_roster;
+  });
+}
+
 void PoolScheduler::ResetIncarnation(TargetLedger& target) {
   TargetLedger reset(target.m_entry);
   reset.m_is_registered = target.m_is_registered;
--- a/libraries/scheduling/pool_scheduler.h
+++ b/libraries/scheduling/pool_scheduler.h
@@ -114,6 +114,9 @@
   // must be stored before the first start on any of them.
   std::map<std::string, std::string> GetRoster() const;
   void ConfirmRoster(const std::map<std::string, std::string>& roster);
+  // Returns whether a target receives no tasks until a roster with it is
+  // confirmed.
+  bool NeedsRoster() const;
 
   // Returns the reports to request now. Each request is in flight until
   // OnReport or OnReportFailed.
--- a/services/shallotwick-scheduler/pool_records.cc
+++ b/services/shallotwick-scheduler/pool_records.cc
@@ -43,10 +43,8 @@
 // registry no longer lists.
 void PoolRunner::WriteRoster() {
   const std::map<std::string, std::string> roster = m_scheduler.GetRoster();
-  bool has_new = false;
-  for (const auto& [id, address] : roster) {
-    has_new = has_new || m_stored_roster.count(id) == 0;
-  }
+  // A target may need a write although the stored roster names it: it has left
+  // the registry and returned since, and a roster without it may be under way.
   // The next owner waits for the lease of each roster target that it cannot
   // reach, so ended targets must be removed from the roster promptly.
   bool has_gone = false;
@@ -55,7 +53,8 @@
   }
   const auto now = base::RuntimeClock::now();
   const bool is_due =
-      has_new || (has_gone && now >= m_roster_written_at + kRosterShrinkPeriod);
+      m_scheduler.NeedsRoster() ||
+      (has_gone && now >= m_roster_written_at + kRosterShrinkPeriod);
   if (!is_due || m_is_writing_roster || m_is_lost) {
     return;
   }
--- a/services/shallotwick-scheduler/tests/scheduler_test.cc
+++ b/services/shallotwick-scheduler/tests/scheduler_test.cc
@@ -55,6 +55,24 @@
               std::function<void(scheduling::ReportResult)>) override {}
 };
 
+// Accepts all orders; its targets run nothing.
+class IdleTargets : public UnresponsiveTargets {
+ public:
+  explicit IdleTargets(base::EventLoop& loop) : m_loop(loop) {}
+
+  void Report(
+      const scheduling::ReportOrder&,
+      std::function<void(scheduling::ReportResult)> on_result) override {
+    scheduling::ReportResult result;
+    result.outcome = scheduling::OrderOutcome::kAccepted;
+    result.report.clock_ms = 1'000;
+    m_loop.Post([on_result, result] { on_result(result); });
+  }
+
+ private:
+  base::EventLoop& m_loop;
+};
+
 // A fleet of two hosts in one pool, where every operation succeeds.
 class FakeHosts : public hosts::HostOperations {
  public:
@@ -145,6 +163,7 @@
   fakes::FakeRowStore m_store{m_loop};
   base::MetricRegistry m_metrics;
   UnresponsiveTargets m_targets;
+  IdleTargets m_idle_targets{m_loop};
   FakeHosts m_hosts{m_loop};
   // The store's steady clock in milliseconds, if known.
   std::optional<int64_t> m_store_ms;
@@ -175,13 +194,18 @@
   }
 
   std::unique_ptr<scheduler::PoolRunner> StartPool() {
+    return StartPool(m_targets);
+  }
+
+  std::unique_ptr<scheduler::PoolRunner> StartPool(scheduling::TargetOrders &
+                                                   targets) {
     scheduler::PoolRunnerOptions options;
     options.service = kService;
     options.owner_version =
         m_store.Put(scheduler::MakeOwnerKey(kService), "{}");
     options.term = 2;
     auto pool = std::make_unique<scheduler::PoolRunner>(
-        m_loop, m_store, m_targets, m_metrics, options);
+        m_loop, m_store, targets, m_metrics, options);
     pool->m_is_session_valid = [] { return true; };
     pool->m_on_lost = [] {};
     pool->Start();
@@ -399,7 +423,7 @@
 // The next owner delays existing jobs for each roster target that it cannot
 // reach, so targets that have certainly ended must leave the roster.
 TEST(Scheduler, EndedTargetsAreRemovedFromRoster) {
-  const auto pool = StartPool();
+  const auto pool = StartPool(m_idle_targets);
   for (const char* id : {"i-1", "i-2"}) {
     scheduling::TargetEntry entry;
     entry.id = id;
@@ -418,6 +442,32 @@
   wait_for_roster(R"({"i-2":""})");
 }
 
+TEST(Scheduler, TargetThatReturnsBeforeRosterIsWrittenTakesTasksAgain) {
+  const auto pool = StartPool(m_idle_targets);
+  scheduling::TargetEntry entry;
+  entry.id = "i-1";
+  entry.service = kService;
+  const auto is_in_roster = [&pool] {
+    const auto& targets = pool->GetScheduler().GetTargets();
+    const auto found = targets.find("i-1");
+    return found != targets.end() && found->second.m_is_in_roster;
+  };
+  const auto wait_until_in_roster = [&] {
+    const auto deadline = base::RuntimeClock::now() + std::chrono::seconds(2);
+    while (!is_in_roster() && base::RuntimeClock::now() < deadline) {
+      m_loop.GetContext().restart();
+      m_loop.GetContext().run_one();
+    }
+    return is_in_roster();
+  };
+  pool->OnTargetChanged(entry);
+  CHECK_TRUE(wait_until_in_roster());
+  pool->OnTargetRemoved("i-1");
+  LONGS_EQUAL(0, pool->GetScheduler().GetTargets().size());
+  pool->OnTargetChanged(entry);
+  CHECK_TRUE(wait_until_in_roster());
+}
+
 // Otherwise the target's tasks would wait for the lease that a previous owner
 // may have granted.
 TEST(Scheduler, UnresponsiveTargetMissingFromTwoHostListsIsEnded) {
