Leave entries that never answered out of the roster

The roster of targets that may hold leases named all registered entries. One that answers nobody held all jobs older than a takeover back until the bound of the former owner's leases (5.4 s after the takeover, itself 2.4 s or more after the loss), at each takeover anew, unless two host lists lacked it.

Starts and leases are only ever sent to targets that have answered this owner, so the roster needs these, and those of the previous owner's roster until the bound of its leases. A target that is left out has to be in a stored roster again before it gets a start.

Two fixtures confirm the roster after the targets have answered instead of before, as the scheduler does; their checks are the same.

--- a/libraries/scheduling/pool_scheduler.cc
+++ b/libraries/scheduling/pool_scheduler.cc
@@ -142,7 +142,10 @@
 std::map<std::string, std::string> PoolScheduler::GetRoster() const {
   std::map<std::string, std::string> roster;
   for (const auto& [id, target] : m_targets) {
-    roster[id] = target.m_entry.address;
+    // Tasks start only on targets that have answered this owner.
+    if (target.m_has_answered_owner || target.m_is_in_roster) {
+      roster[id] = target.m_entry.address;
+    }
   }
   return roster;
 }
@@ -156,7 +159,7 @@
 
 bool PoolScheduler::NeedsRoster() const {
   return std::any_of(m_targets.begin(), m_targets.end(), [](const auto& entry) {
-    return !entry.second.m_is_in_roster;
+    return entry.second.m_has_answered_owner && !entry.second.m_is_in_roster;
   });
 }
 
@@ -264,6 +267,9 @@
     if (target.GetLeaseBound() > now) {
       continue;
     }
+    // A roster that is stored from now on need not name it until it answers.
+    target.m_is_in_roster =
+        target.m_is_in_roster && target.m_has_answered_owner;
     if (!target.GetRuns().empty()) {
       DropLostRuns(target, "the lease has expired");
     }
--- a/libraries/scheduling/pool_scheduler.h
+++ b/libraries/scheduling/pool_scheduler.h
@@ -110,8 +110,10 @@
   // Returns the unresponsive targets without a report since `since` that may
   // have runs.
   std::vector<std::string> ListUnresponsiveTargets(base::TimePoint since) const;
-  // Returns the addresses of the targets that may have runs, by id. The roster
-  // must be stored before the first start on any of them.
+  // Returns the addresses of the targets that may have runs, by id: those that
+  // have answered this owner, and those of the previous owner's roster until
+  // its leases have ended. The roster must be stored before the first start on
+  // any of them.
   std::map<std::string, std::string> GetRoster() const;
   void ConfirmRoster(const std::map<std::string, std::string>& roster);
   // Returns whether a target receives no tasks until a roster with it is
--- a/libraries/scheduling/tests/incarnations/long_running_play_test.cc
+++ b/libraries/scheduling/tests/incarnations/long_running_play_test.cc
@@ -27,6 +27,12 @@
   CheckLongRunningSeeds(MakePlay(), 4);
 }
 
+TEST(LongRunningPlay, TasksRunAgainAfterTakeoverWithEntriesThatNeverAnswer) {
+  LongRunningPlay play = MakePlay();
+  play.options.silent_entries = 2;
+  CheckLongRunningSeeds(play, 4);
+}
+
 TEST(LongRunningPlay, TasksRunAgainAfterCutsCrashesAndRestarts) {
   LongRunningPlay play = MakePlay();
   play.options.partition_chance = 0.1;
@@ -68,3 +74,19 @@
   play.options.partition_chance = 0.05;
   CheckLongRunningSeeds(play, 4);
 }
+
+TEST(LongRunningPlay, TasksRunAgainAfterAllKindsOfFaults) {
+  LongRunningPlay play = MakePlay();
+  play.options.silent_entries = 2;
+  play.options.owner_loss_chance = 0.2;
+  play.options.partition_chance = 0.1;
+  play.options.crash_chance = 0.05;
+  play.options.restart_chance = 0.1;
+  play.options.max_registry_delay = std::chrono::milliseconds(1'500);
+  play.options.host_list_outage_chance = 0.05;
+  play.options.lost_share = 0.1;
+  play.options.failure_share = 0.05;
+  play.poison_jobs = 60;
+  play.unplaceable_jobs = 45;
+  CheckLongRunningSeeds(play, 4);
+}
--- a/libraries/scheduling/tests/incarnations/restart_test.cc
+++ b/libraries/scheduling/tests/incarnations/restart_test.cc
@@ -41,7 +41,6 @@
     for (const char* id : {"t0", "t1"}) {
       m_pool.UpdateTarget(MakeTarget(id, kFirstBornMs), m_now);
     }
-    m_pool.ConfirmRoster(m_pool.GetRoster());
     scheduling::JobSpec job;
     job.id = "job";
     job.steps.resize(1);
@@ -49,6 +48,7 @@
     job.steps[0].estimate_ms = 1'000;
     m_pool.AddJob(job, MakeInitialProgress(job), false);
     AnswerReports(kFirstBornMs, {});
+    m_pool.ConfirmRoster(m_pool.GetRoster());
     m_orders = Decide();
     LONGS_EQUAL(1, m_orders.starts.size());
   }
--- a/libraries/scheduling/tests/incarnations/settlement_test.cc
+++ b/libraries/scheduling/tests/incarnations/settlement_test.cc
@@ -44,9 +44,9 @@
     for (const char* id : {"t0", "t1"}) {
       m_pool->UpdateTarget(MakeTarget(id, kBorn1), m_now);
     }
-    m_pool->ConfirmRoster(m_pool->GetRoster());
     AddJob("job", 1, predates);
     AnswerReports(kBorn1, {});
+    m_pool->ConfirmRoster(m_pool->GetRoster());
     m_orders = Decide();
     LONGS_EQUAL(1, m_orders.starts.size());
   }
--- a/libraries/scheduling/tests/long_running_test.cc
+++ b/libraries/scheduling/tests/long_running_test.cc
@@ -149,6 +149,35 @@
   CHECK_TRUE(lines >= 3 && lines <= 6);
 }
 
+TEST(LongRunning, EntryThatNeverAnsweredIsNotInRoster) {
+  Register("odd");
+  Register("t0");
+  AnswerReports("odd");
+  const auto roster = m_pool.GetRoster();
+  LONGS_EQUAL(1, roster.size());
+  CHECK_TRUE(roster.count("t0") > 0);
+}
+
+TEST(LongRunning, RosterTargetThatNeverAnsweredIsKeptUntilItsLeasesEnd) {
+  m_pool.AddRosterTarget(MakeTarget("odd"), m_now);
+  Register("odd");
+  DecideAfter(milliseconds(5'500));
+  LONGS_EQUAL(1, m_pool.GetRoster().size());
+  DecideAfter(milliseconds(1'000));
+  LONGS_EQUAL(0, m_pool.GetRoster().size());
+  // A start needs a roster that names the target.
+  AddJob(MakeLongRunningJob("job", 1));
+  const auto sent = m_now;
+  for (const auto& order : m_pool.CreateReportOrders(sent)) {
+    scheduling::TargetReport report;
+    report.clock_ms = 5'000;
+    m_pool.OnReport(order, sent, m_now, report);
+  }
+  LONGS_EQUAL(0, DecideAfter(milliseconds(60)).starts.size());
+  m_pool.ConfirmRoster(m_pool.GetRoster());
+  LONGS_EQUAL(1, DecideAfter(milliseconds(60)).starts.size());
+}
+
 TEST(LongRunning, TaskWhoseOtherRunIsBeingStoppedHoldsNoOtherTaskOfItsStep) {
   Register("t0");
   AnswerReports();
--- a/services/shallotwick-scheduler/tests/scheduler_test.cc
+++ b/services/shallotwick-scheduler/tests/scheduler_test.cc
@@ -468,6 +468,21 @@
   CHECK_TRUE(wait_until_in_roster());
 }
 
+TEST(Scheduler, EntryThatNeverAnswersIsNotWrittenToRoster) {
+  const auto pool = StartPool();
+  scheduling::TargetEntry entry;
+  entry.id = "odd";
+  entry.service = kService;
+  pool->OnTargetChanged(entry);
+  const auto end = base::RuntimeClock::now() + std::chrono::milliseconds(300);
+  while (base::RuntimeClock::now() < end) {
+    m_loop.GetContext().restart();
+    m_loop.GetContext().run_one();
+  }
+  STRCMP_EQUAL("",
+               m_store.Get(scheduler::MakeRosterKey(kService)).value.c_str());
+}
+
 // Otherwise the target's tasks would wait for the lease that a previous owner
 // may have granted.
 TEST(Scheduler, UnresponsiveTargetMissingFromTwoHostListsIsEnded) {
