Log each registry entry that names no target

An entry of another writer was left aside in silence: neither the log nor /metrics told that an owner had met one, or what was wrong with it.

An entry whose service no configuration has named is logged too; it is kept, since a later configuration may name the service.

--- a/libraries/base/log_catalogue.h
+++ b/libraries/base/log_catalogue.h
@@ -124,6 +124,9 @@
 inline constexpr LogEvent kTargetEnded{
     521, "target-gone", Severity::kInfo,
     "A silent target has certainly ended; its tasks may start elsewhere."};
+inline constexpr LogEvent kRegistryEntryRefused{
+    522, "registry-entry-refused", Severity::kWarning,
+    "An entry of the registry names no target to use; the reason is named."};
 inline constexpr LogEvent kHostOperation{
     530, "host-operation", Severity::kInfo,
     "A move or an upkeep of a host was asked of the platform."};
@@ -175,6 +178,7 @@
                                     kJobCancelled,
                                     kTaskDecision,
                                     kTargetEnded,
+                                    kRegistryEntryRefused,
                                     kHostOperation,
                                     kPoolCapacity,
                                     kProgressBacklog,
--- a/services/shallotwick-scheduler/ownership_manager.h
+++ b/services/shallotwick-scheduler/ownership_manager.h
@@ -26,6 +26,8 @@
   std::function<void(const std::string& pool)> m_on_lost;
 
   void SetPools(const std::set<std::string>& pools);
+  // Returns the pools that a configuration has named so far.
+  const std::set<std::string>& GetPools() const { return m_pools; }
   // Claims pools without a live owner; called after each read of the sessions.
   void ClaimOrphanedPools();
   // Whether this host owns pools, ranks among the first hosts to claim one, or
--- a/services/shallotwick-scheduler/scheduler_process.cc
+++ b/services/shallotwick-scheduler/scheduler_process.cc
@@ -95,6 +95,7 @@
                GetSeconds(settings, "maintenance-s")}),
       m_capacity(m_host_operations, m_host_ledger,
                  GetSeconds(settings, "move-s")),
+      m_targets(m_metrics),
       m_operator_table(m_loop, m_store,
                        {platform::kOperatorTable,
                         {platform::kSharedPartition},
@@ -205,13 +206,7 @@
   m_operator_table.m_on_change = [this](const storage::VersionedRow& row) {
     OnOperatorRow(row);
   };
-  m_registry.m_on_reset =
-      [this](const std::vector<storage::VersionedRow>& rows) {
-        OnRegistryReset(rows);
-      };
-  m_registry.m_on_change = [this](const storage::VersionedRow& row) {
-    OnRegistryRow(row);
-  };
+  FollowRegistry();
   m_api.m_get_config = [this] { return m_config ? &*m_config : nullptr; };
   m_store.m_on_return = [this] { m_session.RenewNow(); };
   m_api.m_is_store_reachable = [this] { return IsStoreReachable(); };
@@ -302,6 +297,35 @@
   m_session.m_peer_address = base::FormatEndpoint(peer_endpoint);
 }
 
+void SchedulerProcess::FollowRegistry() {
+  m_targets.m_is_service_known = [this](const std::string& service) {
+    return m_ownership.GetPools().count(service) > 0;
+  };
+  m_targets.m_on_changed = [this](const scheduling::TargetEntry& entry) {
+    const auto runner = m_pools.find(entry.service);
+    if (runner != m_pools.end()) {
+      runner->second->OnTargetChanged(entry);
+    }
+  };
+  m_targets.m_on_removed = [this](const std::string& service,
+                                  const std::string& id) {
+    const auto runner = m_pools.find(service);
+    if (runner != m_pools.end()) {
+      runner->second->OnTargetRemoved(id);
+    }
+  };
+  m_registry.m_on_reset =
+      [this](const std::vector<storage::VersionedRow>& rows) {
+        m_targets.OnReset(rows);
+        for (const auto& [pool, runner] : m_pools) {
+          runner->SetTargets(m_targets.ListTargets(pool));
+        }
+      };
+  m_registry.m_on_change = [this](const storage::VersionedRow& row) {
+    m_targets.OnRow(row);
+  };
+}
+
 SchedulerProcess::~SchedulerProcess() = default;
 
 void SchedulerProcess::Run() {
@@ -486,57 +510,6 @@
   }
 }
 
-void SchedulerProcess::OnRegistryReset(
-    const std::vector<storage::VersionedRow>& rows) {
-  m_targets.clear();
-  for (const storage::VersionedRow& row : rows) {
-    auto entry = platform::DecodeTarget(row.key.key, row.value);
-    if (entry) {
-      m_targets[entry->id] = std::move(*entry);
-    }
-  }
-  for (const auto& [pool, runner] : m_pools) {
-    runner->SetTargets(ListTargets(pool));
-  }
-}
-
-std::map<std::string, scheduling::TargetEntry> SchedulerProcess::ListTargets(
-    const std::string& pool) const {
-  std::map<std::string, scheduling::TargetEntry> targets;
-  for (const auto& [id, entry] : m_targets) {
-    if (entry.service == pool) {
-      targets[id] = entry;
-    }
-  }
-  return targets;
-}
-
-void SchedulerProcess::OnRegistryRow(const storage::VersionedRow& row) {
-  const std::string& id = row.key.key;
-  std::optional<scheduling::TargetEntry> entry;
-  if (!row.is_removed) {
-    entry = platform::DecodeTarget(id, row.value);
-  }
-  const auto before = m_targets.find(id);
-  const bool has_left = before != m_targets.end() &&
-                        (!entry || entry->service != before->second.service);
-  if (has_left) {
-    const auto runner = m_pools.find(before->second.service);
-    if (runner != m_pools.end()) {
-      runner->second->OnTargetRemoved(id);
-    }
-    m_targets.erase(before);
-  }
-  if (!entry) {
-    return;
-  }
-  m_targets[id] = *entry;
-  const auto runner = m_pools.find(entry->service);
-  if (runner != m_pools.end()) {
-    runner->second->OnTargetChanged(*entry);
-  }
-}
-
 void SchedulerProcess::StartPool(const std::string& pool, uint64_t version,
                                  int64_t term) {
   PoolRunnerOptions options;
@@ -560,7 +533,7 @@
   runner->m_get_store_ms = m_host_ledger.m_get_store_ms;
   runner->m_on_lost = [this, pool] { RemovePool(pool); };
   runner->SetConfig(*m_config);
-  runner->m_targets_at_start = ListTargets(pool);
+  runner->m_targets_at_start = m_targets.ListTargets(pool);
   runner->Start();
   if (m_pools.empty()) {
     m_registry.Start();
@@ -575,7 +548,7 @@
   if (m_pools.empty()) {
     m_registry.Stop();
     m_host_ledger.Stop();
-    m_targets.clear();
+    m_targets.Clear();
   }
 }
 
--- a/services/shallotwick-scheduler/scheduler_process.h
+++ b/services/shallotwick-scheduler/scheduler_process.h
@@ -28,6 +28,7 @@
 #include "storage/observed_store.h"
 #include "submission_router.h"
 #include "table_follower.h"
+#include "target_registry.h"
 #include "wave_coordinator.h"
 
 namespace shallotwick::scheduler {
@@ -47,11 +48,8 @@
   void WaitForSignal();
   void OnOperatorRow(const storage::VersionedRow& row);
   void SetConfig(const std::string& text);
-  void OnRegistryReset(const std::vector<storage::VersionedRow>& rows);
-  void OnRegistryRow(const storage::VersionedRow& row);
-  // Returns the registered targets that serve a pool.
-  std::map<std::string, scheduling::TargetEntry> ListTargets(
-      const std::string& pool) const;
+  // Passes the entries of the registry to the pools that this host owns.
+  void FollowRegistry();
   void StartPool(const std::string& pool, uint64_t version, int64_t term);
   void RunHostManagementPeriodically();
   void EndUnlistedTargets();
@@ -92,6 +90,7 @@
   HostLedger m_host_ledger;
   WaveCoordinator m_waves;
   CapacityBroker m_capacity;
+  TargetRegistry m_targets;
   TableFollower m_operator_table;
   TableFollower m_registry;
   JobService m_jobs;
@@ -107,7 +106,6 @@
   base::Duration m_retention;
   base::Duration m_stop_grace;
   std::optional<scheduling::ServingConfig> m_config;
-  std::map<std::string, scheduling::TargetEntry> m_targets;
   std::map<std::string, std::unique_ptr<PoolRunner>> m_pools;
   size_t m_pools_to_release = 0;
   // Request time of the host list that was last used to end unresponsive
