--- a/libraries/hosts/host_operations.h
+++ b/libraries/hosts/host_operations.h
@@ -8,14 +8,23 @@
 
 namespace shallotwick::hosts {
 
-enum class HostState { kUp, kMoving, kMaintenance, kDown };
+enum class HostState {
+  kUp,
+  kMoving,
+  kMaintenance,
+  kDown,
+  // The platform's list has the host, but its row cannot be read.
+  kUnknown,
+};
 
 // A host of the fleet as listed by the platform.
 struct FleetHost {
+  // Empty if the host's row cannot be read, which leaves open which host it is.
   std::string name;
   std::string pool;
   HostState state = HostState::kUp;
-  // The target that runs on the host; empty if none does.
+  // The target that runs on the host; empty if none does, or if the state is
+  // kUnknown and the target is not known.
   std::string target;
   int64_t cpu_milli = 0;
 
--- a/services/shallotwick-scheduler/scheduler_process.cc
+++ b/services/shallotwick-scheduler/scheduler_process.cc
@@ -429,7 +429,11 @@
   const std::string prefix = platform::kWaveKeyPrefix;
   if (row.key.key.compare(0, prefix.size(), prefix) == 0) {
     try {
-      m_waves.SetWave(platform::DecodeWave(row.value));
+      const hosts::MaintenanceWave wave = platform::DecodeWave(row.value);
+      if (row.key.key != prefix + std::to_string(wave.number)) {
+        throw std::runtime_error("the number is not that of the key");
+      }
+      m_waves.SetWave(wave);
     } catch (const std::runtime_error& error) {
       base::Log(base::events::kStoreContentInvalid,
                 {{"row", row.key.key}, {"fault", error.what()}});
@@ -462,7 +466,12 @@
   m_applied_list_time = requested_at;
   std::set<std::string> live;
   for (const auto& [name, host] : m_host_ledger.GetHosts()) {
-    if (host.state == hosts::HostState::kUp) {
+    const bool is_unknown = host.state == hosts::HostState::kUnknown;
+    if (is_unknown && host.target.empty()) {
+      // Any target that the list lacks may be the one of this host.
+      return;
+    }
+    if (is_unknown || host.state == hosts::HostState::kUp) {
       live.insert(host.target);
     }
   }
--- a/services/shallotwick-scheduler/tests/scheduler_test.cc
+++ b/services/shallotwick-scheduler/tests/scheduler_test.cc
@@ -803,6 +803,14 @@
   LONGS_EQUAL(0, m_pool->GetScheduler().CountRuns("i-m-1"));
 }
 
+TEST(AbandonedMaintenance, EndsNoRunsWhileRowOfHostCannotBeRead) {
+  Start(100);
+  m_hosts.m_hosts[0] = {"m-1", "", hosts::HostState::kUnknown, "", 0};
+  WaitForHostList();
+  m_waves->ProcessWaves(base::RuntimeClock::now());
+  LONGS_EQUAL(1, m_pool->GetScheduler().CountRuns("i-m-1"));
+}
+
 // A host may be missing from one list, as hosts move while its pages are read.
 TEST(AbandonedMaintenance, EndsNoRunsWhileHostListLacksHost) {
   Start(100);
--- a/services/shallotwick-scheduler/wave_coordinator.cc
+++ b/services/shallotwick-scheduler/wave_coordinator.cc
@@ -176,7 +176,10 @@
     }
   }
   for (const std::string& name : hosts::ListWaitingHosts(wave, record)) {
-    if (m_ledger.GetHosts().count(name) > 0) {
+    // A row without a readable name may be that of any host.
+    const bool may_be_listed = m_ledger.GetHosts().count(name) > 0 ||
+                               m_ledger.GetHosts().count("") > 0;
+    if (may_be_listed) {
       m_missing_since.erase(name);
       continue;
     }
@@ -229,7 +232,8 @@
       continue;
     }
     const auto listed = m_ledger.GetHosts().find(name);
-    if (listed == m_ledger.GetHosts().end()) {
+    if (listed == m_ledger.GetHosts().end() ||
+        listed->second.state == hosts::HostState::kUnknown) {
       continue;
     }
     resolved.push_back(name);
