Read the scheduler's shared rows and peers' jobs strictly

Rows of sessions, owners, locks, rosters and queue reports were read with the JSON library's conversions: a session with 1e300 cores, a clock offset of 1e300 (an undefined conversion) or an address that is none counted as live, and a queue report with 1e300 or -3 waiting jobs was told to callers. A job of a peer with more tasks than any job may have was submitted.

They use the reader of platform/ now. A roster's target whose address is none keeps its place without an address, since it may still have runs. A job of a peer must keep the limits of a job of a caller.

SessionWithOddFieldIsNoSession, QueueReportWithOddNumberIsNoReport and JobOfPeerBeyondTheLimitsOfAJobIsRejected failed before.

--- a/services/shallotwick-scheduler/host_ledger.cc
+++ b/services/shallotwick-scheduler/host_ledger.cc
@@ -1,11 +1,13 @@
 #include "host_ledger.h"
 
 #include <nlohmann/json.hpp>
+#include <stdexcept>
 #include <utility>
 
 #include "base/log.h"
 #include "base/log_catalogue.h"
 #include "job_tables.h"
+#include "platform/wire_reader.h"
 
 namespace shallotwick::scheduler {
 namespace {
@@ -120,13 +122,16 @@
   lock.version = row.version;
   lock.observed_at = base::RuntimeClock::now();
   try {
-    const auto object = nlohmann::json::parse(row.value);
-    object.at("holder").get_to(lock.holder);
-    const auto taken = object.find("taken_store_ms");
-    if (taken != object.end()) {
-      lock.taken_store_ms = taken->get<int64_t>();
+    const auto object = platform::ParseWire(row.value);
+    const platform::WireReader reader(object);
+    const std::string holder =
+        reader.GetText("holder", platform::kMaxTextBytes);
+    if (reader.Has("taken_store_ms")) {
+      lock.taken_store_ms =
+          reader.GetInteger("taken_store_ms", platform::kClockMsRange);
     }
-  } catch (const nlohmann::json::exception& error) {
+    lock.holder = holder;
+  } catch (const std::runtime_error& error) {
     base::Log(base::events::kStoreContentInvalid,
               {{"row", row.key.key}, {"fault", error.what()}});
     lock.is_holder_known = false;
--- a/services/shallotwick-scheduler/ownership_manager.cc
+++ b/services/shallotwick-scheduler/ownership_manager.cc
@@ -2,11 +2,13 @@
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <stdexcept>
 #include <utility>
 
 #include "base/log.h"
 #include "base/log_catalogue.h"
 #include "job_tables.h"
+#include "platform/wire_reader.h"
 
 namespace shallotwick::scheduler {
 namespace {
@@ -15,6 +17,9 @@
 // long for every host ranked before it.
 constexpr auto kRankDelay = std::chrono::milliseconds(1'000);
 
+// Run numbers are multiples of the term.
+constexpr platform::WireRange kTermRange{0, platform::kMaxExactInteger / 1'000};
+
 std::string EncodeOwner(const ownership::OwnerRecord& record) {
   return nlohmann::json{{"host", record.holder.host},
                         {"boot", record.holder.boot},
@@ -31,11 +36,13 @@
     return record;
   }
   try {
-    const auto object = nlohmann::json::parse(row.value);
-    object.at("host").get_to(record.holder.host);
-    object.at("boot").get_to(record.holder.boot);
-    object.at("term").get_to(record.term);
-  } catch (const nlohmann::json::exception& error) {
+    const auto object = platform::ParseWire(row.value);
+    const platform::WireReader reader(object);
+    // A pool that was released has an owner without a name.
+    record.holder.host = reader.GetText("host", platform::kMaxTextBytes);
+    record.holder.boot = reader.GetText("boot", platform::kMaxTextBytes);
+    record.term = reader.GetInteger("term", kTermRange);
+  } catch (const std::runtime_error& error) {
     base::Log(
         base::events::kStoreContentInvalid,
         {{"row", row.key.table + "/" + row.key.part}, {"fault", error.what()}});
--- a/services/shallotwick-scheduler/peer_api.cc
+++ b/services/shallotwick-scheduler/peer_api.cc
@@ -1,8 +1,10 @@
 #include "peer_api.h"
 
 #include <stdexcept>
+#include <utility>
 #include <vector>
 
+#include "base/finding.h"
 #include "base/log.h"
 #include "base/log_catalogue.h"
 #include "peer_client.h"
@@ -43,6 +45,10 @@
   scheduling::JobSpec job;
   try {
     job = scheduling::DecodeJobRecord(body);
+    base::Findings findings = scheduling::CheckJob(job);
+    if (!findings.empty()) {
+      throw base::InvalidInput(std::move(findings));
+    }
   } catch (const std::runtime_error& error) {
     base::Log(base::events::kMalformedFrame,
               {{"pool", pool}, {"fault", error.what()}});
--- a/services/shallotwick-scheduler/pool_runner.cc
+++ b/services/shallotwick-scheduler/pool_runner.cc
@@ -7,6 +7,7 @@
 #include "base/log.h"
 #include "base/log_catalogue.h"
 #include "job_tables.h"
+#include "platform/wire_reader.h"
 #include "scheduling/job_record.h"
 
 namespace shallotwick::scheduler {
@@ -21,6 +22,7 @@
 constexpr auto kReadRetryDelay = std::chrono::milliseconds(200);
 // A started target appears in the platform's host list within this time.
 constexpr auto kMaxListingDelay = std::chrono::milliseconds(3'000);
+constexpr size_t kMaxAddressBytes = 200;
 // Run numbers reserved per term; the next term starts above them.
 constexpr int64_t kRunsPerTerm = 1'000;
 // Fencing tokens per ownership. With versions of up to 2^39, tokens can be
@@ -68,6 +70,36 @@
   return "unknown";
 }
 
+// Returns the addresses of the targets by id; empty for an address that no
+// order can be sent to. Such a target may still have runs.
+std::map<std::string, std::string> DecodeRoster(
+    const storage::VersionedRow& row) {
+  std::map<std::string, std::string> roster;
+  try {
+    const auto object = platform::ParseWire(row.value);
+    if (!object.is_object()) {
+      throw std::runtime_error("roster is not a JSON object");
+    }
+    for (const auto& [id, address] : object.items()) {
+      std::string& decoded = roster[id];
+      try {
+        platform::CheckName(id, "id");
+        decoded = platform::ReadText(address, "address", kMaxAddressBytes);
+        if (!decoded.empty()) {
+          platform::CheckTargetAddress(decoded, "address");
+        }
+      } catch (const std::runtime_error&) {
+        decoded.clear();
+      }
+    }
+  } catch (const std::runtime_error& error) {
+    base::Log(base::events::kStoreContentInvalid, {{"pool", row.key.part},
+                                                   {"row", row.key.table},
+                                                   {"fault", error.what()}});
+  }
+  return roster;
+}
+
 }  // namespace
 
 PoolRunner::PoolRunner(base::EventLoop& loop, storage::RowStore& store,
@@ -107,38 +139,29 @@
   storage::RowRange range;
   range.table = kRosterTable;
   range.part = m_options.service;
-  m_store.Read(
-      range, m_lifetime.Guard([this](const storage::RowReadResult& result) {
-        if (!result.is_read) {
-          m_loop.RunAfter(kReadRetryDelay,
-                          m_lifetime.Guard([this] { ReadRoster(); }));
-          return;
-        }
-        const auto now = base::RuntimeClock::now();
-        for (const storage::VersionedRow& row : result.rows) {
-          m_roster_version = row.version;
-          const auto roster = nlohmann::json::parse(row.value, nullptr, false);
-          if (!roster.is_object()) {
-            base::Log(base::events::kStoreContentInvalid,
-                      {{"pool", m_options.service},
-                       {"row", row.key.table},
-                       {"fault", "roster is not a JSON object"}});
-            continue;
-          }
-          for (const auto& [id, address] : roster.items()) {
-            scheduling::TargetEntry entry;
-            entry.id = id;
-            entry.service = m_options.service;
-            entry.address =
-                address.is_string() ? address.get<std::string>() : "";
-            m_scheduler.AddRosterTarget(entry, now);
-            m_stored_roster[id] = entry.address;
-          }
-        }
-        m_is_roster_read = true;
-        SetTargets(m_targets_at_start);
-        ReadProgress();
-      }));
+  m_store.Read(range,
+               m_lifetime.Guard([this](const storage::RowReadResult& result) {
+                 if (!result.is_read) {
+                   m_loop.RunAfter(kReadRetryDelay,
+                                   m_lifetime.Guard([this] { ReadRoster(); }));
+                   return;
+                 }
+                 const auto now = base::RuntimeClock::now();
+                 for (const storage::VersionedRow& row : result.rows) {
+                   m_roster_version = row.version;
+                   for (const auto& [id, address] : DecodeRoster(row)) {
+                     scheduling::TargetEntry entry;
+                     entry.id = id;
+                     entry.service = m_options.service;
+                     entry.address = address;
+                     m_scheduler.AddRosterTarget(entry, now);
+                     m_stored_roster[id] = entry.address;
+                   }
+                 }
+                 m_is_roster_read = true;
+                 SetTargets(m_targets_at_start);
+                 ReadProgress();
+               }));
 }
 
 // Progress is read before the jobs: a job added in between has no progress yet,
--- a/services/shallotwick-scheduler/queue_report.cc
+++ b/services/shallotwick-scheduler/queue_report.cc
@@ -2,9 +2,11 @@
 
 #include <chrono>
 #include <nlohmann/json.hpp>
+#include <stdexcept>
 
 #include "base/log.h"
 #include "base/log_catalogue.h"
+#include "platform/wire_reader.h"
 
 namespace shallotwick::scheduler {
 namespace {
@@ -31,12 +33,21 @@
     return std::nullopt;
   }
   try {
-    const auto object = nlohmann::json::parse(row.value);
+    const auto object = platform::ParseWire(row.value);
+    const platform::WireReader reader(object);
     QueueReport report;
-    object.at("counted_store_ms").get_to(report.counted_store_ms);
-    object.at("queued").get_to(report.queued);
+    report.counted_store_ms =
+        reader.GetInteger("counted_store_ms", platform::kClockMsRange);
+    const auto& queued = reader.Get("queued");
+    if (!queued.is_object()) {
+      throw std::runtime_error("queued: is not an object");
+    }
+    for (const auto& [route, count] : queued.items()) {
+      report.queued[route] =
+          platform::ReadInteger(count, "queued", platform::kAnyCount);
+    }
     return report;
-  } catch (const nlohmann::json::exception& error) {
+  } catch (const std::runtime_error& error) {
     base::Log(base::events::kStoreContentInvalid, {{"pool", row.key.part},
                                                    {"row", row.key.table},
                                                    {"fault", error.what()}});
--- a/services/shallotwick-scheduler/session_renewer.cc
+++ b/services/shallotwick-scheduler/session_renewer.cc
@@ -2,11 +2,13 @@
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <stdexcept>
 #include <utility>
 
 #include "base/log.h"
 #include "base/log_catalogue.h"
 #include "job_tables.h"
+#include "platform/wire_reader.h"
 
 namespace shallotwick::scheduler {
 namespace {
@@ -35,23 +37,32 @@
 // in flight.
 constexpr auto kMaxRenewalAge = std::chrono::milliseconds(1'600);
 
+constexpr double kMaxCores = 1'000'000;
+// The store's clock may count from any time.
+constexpr platform::WireRange kClockOffsetRange{-platform::kClockMsRange.max,
+                                                platform::kClockMsRange.max};
+
 // Returns std::nullopt and logs the error if the row is malformed.
 std::optional<ownership::SessionRow> DecodeSession(
     const storage::VersionedRow& row) {
   try {
-    const auto object = nlohmann::json::parse(row.value);
+    const auto object = platform::ParseWire(row.value);
+    const platform::WireReader reader(object);
     ownership::SessionRow session;
     session.holder.host = row.key.key;
-    session.holder.boot = object.at("boot").get<std::string>();
+    session.holder.boot = reader.GetName("boot");
     session.version = row.version;
-    session.cores = object.value("cores", 1.0);
-    session.peer_address = object.value("peer", "");
-    const auto offset = object.find("clock_offset_ms");
-    if (offset != object.end()) {
-      session.clock_offset_ms = offset->get<int64_t>();
+    session.cores = reader.GetReal("cores", kMaxCores, 1.0);
+    session.peer_address = reader.GetName("peer", "");
+    if (!session.peer_address.empty()) {
+      platform::CheckTargetAddress(session.peer_address, "peer");
+    }
+    if (reader.Has("clock_offset_ms")) {
+      session.clock_offset_ms =
+          reader.GetInteger("clock_offset_ms", kClockOffsetRange);
     }
     return session;
-  } catch (const nlohmann::json::exception& error) {
+  } catch (const std::runtime_error& error) {
     base::Log(
         base::events::kStoreContentInvalid,
         {{"row", row.key.table + "/" + row.key.key}, {"fault", error.what()}});
