Follow only the partitions of a table that were read

The change feed of the store has the rows of all partitions of a table. A row that another writer put into another partition of the registry, under the key of a live target, replaced or removed that target; after the next full read, which has the one partition only, it was back. The same held for the operator's table. Rows of other partitions are now left out.

RowOfAnotherPartitionIsNoRowOfTheTable failed before (2 rows instead of 1).

--- a/services/shallotwick-scheduler/table_follower.cc
+++ b/services/shallotwick-scheduler/table_follower.cc
@@ -127,8 +127,12 @@
     m_last_update = base::RuntimeClock::now();
   }
   for (const storage::VersionedRow& row : result.rows) {
+    // Another writer may have put rows into other partitions.
+    const auto& followed = m_options.partitions;
+    const bool is_followed = std::find(followed.begin(), followed.end(),
+                                       row.key.part) != followed.end();
     // ReloadAfterIdle may already have read a newer version.
-    if (row.version > m_version) {
+    if (is_followed && row.version > m_version) {
       m_on_change(row);
     }
     if (generation != m_generation) {
--- a/services/shallotwick-scheduler/tests/odd_rows_test.cc
+++ b/services/shallotwick-scheduler/tests/odd_rows_test.cc
@@ -8,12 +8,15 @@
 #include "../peer_api.h"
 #include "../queue_report.h"
 #include "../session_renewer.h"
+#include "../table_follower.h"
 #include "fakes/fake_row_store.h"
+#include "platform/names.h"
 #include "scheduling/job_record.h"
 
 namespace base = shallotwick::base;
 namespace fakes = shallotwick::fakes;
 namespace http = shallotwick::http;
+namespace platform = shallotwick::platform;
 namespace scheduler = shallotwick::scheduler;
 namespace scheduling = shallotwick::scheduling;
 namespace storage = shallotwick::storage;
@@ -28,6 +31,27 @@
   }
 };
 
+TEST(OddRows, RowOfAnotherPartitionIsNoRowOfTheTable) {
+  scheduler::TableFollower follower(
+      m_loop, m_store,
+      {platform::kRegistryTable, {platform::kSharedPartition}});
+  std::vector<std::string> seen;
+  follower.m_on_reset = [](const std::vector<storage::VersionedRow>&) {};
+  follower.m_on_change = [&seen](const storage::VersionedRow& row) {
+    seen.push_back(row.key.part + "/" + row.key.key);
+  };
+  follower.Start();
+  ProcessDueEvents();
+  m_store.Put({platform::kRegistryTable, "other", "i-1"}, "{}");
+  ProcessDueEvents();
+  m_store.Put({platform::kRegistryTable, platform::kSharedPartition, "i-2"},
+              "{}");
+  ProcessDueEvents();
+  LONGS_EQUAL(1, seen.size());
+  STRCMP_EQUAL("/i-2", seen[0].c_str());
+  follower.Stop();
+}
+
 TEST(OddRows, SessionWithOddFieldIsNoSession) {
   const char* const values[] = {
       R"({"boot":"b","cores":1e300})",
