--- a/libraries/base/log_catalogue.h
+++ b/libraries/base/log_catalogue.h
@@ -127,6 +127,9 @@
 inline constexpr LogEvent kTargetAlive{
     522, "target-alive", Severity::kWarning,
     "A target that was counted as ended reports; the wrong reason is named."};
+inline constexpr LogEvent kRegistryEntryRefused{
+    523, "registry-entry-refused", Severity::kWarning,
+    "An entry of the registry names no target to use; the reason is named."};
 inline constexpr LogEvent kHostOperation{
     530, "host-operation", Severity::kInfo,
     "A move or an upkeep of a host was asked of the platform."};
@@ -179,6 +182,7 @@
                                     kTaskDecision,
                                     kTargetEnded,
                                     kTargetAlive,
+                                    kRegistryEntryRefused,
                                     kHostOperation,
                                     kPoolCapacity,
                                     kProgressBacklog,
--- a/libraries/scheduling/tests/incarnations/other_process_test.cc
+++ b/libraries/scheduling/tests/incarnations/other_process_test.cc
@@ -69,13 +69,13 @@
   scheduling::TargetEntry other = m_pool.MakeEntry(kOtherAddress, kFirstBornMs);
   other.id = "other";
   m_pool.m_pool.UpdateTarget(other, m_pool.m_now);
-  m_pool.m_pool.ConfirmRoster(m_pool.m_pool.GetRoster());
   scheduling::JobSpec job;
   job.id = "job";
   job.steps.resize(1);
   job.steps[0].demand = {1'000, 1'000, 0};
   m_pool.m_pool.AddJob(job, MakeInitialProgress(job), true);
   m_pool.FailReports(OrderOutcome::kOtherIncarnation);
+  m_pool.m_pool.ConfirmRoster(m_pool.m_pool.GetRoster());
   LONGS_EQUAL(0, m_pool.Decide().starts.size());
   // The wait ends by the host lists or by the lease.
   m_pool.m_pool.OnTargetEnded(m_pool.m_start.target, "host lists");
--- a/libraries/scheduling/tests/incarnations/target_end_pool.cc
+++ b/libraries/scheduling/tests/incarnations/target_end_pool.cc
@@ -32,7 +32,6 @@
   for (const char* id : {"t0", "t1"}) {
     m_pool.UpdateTarget(MakeTarget(id), m_now);
   }
-  m_pool.ConfirmRoster(m_pool.GetRoster());
   JobSpec job;
   job.id = "job";
   job.steps.resize(1);
@@ -40,6 +39,7 @@
   job.steps[0].estimate_ms = 100'000;
   m_pool.AddJob(job, MakeInitialProgress(job), false);
   AnswerReports(kFirstBornMs, {});
+  m_pool.ConfirmRoster(m_pool.GetRoster());
   const auto starts = Decide().starts;
   LONGS_EQUAL(1, starts.size());
   m_start = starts[0];
--- a/services/shallotwick-scheduler/accepted_operations.cc
+++ b/services/shallotwick-scheduler/accepted_operations.cc
@@ -23,7 +23,8 @@
     const auto listed = ledger.GetHosts().find(name);
     // A host that moves while the list is read may be missing from it.
     if (ledger.GetListTime() <= accepted.accepted_at ||
-        listed == ledger.GetHosts().end()) {
+        listed == ledger.GetHosts().end() ||
+        listed->second.state == hosts::HostState::kUnknown) {
       continue;
     }
     const bool is_unchanged = listed->second.state == hosts::HostState::kUp &&
--- a/services/shallotwick-scheduler/host_ledger.cc
+++ b/services/shallotwick-scheduler/host_ledger.cc
@@ -2,11 +2,13 @@
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <stdexcept>
 #include <utility>
 
 #include "base/log.h"
 #include "base/log_catalogue.h"
 #include "job_tables.h"
+#include "platform/wire_reader.h"
 
 namespace shallotwick::scheduler {
 namespace {
@@ -122,13 +124,16 @@
   lock.version = row.version;
   lock.observed_at = base::RuntimeClock::now();
   try {
-    const auto object = nlohmann::json::parse(row.value);
-    object.at("holder").get_to(lock.holder);
-    const auto taken = object.find("taken_store_ms");
-    if (taken != object.end()) {
-      lock.taken_store_ms = taken->get<int64_t>();
+    const auto object = platform::ParseWire(row.value);
+    const platform::WireReader reader(object);
+    const std::string holder =
+        reader.GetText("holder", platform::kMaxTextBytes);
+    if (reader.Has("taken_store_ms")) {
+      lock.taken_store_ms =
+          reader.GetInteger("taken_store_ms", platform::kClockMsRange);
     }
-  } catch (const nlohmann::json::exception& error) {
+    lock.holder = holder;
+  } catch (const std::runtime_error& error) {
     base::Log(base::events::kStoreContentInvalid,
               {{"row", row.key.key}, {"fault", error.what()}});
     lock.is_holder_known = false;
@@ -190,8 +195,13 @@
   listing.requested_at = m_list_time;
   listing.is_settled = m_is_list_settled;
   for (const auto& [name, host] : m_hosts) {
-    listing.targets[name] =
-        host.state == hosts::HostState::kUp ? host.target : "";
+    const bool is_malformed = host.state == hosts::HostState::kUnknown;
+    if (is_malformed) {
+      listing.malformed_hosts.insert(name);
+      listing.lacks_targets = listing.lacks_targets || host.target.empty();
+    }
+    const bool may_be_up = is_malformed || host.state == hosts::HostState::kUp;
+    listing.targets[name] = may_be_up ? host.target : "";
   }
   return listing;
 }
--- a/services/shallotwick-scheduler/host_listing.cc
+++ b/services/shallotwick-scheduler/host_listing.cc
@@ -4,10 +4,12 @@
 
 namespace shallotwick::scheduler {
 
-bool HostListing::HasTarget(const std::string& target) const {
-  return std::any_of(
-      targets.begin(), targets.end(),
-      [&target](const auto& entry) { return entry.second == target; });
+bool HostListing::MayHaveTarget(const scheduling::TargetEntry& target) const {
+  return lacks_targets || malformed_hosts.count(target.host) > 0 ||
+         std::any_of(targets.begin(), targets.end(),
+                     [&target](const auto& entry) {
+                       return entry.second == target.id;
+                     });
 }
 
 bool HostListing::ShowsHostWithout(
--- a/services/shallotwick-scheduler/host_listing.h
+++ b/services/shallotwick-scheduler/host_listing.h
@@ -2,6 +2,7 @@
 
 #include <compare>
 #include <map>
+#include <set>
 #include <string>
 
 #include "base/runtime_clock.h"
@@ -19,7 +20,13 @@
   // others out of the list.
   bool is_settled = false;
 
-  bool HasTarget(const std::string& target) const;
+  // The hosts whose rows are malformed, and whether one of these rows does not
+  // tell its target.
+  std::set<std::string> malformed_hosts;
+  bool lacks_targets = false;
+
+  // Returns whether the target is listed, or may be that of a malformed row.
+  bool MayHaveTarget(const scheduling::TargetEntry& target) const;
   // Returns whether the target's host is listed, and not with this target.
   bool ShowsHostWithout(const scheduling::TargetEntry& target) const;
 
--- a/services/shallotwick-scheduler/pool_runner.cc
+++ b/services/shallotwick-scheduler/pool_runner.cc
@@ -7,6 +7,7 @@
 #include "base/log.h"
 #include "base/log_catalogue.h"
 #include "job_tables.h"
+#include "platform/wire_reader.h"
 #include "scheduling/job_record.h"
 
 namespace shallotwick::scheduler {
@@ -23,6 +24,7 @@
 constexpr auto kReadRetryDelay = std::chrono::milliseconds(200);
 // A started target appears in the platform's host list within this time.
 constexpr auto kMaxListingDelay = std::chrono::milliseconds(3'000);
+constexpr size_t kMaxAddressBytes = 200;
 // Run numbers reserved per term; the next term starts above them.
 constexpr int64_t kRunsPerTerm = 1'000;
 // Fencing tokens per ownership. With versions of up to 2^39, tokens can be
@@ -70,6 +72,36 @@
   return "unknown";
 }
 
+// Returns the addresses of the targets by id; empty for an address that no
+// order can be sent to. Such a target may still have runs.
+std::map<std::string, std::string> DecodeRoster(
+    const storage::VersionedRow& row) {
+  std::map<std::string, std::string> roster;
+  try {
+    const auto object = platform::ParseWire(row.value);
+    if (!object.is_object()) {
+      throw std::runtime_error("roster is not a JSON object");
+    }
+    for (const auto& [id, address] : object.items()) {
+      std::string& decoded = roster[id];
+      try {
+        platform::CheckName(id, "id");
+        decoded = platform::ReadText(address, "address", kMaxAddressBytes);
+        if (!decoded.empty()) {
+          platform::CheckTargetAddress(decoded, "address");
+        }
+      } catch (const std::runtime_error&) {
+        decoded.clear();
+      }
+    }
+  } catch (const std::runtime_error& error) {
+    base::Log(base::events::kStoreContentInvalid, {{"pool", row.key.part},
+                                                   {"row", row.key.table},
+                                                   {"fault", error.what()}});
+  }
+  return roster;
+}
+
 }  // namespace
 
 PoolRunner::PoolRunner(base::EventLoop& loop, storage::RowStore& store,
@@ -123,20 +155,11 @@
         const auto now = base::RuntimeClock::now();
         for (const storage::VersionedRow& row : result.rows) {
           m_roster_version = row.version;
-          const auto roster = nlohmann::json::parse(row.value, nullptr, false);
-          if (!roster.is_object()) {
-            base::Log(base::events::kStoreContentInvalid,
-                      {{"pool", m_options.service},
-                       {"row", row.key.table},
-                       {"fault", "roster is not a JSON object"}});
-            continue;
-          }
-          for (const auto& [id, address] : roster.items()) {
+          for (const auto& [id, address] : DecodeRoster(row)) {
             scheduling::TargetEntry entry;
             entry.id = id;
             entry.service = m_options.service;
-            entry.address =
-                address.is_string() ? address.get<std::string>() : "";
+            entry.address = address;
             m_scheduler.AddRosterTarget(entry, now, HasJustStarted(id));
             m_stored_roster[id] = entry.address;
           }
@@ -329,7 +352,8 @@
        m_scheduler.ListUnresponsiveTargets(listing.requested_at)) {
     const scheduling::TargetLedger& target = m_scheduler.GetTargets().at(id);
     const scheduling::TargetEntry& entry = target.GetEntry();
-    if (listing.HasTarget(id) || entry.incarnation_started_ms > youngest_ms) {
+    if (listing.MayHaveTarget(entry) ||
+        entry.incarnation_started_ms > youngest_ms) {
       continue;
     }
     const bool is_host_listed = listing.ShowsHostWithout(entry);
--- a/services/shallotwick-scheduler/tests/host_listing_test.cc
+++ b/services/shallotwick-scheduler/tests/host_listing_test.cc
@@ -184,3 +184,18 @@
   ReadList({m_second, m_third, m_second});
   CHECK_TRUE(IsKept());
 }
+
+TEST(HostListing, TargetWhoseHostHasMalformedRowIsKept) {
+  const hosts::FleetHost malformed{"m-1", "", hosts::HostState::kUnknown, "",
+                                   0};
+  ReadList({malformed, m_second, m_third});
+  ReadList({malformed, m_second, m_third});
+  CHECK_TRUE(IsKept());
+}
+
+TEST(HostListing, TargetMissingBesideMalformedRowWithoutNameIsKept) {
+  const hosts::FleetHost malformed{"", "", hosts::HostState::kUnknown, "", 0};
+  ReadList({malformed, m_second, m_third});
+  ReadList({malformed, m_second, m_third});
+  CHECK_TRUE(IsKept());
+}
