Test odd rows of other writers with real processes

The stand-in can write rows as another writer does, drop its history and list a host with an odd row.

--- a/tests/standin-cluster/cluster_standin.cc
+++ b/tests/standin-cluster/cluster_standin.cc
@@ -163,6 +163,49 @@
   }
 }
 
+void ClusterStandin::PutRow(const std::string& table, const std::string& key,
+                            const std::string& value) {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  m_rows.Put(table, key, value);
+}
+
+void ClusterStandin::RestoreEntry(size_t executor) {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  WriteEntry(executor);
+}
+
+std::string ClusterStandin::GetRow(const std::string& table,
+                                   const std::string& part,
+                                   const std::string& key) const {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  return m_rows.Get(table, part, key);
+}
+
+void ClusterStandin::DropHistory() {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  ++m_history_drops;
+}
+
+void ClusterStandin::SetHostRow(size_t executor, const json& row) {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  m_executors[executor].host_row = row;
+}
+
+json ClusterStandin::ListHosts() const {
+  json machines = json::array();
+  for (size_t i = 0; i < m_executors.size(); ++i) {
+    const json own = {{"machine", "m-" + std::to_string(i)},
+                      {"pool", "quotes"},
+                      {"state", "up"},
+                      {"zone", "z"},
+                      {"capacity", {{"cpu", 4'000}}},
+                      {"id", m_executors[i].model->GetId()}};
+    machines.push_back(
+        m_executors[i].host_row.is_null() ? own : m_executors[i].host_row);
+  }
+  return machines;
+}
+
 size_t ClusterStandin::CountLateOrders() const {
   const std::lock_guard<std::mutex> lock(m_mutex);
   return m_late_orders;
@@ -202,8 +245,12 @@
     m_waiting.push_back(
         {std::chrono::steady_clock::now() +
              std::chrono::milliseconds(ReadNumber(request, "waitMs", 0)),
-         [this, table = ReadText(request, "table"), after,
-          respond](bool is_over) {
+         [this, table = ReadText(request, "table"), after, respond,
+          drops = m_history_drops](bool is_over) {
+           if (drops != m_history_drops) {
+             respond(http::MakeJsonResponse(410, "{}"));
+             return true;
+           }
            const json body = m_rows.ListChanges(table, after);
            if (!is_over && body.at("rows").empty()) {
              return false;
@@ -214,17 +261,8 @@
     return;
   }
   if (path == "/v1/machines") {
-    json machines = json::array();
-    for (size_t i = 0; i < m_executors.size(); ++i) {
-      machines.push_back({{"machine", "m-" + std::to_string(i)},
-                          {"pool", "quotes"},
-                          {"state", "up"},
-                          {"zone", "z"},
-                          {"capacity", {{"cpu", 4'000}}},
-                          {"id", m_executors[i].model->GetId()}});
-    }
     respond(http::MakeJsonResponse(
-        200, json{{"machines", machines}, {"nextToken", nullptr}}.dump()));
+        200, json{{"machines", ListHosts()}, {"nextToken", nullptr}}.dump()));
     return;
   }
   respond(http::MakeJsonResponse(404, "{}"));
--- a/tests/standin-cluster/cluster_standin.h
+++ b/tests/standin-cluster/cluster_standin.h
@@ -60,6 +60,18 @@
   void BootExecutor(size_t executor, std::chrono::milliseconds registry_delay);
   // While an executor is cut off it takes and answers no orders, and runs on.
   void SetCutOff(size_t executor, bool is_cut_off, bool has_entry);
+  // Writes as another writer does; `value` is plain text.
+  void PutRow(const std::string& table, const std::string& key,
+              const std::string& value);
+  // Writes the entry that the executor itself writes.
+  void RestoreEntry(size_t executor);
+  std::string GetRow(const std::string& table, const std::string& part,
+                     const std::string& key) const;
+  // Requests for changes that are waiting are told that the history is gone.
+  void DropHistory();
+  // The list of hosts has this row instead of the executor's; null for its own.
+  void SetHostRow(size_t executor, const nlohmann::json& row);
+
   // Orders that are still to be carried out.
   size_t CountLateOrders() const;
 
@@ -81,6 +93,7 @@
     std::unique_ptr<http::Server> server;
     uint16_t port = 0;
     bool is_cut_off = false;
+    nlohmann::json host_row;
   };
   // One call to an executor, and the incarnation that it came to.
   struct Call {
@@ -91,6 +104,7 @@
     Clock::time_point came;
   };
 
+  nlohmann::json ListHosts() const;
   void HandleStore(const http::Request& request, const http::Respond& respond);
   void HandleExecutor(size_t executor, const http::Request& request,
                       const http::Respond& respond);
@@ -118,6 +132,7 @@
   OrderFaults m_faults;
   std::mt19937 m_random;
   size_t m_late_orders = 0;
+  int m_history_drops = 0;
   std::atomic<bool> m_is_store_down{false};
   // When the store went down or came back, in turn.
   std::vector<Clock::time_point> m_store_changes;
