--- a/tests/standin-cluster/cluster_standin.cc
+++ b/tests/standin-cluster/cluster_standin.cc
@@ -214,6 +214,34 @@
   }
 }
 
+void ClusterStandin::PutRow(const std::string& table, const std::string& key,
+                            const std::string& value) {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  m_rows.Put(table, key, value);
+}
+
+void ClusterStandin::RestoreEntry(size_t executor) {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  WriteEntry(executor);
+}
+
+std::string ClusterStandin::GetRow(const std::string& table,
+                                   const std::string& part,
+                                   const std::string& key) const {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  return m_rows.Get(table, part, key);
+}
+
+void ClusterStandin::DropHistory() {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  ++m_history_drops;
+}
+
+void ClusterStandin::SetHostRow(size_t executor, const json& row) {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  m_executors[executor].host_row = row;
+}
+
 size_t ClusterStandin::CountLateOrders() const {
   const std::lock_guard<std::mutex> lock(m_mutex);
   return m_late_orders;
@@ -253,8 +281,12 @@
     m_waiting.push_back(
         {std::chrono::steady_clock::now() +
              std::chrono::milliseconds(ReadNumber(request, "waitMs", 0)),
-         [this, table = ReadText(request, "table"), after,
-          respond](bool is_over) {
+         [this, table = ReadText(request, "table"), after, respond,
+          drops = m_history_drops](bool is_over) {
+           if (drops != m_history_drops) {
+             respond(http::MakeJsonResponse(410, "{}"));
+             return true;
+           }
            const json body = m_rows.ListChanges(table, after);
            if (!is_over && body.at("rows").empty()) {
              return false;
@@ -265,9 +297,9 @@
     return;
   }
   if (path == "/v1/machines") {
-    respond(http::MakeJsonResponse(
-        200,
-        FormatPage(ListMachines(), ReadText(request, "pageToken")).dump()));
+    json page = FormatPage(ListMachines(), ReadText(request, "pageToken"));
+    ReplaceHostRows(page.at("machines"));
+    respond(http::MakeJsonResponse(200, page.dump()));
     return;
   }
   respond(http::MakeJsonResponse(404, "{}"));
@@ -283,6 +315,18 @@
   return machines;
 }
 
+void ClusterStandin::ReplaceHostRows(json& rows) const {
+  for (size_t i = 0; i < m_executors.size(); ++i) {
+    for (json& row : rows) {
+      if (!m_executors[i].host_row.is_null() &&
+          row.value("machine", "") == MakeMachine(i).name) {
+        row = m_executors[i].host_row;
+        break;
+      }
+    }
+  }
+}
+
 void ClusterStandin::SetStoreDown(bool is_down) {
   const std::lock_guard lock(m_mutex);
   if (m_is_store_down != is_down) {
