Print the system's state when a process test does not begin to serve

process-fleet-test and process-request-path-test have each failed once with no more than the line of the check; the logs go with the system. They now print what admin says of gateways and hosts, the statuses of the probes and the ends of all logs. The conditions and limits are the same.

--- a/tests/harness/system.cc
+++ b/tests/harness/system.cc
@@ -1,6 +1,9 @@
 #include "harness/system.h"
 
+#include <algorithm>
 #include <filesystem>
+#include <fstream>
+#include <iterator>
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 
@@ -194,6 +197,30 @@
       .response.body;
 }
 
+std::string System::Describe() {
+  std::string text;
+  for (const char* path : {"/v1/gateways", "/v1/hosts"}) {
+    text += std::string("\n") + path + ": " + GetAdmin(path);
+  }
+  return text + ReadLogEnds();
+}
+
+std::string System::ReadLogEnds() const {
+  constexpr size_t kMaxBytes = 6'000;
+  std::string text;
+  for (const auto& entry : std::filesystem::directory_iterator(m_directory)) {
+    if (entry.path().extension() != ".log") {
+      continue;
+    }
+    std::ifstream file(entry.path());
+    const std::string log{std::istreambuf_iterator<char>(file),
+                          std::istreambuf_iterator<char>()};
+    text += "\n" + entry.path().filename().string() + ":\n" +
+            log.substr(log.size() - std::min(log.size(), kMaxBytes));
+  }
+  return text;
+}
+
 std::string System::GetExecutorHosts() {
   return http::SendAndWait("http://" + m_executor_control + "/hosts", {})
       .response.body;
--- a/tests/harness/system.h
+++ b/tests/harness/system.h
@@ -50,6 +50,9 @@
   std::string GetAdmin(const std::string& path);
   // The hosts' addresses and running requests, as JSON.
   std::string GetExecutorHosts();
+  // What admin says of gateways and hosts, and the ends of the logs: the text
+  // of a test's failure, since the logs go with the system.
+  std::string Describe();
   // What the executors did: the JSON of their record.
   std::string GetRecord(bool with_requests);
   void Control(const std::string& executor_path);
@@ -83,6 +86,7 @@
   std::string LogPath(const std::string& name) const;
   void StartStandins();
   void ListHosts();
+  std::string ReadLogEnds() const;
   // Returns the number of hosts that the controllers have recorded.
   int CountKnownHosts();
 
--- a/tests/process/fleet_test.cc
+++ b/tests/process/fleet_test.cc
@@ -69,9 +69,13 @@
       200,
       system->Submit("quotes", harness::MakeTeamSection("quotes", kPromise, 1))
           .status);
-  CHECK_TRUE(system->WaitUntilInForce());
-  CHECK_TRUE(harness::WaitFor(
-      [&] { return CountServing(*system, "quotes") == kPromise; }));
+  if (!system->WaitUntilInForce()) {
+    FAIL(("not in force: " + system->Describe()).c_str());
+  }
+  if (!harness::WaitFor(
+          [&] { return CountServing(*system, "quotes") == kPromise; })) {
+    FAIL(("not all hosts serve: " + system->Describe()).c_str());
+  }
   return system;
 }
 
--- a/tests/process/request_path_test.cc
+++ b/tests/process/request_path_test.cc
@@ -56,14 +56,25 @@
   LONGS_EQUAL(200,
               system->Submit("quotes", harness::MakeTeamSection("quotes", 4, 1))
                   .status);
-  CHECK_TRUE(system->WaitUntilInForce());
-  CHECK_TRUE(harness::WaitFor([&] {
+  if (!system->WaitUntilInForce()) {
+    FAIL(("not in force: " + system->Describe()).c_str());
+  }
+  int statuses[2] = {};
+  const bool serves = harness::WaitFor([&] {
     const auto hosts = nlohmann::json::parse(
         system->GetAdmin("/v1/hosts?pool=quotes"), nullptr, false);
+    for (size_t gateway = 0; gateway < 2; ++gateway) {
+      statuses[gateway] =
+          system->Send(gateway, MakeGet("probe")).response.status;
+    }
     return hosts.is_object() && hosts["hosts"].size() == 4 &&
-           system->Send(0, MakeGet("probe")).response.status == 200 &&
-           system->Send(1, MakeGet("probe")).response.status == 200;
-  }));
+           statuses[0] == 200 && statuses[1] == 200;
+  });
+  if (!serves) {
+    FAIL(("statuses " + std::to_string(statuses[0]) + " and " +
+          std::to_string(statuses[1]) + ": " + system->Describe())
+             .c_str());
+  }
   return system;
 }
 
