Name the system and the incarnation that a message between our processes is for

A gateway at the link address of a killed gateway of another system took the views that the other system's controller still pushed there, refused its own system's lower versions and answered 404 for its own service. An address was taken for a process: nothing in a message said whom it is meant for.

Calls now name the recipient and replies the sender: the system's identity, a row that the first acting controller creates in the table service, and for views and slots also the incarnation, which the view gives for each member. The receiver refuses what is meant for another process (status 421, event 114).

The same cause elsewhere, mended with it: - Gossip: a gateway fetched the views of another system's gateway at the address of a killed peer. - Renewal by a peer: one of another system could write a foreign row, and its answer counted as a renewed membership. - Slot lending: an owner that had restarted counted its messages from 1, and its borrowers ignored them until the count passed that of its former incarnation. Shares are computed anew when a member restarts at its address. - The distributor took the version in an acknowledgement of another incarnation as the base of the next change.

--- a/libraries/base/log_catalogue.h
+++ b/libraries/base/log_catalogue.h
@@ -25,6 +25,12 @@
 inline constexpr LogEvent kHandlerFailed{
     113, "handler-failed", Severity::kError,
     "An unexpected error ended one step; the process goes on."};
+inline constexpr LogEvent kCallMisdirected{
+    114, "call-misdirected", Severity::kWarning,
+    "A call meant for another system or incarnation was refused."};
+inline constexpr LogEvent kRecipientReplaced{
+    115, "recipient-replaced", Severity::kWarning,
+    "Another process answers at an address; calls to the former one stop."};
 inline constexpr LogEvent kStoreContentInvalid{
     112, "store-content-invalid", Severity::kError,
     "A row does not have the expected form; what depends on it waits."};
@@ -41,6 +47,13 @@
 inline constexpr LogEvent kNotReady{
     204, "not-ready", Severity::kWarning,
     "The gateway takes no new requests; the reason is named."};
+inline constexpr LogEvent kViewUnidentified{
+    205, "view-unidentified", Severity::kWarning,
+    "Views of a sender that names no system are left aside; the table service "
+    "is read instead."};
+inline constexpr LogEvent kViewDiscarded{
+    206, "view-discarded", Severity::kError,
+    "The view in force is of another system than the table service's."};
 inline constexpr LogEvent kRequestOutcomeUnknown{
     210, "request-outcome-unknown", Severity::kWarning,
     "A request was sent but its answer was not had."};
@@ -144,10 +157,14 @@
                                     kStoreReachable,
                                     kStoreContentInvalid,
                                     kHandlerFailed,
+                                    kCallMisdirected,
+                                    kRecipientReplaced,
                                     kViewInForce,
                                     kViewRefused,
                                     kReady,
                                     kNotReady,
+                                    kViewUnidentified,
+                                    kViewDiscarded,
                                     kRequestOutcomeUnknown,
                                     kTargetUnresponsive,
                                     kMemberLeaseLost,
--- a/libraries/control/messages.cc
+++ b/libraries/control/messages.cc
@@ -28,7 +28,21 @@
 namespace shallotwick::control {
 
 SHALLOTWICK_DEFINE_JSON(SlotDemands, gateway, wanted)
-SHALLOTWICK_DEFINE_JSON(SlotAllowances, owner, sequence, allowed)
+
+void to_json(nlohmann::json& json, const SlotAllowances& allowances) {
+  json = {{"owner", allowances.owner},
+          {"incarnation", allowances.incarnation},
+          {"sequence", allowances.sequence},
+          {"allowed", allowances.allowed}};
+}
+
+void from_json(const nlohmann::json& json, SlotAllowances& allowances) {
+  json.at("owner").get_to(allowances.owner);
+  allowances.incarnation = json.value("incarnation", "");
+  json.at("sequence").get_to(allowances.sequence);
+  json.at("allowed").get_to(allowances.allowed);
+}
+
 SHALLOTWICK_DEFINE_JSON(SlotReports, reports)
 
 SHALLOTWICK_DEFINE_JSON(ReportedMember, age_milliseconds, store_reachable)
--- a/libraries/control/messages.h
+++ b/libraries/control/messages.h
@@ -47,6 +47,9 @@
 // lower than that of an earlier one from the same owner is out of date.
 struct SlotAllowances {
   std::string owner;
+  // Of the owner, which counts its messages anew in each incarnation. Empty in
+  // messages of builds that do not declare it.
+  std::string incarnation;
   uint64_t sequence = 0;
   std::map<std::string, int> allowed;
 
--- a/libraries/link/client_session.cc
+++ b/libraries/link/client_session.cc
@@ -6,6 +6,18 @@
 #include "link/header_fields.h"
 
 namespace shallotwick::link {
+namespace {
+
+ReplyStatus ToReplyStatus(int http_status) {
+  const std::string status = std::to_string(http_status);
+  if (status == kStatusOk) {
+    return ReplyStatus::kOk;
+  }
+  return status == kStatusMisdirected ? ReplyStatus::kMisdirected
+                                      : ReplyStatus::kRefused;
+}
+
+}  // namespace
 
 ClientSession::ClientSession(asio::io_context& context)
     : Http2Session(asio::ip::tcp::socket(context), false), m_context(context) {}
@@ -58,13 +70,14 @@
   auto stream = std::make_unique<Stream>();
   stream->outgoing_body = std::move(pending->call.body);
   const std::string path = pending->call.path;
-  const nghttp2_nv headers[] = {MakeHeaderField(":method", kMethod),
-                                MakeHeaderField(":scheme", kScheme),
-                                MakeHeaderField(":authority", kAuthority),
-                                MakeHeaderField(":path", path)};
+  std::vector<nghttp2_nv> headers = {MakeHeaderField(":method", kMethod),
+                                     MakeHeaderField(":scheme", kScheme),
+                                     MakeHeaderField(":authority", kAuthority),
+                                     MakeHeaderField(":path", path)};
+  AppendIdentity(pending->call.recipient, &headers);
   const nghttp2_data_provider body = MakeBodyProvider(stream.get());
   const int32_t stream_id = nghttp2_submit_request(
-      GetSession(), nullptr, headers, std::size(headers), &body, nullptr);
+      GetSession(), nullptr, headers.data(), headers.size(), &body, nullptr);
   if (stream_id < 0) {
     Finish(pending, Reply{ReplyStatus::kUnreachable, {}});
     return;
@@ -81,10 +94,9 @@
   }
   const auto pending = found->second;
   m_submitted_calls.erase(found);
-  const ReplyStatus status = std::to_string(stream->status) == kStatusOk
-                                 ? ReplyStatus::kOk
-                                 : ReplyStatus::kRefused;
-  Finish(pending, Reply{status, std::move(stream->received_body)});
+  Finish(pending,
+         Reply{ToReplyStatus(stream->status), std::move(stream->received_body),
+               std::move(stream->identity)});
 }
 
 void ClientSession::OnStreamEnded(int32_t stream_id) {
--- a/libraries/link/header_fields.cc
+++ b/libraries/link/header_fields.cc
@@ -16,4 +16,15 @@
           value.size(), NGHTTP2_NV_FLAG_NONE};
 }
 
+void AppendIdentity(const Identity& identity,
+                    std::vector<nghttp2_nv>* headers) {
+  if (!identity.system.empty()) {
+    headers->push_back(MakeHeaderField(kSystemHeader, identity.system));
+  }
+  if (!identity.incarnation.empty()) {
+    headers->push_back(
+        MakeHeaderField(kIncarnationHeader, identity.incarnation));
+  }
+}
+
 }  // namespace shallotwick::link
--- a/libraries/link/http2_session.cc
+++ b/libraries/link/http2_session.cc
@@ -5,6 +5,8 @@
 #include <charconv>
 #include <utility>
 
+#include "link/header_fields.h"
+
 namespace shallotwick::link {
 namespace {
 
@@ -122,6 +124,10 @@
     stream.path = text;
   } else if (header == ":status") {
     std::from_chars(text.data(), text.data() + text.size(), stream.status);
+  } else if (header == kSystemHeader) {
+    stream.identity.system = text;
+  } else if (header == kIncarnationHeader) {
+    stream.identity.incarnation = text;
   }
   return 0;
 }
--- a/libraries/link/http2_session.h
+++ b/libraries/link/http2_session.h
@@ -34,6 +34,8 @@
   struct Stream {
     std::string path;
     int status = 0;
+    // The identity that the received headers name.
+    Identity identity;
     Bytes received_body;
     Bytes outgoing_body;
     // Bytes of `outgoing_body` that have been passed to nghttp2.
--- a/libraries/link/message.h
+++ b/libraries/link/message.h
@@ -6,6 +6,8 @@
 #include <string>
 #include <vector>
 
+#include "link/identity.h"
+
 namespace shallotwick::link {
 
 // Maximum size of a message body between two Shallotwick processes.
@@ -17,6 +19,10 @@
 struct Call {
   std::string path;
   Bytes body;
+  // The process that the call is meant for.
+  Identity recipient{};
+  // Not transferred: whether `recipient` was found to name the receiver.
+  bool is_verified = false;
 
   auto operator<=>(const Call&) const = default;
 };
@@ -25,6 +31,8 @@
   kOk,
   // The request body could not be decoded, or the request is invalid.
   kRefused,
+  // The call is meant for another process than the one that received it.
+  kMisdirected,
   // No reply was received: the connection could not be established, was closed,
   // or the call timed out.
   kUnreachable,
@@ -33,6 +41,11 @@
 struct Reply {
   ReplyStatus status = ReplyStatus::kOk;
   Bytes body;
+  // The process that replied.
+  Identity sender{};
+  // Not transferred: whether `sender` was found to be the process that the call
+  // was meant for.
+  bool is_verified = false;
 
   auto operator<=>(const Reply&) const = default;
 };
--- a/libraries/link/server_session.cc
+++ b/libraries/link/server_session.cc
@@ -6,6 +6,17 @@
 #include "link/header_fields.h"
 
 namespace shallotwick::link {
+namespace {
+
+std::string ToHttpStatus(ReplyStatus status) {
+  if (status == ReplyStatus::kOk) {
+    return kStatusOk;
+  }
+  return status == ReplyStatus::kMisdirected ? kStatusMisdirected
+                                             : kStatusRefused;
+}
+
+}  // namespace
 
 ServerSession::ServerSession(asio::ip::tcp::socket socket, CallHandler handler,
                              std::function<void()> on_closed)
@@ -15,7 +26,7 @@
 
 void ServerSession::OnMessageReceived(int32_t stream_id, Stream* stream) {
   std::weak_ptr<Http2Session> weak = weak_from_this();
-  Call call{stream->path, std::move(stream->received_body)};
+  Call call{stream->path, std::move(stream->received_body), stream->identity};
   m_handler(std::move(call), [weak, stream_id](Reply reply) {
     if (const auto session = weak.lock()) {
       static_cast<ServerSession*>(session.get())
@@ -30,12 +41,12 @@
     return;
   }
   stream->outgoing_body = std::move(reply.body);
-  const std::string status =
-      reply.status == ReplyStatus::kOk ? kStatusOk : kStatusRefused;
-  const nghttp2_nv headers[] = {MakeHeaderField(":status", status)};
+  const std::string status = ToHttpStatus(reply.status);
+  std::vector<nghttp2_nv> headers = {MakeHeaderField(":status", status)};
+  AppendIdentity(reply.sender, &headers);
   const nghttp2_data_provider body = MakeBodyProvider(stream);
-  nghttp2_submit_response(GetSession(), stream_id, headers, std::size(headers),
-                          &body);
+  nghttp2_submit_response(GetSession(), stream_id, headers.data(),
+                          headers.size(), &body);
   Flush();
 }
 
--- a/libraries/link/tests/link_test.cc
+++ b/libraries/link/tests/link_test.cc
@@ -52,12 +52,14 @@
   }
 
   wire::Reply Call(const std::string& path, const wire::Bytes& body,
-                   milliseconds timeout = std::chrono::seconds(5)) {
+                   milliseconds timeout = std::chrono::seconds(5),
+                   const wire::Identity& recipient = {}) {
     std::promise<wire::Reply> reply;
     asio::post(m_client_context, [&] {
-      m_client->Send({path, body}, timeout, [&reply](wire::Reply received) {
-        reply.set_value(std::move(received));
-      });
+      m_client->Send({path, body, recipient}, timeout,
+                     [&reply](wire::Reply received) {
+                       reply.set_value(std::move(received));
+                     });
     });
     return reply.get_future().get();
   }
@@ -95,6 +97,19 @@
   CHECK_TRUE(Call("/refuse", {}).status == ReplyStatus::kRefused);
 }
 
+TEST(Link, TransfersTheIdentitiesOfRecipientAndSender) {
+  wire::Identity named;
+  Start([&named](const wire::Call& call, const wire::OnReply& reply) {
+    named = call.recipient;
+    reply({ReplyStatus::kMisdirected, {}, {"system-2", "incarnation-2"}});
+  });
+  const wire::Reply reply =
+      Call("/echo", {1}, std::chrono::seconds(5), {"system-1", ""});
+  CHECK_TRUE((named == wire::Identity{"system-1", ""}));
+  CHECK_TRUE(reply.status == ReplyStatus::kMisdirected);
+  CHECK_TRUE((reply.sender == wire::Identity{"system-2", "incarnation-2"}));
+}
+
 TEST(Link, ConcurrentCallsReceiveTheirOwnReplies) {
   Start(EchoCall);
   std::atomic<int> matching_replies{0};
--- a/libraries/records/control_records.cc
+++ b/libraries/records/control_records.cc
@@ -6,6 +6,7 @@
 
 SHALLOTWICK_DEFINE_JSON(LeaseRecord, holder, token, renewal,
                         time_to_live_milliseconds)
+SHALLOTWICK_DEFINE_JSON(SystemRecord, identity)
 
 void to_json(nlohmann::json& json, const MemberRecord& record) {
   json = {{"gateway", record.gateway},
--- a/libraries/records/control_records.h
+++ b/libraries/records/control_records.h
@@ -21,6 +21,13 @@
   auto operator<=>(const LeaseRecord&) const = default;
 };
 
+// Names the system whose processes share this table service. Never changes.
+struct SystemRecord {
+  std::string identity;
+
+  auto operator<=>(const SystemRecord&) const = default;
+};
+
 // A gateway's membership.
 struct MemberRecord {
   std::string gateway;
@@ -57,6 +64,8 @@
 
 void to_json(nlohmann::json& json, const LeaseRecord& record);
 void from_json(const nlohmann::json& json, LeaseRecord& record);
+void to_json(nlohmann::json& json, const SystemRecord& record);
+void from_json(const nlohmann::json& json, SystemRecord& record);
 void to_json(nlohmann::json& json, const MemberRecord& record);
 void from_json(const nlohmann::json& json, MemberRecord& record);
 void to_json(nlohmann::json& json, const PoolRecord& record);
--- a/libraries/records/keys.h
+++ b/libraries/records/keys.h
@@ -8,6 +8,7 @@
 namespace shallotwick::records {
 
 inline constexpr char kControllerLeaseKey[] = "lease/controller";
+inline constexpr char kSystemKey[] = "system/identity";
 inline constexpr char kDocumentHeadKey[] = "document/head";
 inline constexpr char kViewHeadKey[] = "view/head";
 inline constexpr char kViewServicesKey[] = "view/services";
--- a/libraries/routing/dispatcher.cc
+++ b/libraries/routing/dispatcher.cc
@@ -72,6 +72,11 @@
   return true;
 }
 
+void Dispatcher::DiscardView() {
+  std::lock_guard<std::mutex> lock(m_view_mutex);
+  m_table.Replace(BuildRoutingTable(RoutingView{}, nullptr, m_gateway));
+}
+
 RoutingView Dispatcher::GetView() const {
   return m_table.Read([](const RoutingTable& table) { return table.view; });
 }
--- a/libraries/routing/dispatcher.h
+++ b/libraries/routing/dispatcher.h
@@ -52,6 +52,8 @@
   // Activates a newer view. Returns whether `view` was newer than the current
   // one. After the return no thread sends requests by the previous view.
   bool ReplaceView(RoutingView view);
+  // Replaces the current view with an empty one of version 0.
+  void DiscardView();
   RoutingView GetView() const;
   uint64_t GetViewVersion() const;
   std::optional<ServiceRoute> FindService(const std::string& name) const;
--- a/libraries/routing/routing_view.cc
+++ b/libraries/routing/routing_view.cc
@@ -10,7 +10,19 @@
                         view_version)
 SHALLOTWICK_DEFINE_JSON(ServiceRoute, name, pool, slots, connections,
                         deadline_milliseconds, idempotent_methods)
-SHALLOTWICK_DEFINE_JSON(MemberRoute, gateway, link_address)
+
+void to_json(nlohmann::json& json, const MemberRoute& route) {
+  json = {{"gateway", route.gateway},
+          {"link_address", route.link_address},
+          {"incarnation", route.incarnation}};
+}
+
+void from_json(const nlohmann::json& json, MemberRoute& route) {
+  json.at("gateway").get_to(route.gateway);
+  json.at("link_address").get_to(route.link_address);
+  route.incarnation = json.value("incarnation", "");
+}
+
 SHALLOTWICK_DEFINE_JSON(RoutingView, version, document_version, hosts, services,
                         quotas, members)
 SHALLOTWICK_DEFINE_JSON(ViewDelta, from_version, to_version, document_version,
--- a/libraries/routing/routing_view.h
+++ b/libraries/routing/routing_view.h
@@ -40,6 +40,8 @@
 struct MemberRoute {
   std::string gateway;
   std::string link_address;
+  // Empty in views of builds that do not declare it.
+  std::string incarnation{};
 
   auto operator<=>(const MemberRoute&) const = default;
 };
--- a/services/shallotwick-controller/controller.cc
+++ b/services/shallotwick-controller/controller.cc
@@ -171,8 +171,9 @@
   if (!m_mirror) {
     return;
   }
-  const control::RowSet rows(
-      m_platform.Read(storage::ReadRequest{{}, {records::kMemberPrefix}}));
+  const control::RowSet rows(m_platform.Read(
+      storage::ReadRequest{{records::kSystemKey}, {records::kMemberPrefix}}));
+  UpdateSystem(rows);
   UpdateMembers(rows, now);
   ReconcileHosts(now);
   if (!m_mirror) {
@@ -216,6 +217,23 @@
              {"view_version", std::to_string(m_mirror->GetHead().version)}});
 }
 
+void Controller::UpdateSystem(const control::RowSet& rows) {
+  if (const auto record =
+          rows.Find<records::SystemRecord>(records::kSystemKey)) {
+    m_distributor.SetSystem(record->identity);
+    return;
+  }
+  const records::SystemRecord record{base::MakeRandomIdentifier()};
+  storage::Transaction transaction;
+  transaction.write_id = base::MakeRandomIdentifier();
+  transaction.conditions = {
+      storage::Condition::FieldIs(records::kControllerLeaseKey, "token",
+                                  m_lease.GetToken()),
+      storage::Condition::GenerationIs(records::kSystemKey, storage::kAbsent)};
+  transaction.writes = {{records::kSystemKey, nlohmann::json(record).dump()}};
+  m_platform.Commit(transaction);
+}
+
 void Controller::UpdateMembers(const control::RowSet& rows,
                                base::TimePoint now) {
   std::vector<records::MemberRecord> members;
@@ -233,8 +251,8 @@
   control::ViewMembersRecord record;
   for (const records::MemberRecord& member : members) {
     if (expired_names.count(member.gateway) == 0) {
-      record.members[member.gateway] =
-          routing::MemberRoute{member.gateway, member.link_address};
+      record.members[member.gateway] = routing::MemberRoute{
+          member.gateway, member.link_address, member.incarnation};
     }
   }
   if (record == m_mirror->GetMembers()) {
--- a/services/shallotwick-controller/controller.h
+++ b/services/shallotwick-controller/controller.h
@@ -41,6 +41,8 @@
   void RunControlPass(base::TimePoint now);
   void LoadIfNeeded();
   void ApplyNewDocument();
+  // Creates the system's identity if there is none, and names it in all calls.
+  void UpdateSystem(const control::RowSet& rows);
   void UpdateMembers(const control::RowSet& rows, base::TimePoint now);
   void ReconcileHosts(base::TimePoint now);
   void RecordHostStates(base::TimePoint now);
--- a/services/shallotwick-controller/view_distributor.cc
+++ b/services/shallotwick-controller/view_distributor.cc
@@ -7,6 +7,16 @@
 #include "control/messages.h"
 
 namespace shallotwick::controller {
+namespace {
+
+bool IsFrom(const routing::MemberRoute& member,
+            const fleet::GatewayAcknowledgement& acknowledgement) {
+  return acknowledgement.gateway == member.gateway &&
+         (member.incarnation.empty() ||
+          acknowledgement.incarnation == member.incarnation);
+}
+
+}  // namespace
 
 void ViewDistributor::Distribute(const routing::RoutingView& view) {
   std::vector<std::string> addresses;
@@ -60,26 +70,34 @@
 
 void ViewDistributor::Send(const routing::MemberRoute& member,
                            const link::Bytes& body) {
-  m_links.Send(member.link_address, link::Call{control::kViewPath, body},
-               kTimeout,
-               [this, gateway = member.gateway](const link::Reply& reply) {
-                 HandlePushReply(gateway, reply);
+  m_links.Send({member.link_address, member.incarnation},
+               link::Call{control::kViewPath, body}, kTimeout,
+               [this, member](const link::Reply& reply) {
+                 HandlePushReply(member, reply);
                });
 }
 
-void ViewDistributor::HandlePushReply(const std::string& gateway,
+void ViewDistributor::SetSystem(const std::string& system) {
+  if (system != m_system) {
+    m_system = system;
+    m_links.SetSystem(system);
+  }
+}
+
+void ViewDistributor::HandlePushReply(const routing::MemberRoute& member,
                                       const link::Reply& reply) {
   auto acknowledgement =
       control::Decode<fleet::GatewayAcknowledgement>(reply.body);
   std::lock_guard<std::mutex> lock(m_mutex);
-  m_outstanding[gateway] = 0;
-  if (reply.status != link::ReplyStatus::kOk || !acknowledgement) {
+  m_outstanding[member.gateway] = 0;
+  if (reply.status != link::ReplyStatus::kOk || !acknowledgement ||
+      !IsFrom(member, *acknowledgement)) {
     // The gateway's version is unknown now, so the next push contains the full
     // view.
-    m_versions.erase(gateway);
+    m_versions.erase(member.gateway);
     return;
   }
-  m_versions[gateway] = acknowledgement->view_version;
+  m_versions[member.gateway] = acknowledgement->view_version;
   m_acknowledgements.push_back(std::move(*acknowledgement));
 }
 
--- a/services/shallotwick-controller/view_distributor.h
+++ b/services/shallotwick-controller/view_distributor.h
@@ -24,6 +24,9 @@
   // Returns and clears the acknowledgements received since the last call.
   std::vector<fleet::GatewayAcknowledgement> DrainAcknowledgements();
 
+  // Sets the identity of the system whose gateways the views are for.
+  void SetSystem(const std::string& system);
+
   void Stop() { m_links.Stop(); }
 
  private:
@@ -34,8 +37,10 @@
   void Send(const routing::MemberRoute& member, const link::Bytes& body);
   link::Bytes MakePush(const std::string& gateway,
                        const routing::RoutingView& view) const;
-  void HandlePushReply(const std::string& gateway, const link::Reply& reply);
+  void HandlePushReply(const routing::MemberRoute& member,
+                       const link::Reply& reply);
 
+  std::string m_system;
   mutable std::mutex m_mutex;
   std::deque<routing::RoutingView> m_views;
   std::map<std::string, uint64_t> m_versions;
--- a/services/shallotwick-gateway/gateway.cc
+++ b/services/shallotwick-gateway/gateway.cc
@@ -124,7 +124,7 @@
     m_clients.push_back(std::make_unique<http::Client>(
         static_cast<int>(settings.GetInteger("connections-per-target"))));
   }
-  m_links = std::make_unique<control::LinkThread>();
+  m_links = std::make_unique<control::LinkThread>(m_incarnation);
   const std::string link_listen = settings.GetString("link-listen");
   const uint16_t link_port = m_links->Listen(
       base::ParseEndpoint(link_listen),
@@ -150,8 +150,9 @@
   GossipOptions gossip;
   gossip.bootstrap_peers = settings.GetList("peers");
   m_gossip = std::make_unique<PeerGossip>(m_name, *m_links, m_views, gossip);
-  m_lending = std::make_unique<SlotLending>(m_name, *m_links, m_dispatcher,
-                                            SlotLendingOptions{});
+  m_lending =
+      std::make_unique<SlotLending>(SlotLender{m_name, m_incarnation}, *m_links,
+                                    m_dispatcher, SlotLendingOptions{});
   m_accepts_calls.store(true);
   m_dispatcher_task = std::make_unique<base::PeriodicTask>([this] {
     m_dispatcher.Advance(base::RuntimeClock::now());
@@ -312,7 +313,7 @@
     on_reply(RefuseMalformed(call));
     return;
   }
-  m_membership->RenewForPeer(*member, on_reply);
+  m_membership->RenewForPeer({*member, call.is_verified}, on_reply);
 }
 
 link::Reply Gateway::HandleSlotDemand(const link::Call& call) {
@@ -338,7 +339,14 @@
   if (!push) {
     return RefuseMalformed(call);
   }
-  m_views.ApplyPush(*push);
+  // A sender that names neither system nor incarnation may belong to another
+  // system. The view is read from the table service instead; until then the
+  // acknowledgement has the version of the current one.
+  if (call.is_verified) {
+    m_views.ApplyPush(*push);
+  } else if (!m_reported_unidentified_view.exchange(true)) {
+    base::Log(base::events::kViewUnidentified);
+  }
   fleet::GatewayAcknowledgement acknowledgement;
   acknowledgement.gateway = m_name;
   acknowledgement.incarnation = m_incarnation;
--- a/services/shallotwick-gateway/gateway.h
+++ b/services/shallotwick-gateway/gateway.h
@@ -69,6 +69,7 @@
   std::atomic<bool> m_stopping{false};
   std::atomic<bool> m_refuses_new{false};
   std::atomic<bool> m_was_ready{false};
+  std::atomic<bool> m_reported_unidentified_view{false};
   std::unique_ptr<ClaimStore> m_claims;
   std::vector<std::unique_ptr<http::Client>> m_clients;
   std::unique_ptr<control::LinkThread> m_links;
--- a/services/shallotwick-gateway/membership.cc
+++ b/services/shallotwick-gateway/membership.cc
@@ -57,9 +57,12 @@
       RenewMembership(base::RuntimeClock::now());
     }
     const base::TimePoint sent_at = base::RuntimeClock::now();
-    const control::RowSet rows(
-        m_table.Read(storage::ReadRequest{{records::kViewHeadKey}, {}}));
+    const control::RowSet rows(m_table.Read(storage::ReadRequest{
+        {records::kViewHeadKey, records::kSystemKey}, {}}));
     m_store_reachability.ReportStoreResponse();
+    if (!UpdateSystem(rows)) {
+      return base::Duration::zero();
+    }
     const auto head = rows.Find<records::ViewHeadRecord>(records::kViewHeadKey);
     if (head) {
       FetchNewerView(head->version, sent_at);
@@ -75,6 +78,22 @@
   return base::JitterPeriod(m_options.period, base::MakeRandomFraction());
 }
 
+bool Membership::UpdateSystem(const control::RowSet& rows) {
+  const auto record = rows.Find<records::SystemRecord>(records::kSystemKey);
+  if (!record || record->identity == m_system) {
+    return true;
+  }
+  m_system = record->identity;
+  const std::string previous = m_links.SetSystem(m_system);
+  if (previous.empty() || previous == m_system) {
+    return true;
+  }
+  m_views.DiscardView(previous, m_system);
+  m_has_discarded_view = true;
+  m_joined = false;
+  return false;
+}
+
 void Membership::FetchNewerView(uint64_t head_version,
                                 base::TimePoint sent_at) {
   if (head_version > m_views.GetVersion()) {
@@ -87,7 +106,7 @@
 }
 
 void Membership::RenewMembership(base::TimePoint sent_at) {
-  const std::optional<bool> is_new = WriteRenewal(m_describe());
+  const std::optional<bool> is_new = WriteRenewal({m_describe()});
   if (!is_new) {
     base::Log(base::events::kMemberLeaseLost,
               {{"gateway", m_describe().gateway}});
@@ -95,14 +114,19 @@
     return;
   }
   m_joined = true;
-  m_views.ConfirmMembership(sent_at, *is_new);
+  const bool has_discarded_view = std::exchange(m_has_discarded_view, false);
+  m_views.ConfirmMembership(sent_at, *is_new || has_discarded_view);
 }
 
-std::optional<bool> Membership::WriteRenewal(records::MemberRecord member) {
+std::optional<bool> Membership::WriteRenewal(const Renewal& renewal) {
+  records::MemberRecord member = renewal.member;
   const std::string key = records::MemberKey(member.gateway);
   const control::RowSet rows(m_table.Read(storage::ReadRequest{{key}, {}}));
   const auto row = rows.Find<records::MemberRecord>(key);
   const bool is_own = row && row->incarnation == member.incarnation;
+  if (!is_own && !renewal.may_join) {
+    return std::nullopt;
+  }
   member.renewal = row ? row->renewal + 1 : 1;
   storage::Transaction transaction;
   transaction.write_id = base::MakeRandomIdentifier();
@@ -130,22 +154,23 @@
     return;
   }
   const base::TimePoint sent_at = base::RuntimeClock::now();
-  m_links.Send(peers[m_next_peer++ % peers.size()],
+  m_links.Send({peers[m_next_peer++ % peers.size()]},
                {control::kRenewPath, control::Encode(member)},
                m_options.peer_timeout,
                [this, sent_at](const link::Reply& reply) {
                  const auto is_new = control::Decode<bool>(reply.body);
-                 if (reply.status == link::ReplyStatus::kOk && is_new) {
+                 // A row in another system's table service makes no member.
+                 if (reply.status == link::ReplyStatus::kOk &&
+                     reply.is_verified && is_new) {
                    m_views.ConfirmMembership(sent_at, *is_new);
                  }
                });
 }
 
-void Membership::RenewForPeer(const records::MemberRecord& member,
-                              link::OnReply on_reply) {
+void Membership::RenewForPeer(const Renewal& renewal, link::OnReply on_reply) {
   {
     std::lock_guard<std::mutex> lock(m_mutex);
-    m_peer_renewals.push_back({member, std::move(on_reply)});
+    m_peer_renewals.push_back({renewal, std::move(on_reply)});
   }
   m_task.WakeUp();
 }
@@ -156,17 +181,17 @@
     std::lock_guard<std::mutex> lock(m_mutex);
     renewals = std::exchange(m_peer_renewals, {});
   }
-  for (PeerRenewal& renewal : renewals) {
+  for (PeerRenewal& peer : renewals) {
     link::Reply reply{link::ReplyStatus::kRefused, {}};
     try {
-      if (const auto is_new = WriteRenewal(renewal.member)) {
+      if (const auto is_new = WriteRenewal(peer.renewal)) {
         reply = {link::ReplyStatus::kOk, control::Encode(*is_new)};
       }
     } catch (const storage::Unavailable&) {
       // The peer gets a refusal and sends its next request to another gateway.
     }
     m_links.Post(
-        [on_reply = std::move(renewal.on_reply), reply] { on_reply(reply); });
+        [on_reply = std::move(peer.on_reply), reply] { on_reply(reply); });
   }
 }
 
--- a/services/shallotwick-gateway/membership.h
+++ b/services/shallotwick-gateway/membership.h
@@ -10,6 +10,7 @@
 #include "base/backoff.h"
 #include "base/periodic_task.h"
 #include "control/link_thread.h"
+#include "control/row_set.h"
 #include "control/store_reachability.h"
 #include "records/control_records.h"
 #include "storage/table_service.h"
@@ -43,29 +44,40 @@
              std::function<records::MemberRecord()> describe,
              MembershipOptions options);
 
+  // The row that a gateway asks a peer to write.
+  struct Renewal {
+    records::MemberRecord member;
+    // Whether the row may be written if it does not exist or belongs to another
+    // incarnation.
+    bool may_join = true;
+  };
+
   // Renews a peer's row at its request. Called on the link thread; replies on
   // the same thread when the table service has responded or failed.
-  void RenewForPeer(const records::MemberRecord& member,
-                    link::OnReply on_reply);
+  void RenewForPeer(const Renewal& renewal, link::OnReply on_reply);
   // Stops the periodic task and removes the row if the table service responds.
   void Leave();
 
  private:
   base::Duration RunPass();
+  // Returns false if the view in force was of another system and has been
+  // discarded.
+  bool UpdateSystem(const control::RowSet& rows);
   void FetchNewerView(uint64_t head_version, base::TimePoint sent_at);
   void RenewMembership(base::TimePoint sent_at);
   void RenewPeers();
   void RenewThroughPeer();
   // Writes a member's next renewal. Returns std::nullopt if another process
-  // wrote the row in the meantime, else whether the row did not exist or
-  // belonged to another incarnation. Throws storage::Unavailable.
+  // wrote the row in the meantime or the member may not join, else whether the
+  // row did not exist or belonged to another incarnation. Throws
+  // storage::Unavailable.
   // FIXME: Two live processes of the same name repeatedly overwrite each
   // other's row. The one that lost the row should stop, and controllers should
   // wait for its membership to expire.
-  std::optional<bool> WriteRenewal(records::MemberRecord member);
+  std::optional<bool> WriteRenewal(const Renewal& renewal);
 
   struct PeerRenewal {
-    records::MemberRecord member;
+    Renewal renewal;
     link::OnReply on_reply;
   };
 
@@ -81,6 +93,10 @@
   std::vector<PeerRenewal> m_peer_renewals;
   int m_iterations = 0;
   bool m_joined = false;
+  // Since the last renewal; the next one counts as a new membership.
+  bool m_has_discarded_view = false;
+  // As the table service names it; empty until it has responded.
+  std::string m_system;
   base::PeriodicTask m_task;
 };
 
--- a/services/shallotwick-gateway/peer_gossip.h
+++ b/services/shallotwick-gateway/peer_gossip.h
@@ -30,8 +30,11 @@
 
  private:
   base::Duration RunPass();
-  std::vector<std::string> GetPeers() const;
-  void QueryPeer(const std::string& address);
+  // Returns the other members, or the bootstrap peers, whose names are unknown.
+  std::vector<routing::MemberRoute> GetPeers() const;
+  void QueryPeer(const routing::MemberRoute& peer);
+  void HandleDigest(const routing::MemberRoute& peer, const link::Reply& reply,
+                    base::TimePoint sent_at);
   void FetchView(const std::string& address);
 
   std::string m_gateway;
--- a/services/shallotwick-gateway/slot_lending.cc
+++ b/services/shallotwick-gateway/slot_lending.cc
@@ -7,10 +7,11 @@
 
 namespace shallotwick::gateway {
 
-SlotLending::SlotLending(std::string gateway, control::LinkThread& links,
+SlotLending::SlotLending(SlotLender lender, control::LinkThread& links,
                          routing::Dispatcher& dispatcher,
                          SlotLendingOptions options)
-    : m_gateway(std::move(gateway)),
+    : m_gateway(std::move(lender.gateway)),
+      m_incarnation(std::move(lender.incarnation)),
       m_links(links),
       m_dispatcher(dispatcher),
       m_options(options),
@@ -28,27 +29,24 @@
 
 void SlotLending::UpdateOwnership() {
   const std::map<std::string, int> slots = m_dispatcher.GetSlots();
-  const std::map<std::string, routing::MemberRoute> members =
+  std::map<std::string, routing::MemberRoute> members =
       m_dispatcher.GetMembers();
-  std::map<std::string, std::string> addresses;
-  for (const auto& [name, member] : members) {
-    addresses[name] = member.link_address;
-  }
   std::lock_guard<std::mutex> lock(m_mutex);
-  if (slots == m_slots && addresses == m_addresses) {
+  // A member that has restarted has its share again.
+  if (slots == m_slots && members == m_members) {
     return;
   }
   m_slots = slots;
-  m_addresses = std::move(addresses);
+  m_members = std::move(members);
   m_owned.clear();
   m_owner_of.clear();
   m_shares.clear();
   m_ownership_changed_at = base::RuntimeClock::now();
   std::vector<std::string> names;
-  for (const auto& [name, address] : m_addresses) {
+  for (const auto& [name, member] : m_members) {
     names.push_back(name);
   }
-  if (m_addresses.count(m_gateway) == 0) {
+  if (m_members.count(m_gateway) == 0) {
     return;
   }
   for (const auto& [host, count] : m_slots) {
@@ -78,7 +76,8 @@
     wants.wanted[host] = report.wanted;
   }
   for (const auto& [owner, wants] : by_owner) {
-    m_links.Send(m_addresses.at(owner),
+    const routing::MemberRoute& member = m_members.at(owner);
+    m_links.Send({member.link_address, member.incarnation},
                  {control::kRequestSlotsPath, control::Encode(wants)},
                  m_options.timeout, [](const link::Reply&) {});
   }
@@ -95,7 +94,7 @@
       if (!owner.NeedsRebalancing(now)) {
         continue;
       }
-      for (const auto& [member, address] : m_addresses) {
+      for (const auto& [member, route] : m_members) {
         allowed[member][host] = owner.GrantAllowance(member, now);
       }
     }
@@ -172,18 +171,19 @@
                                        std::function<void()> on_member_done) {
   control::SlotAllowances allowances;
   allowances.owner = m_gateway;
+  allowances.incarnation = m_incarnation;
   allowances.allowed = std::move(allowed);
-  std::string address;
+  control::LinkPeer peer;
   {
     std::lock_guard<std::mutex> lock(m_mutex);
     allowances.sequence = ++m_sequence;
-    const auto found = m_addresses.find(member);
-    if (found == m_addresses.end()) {
+    const auto found = m_members.find(member);
+    if (found == m_members.end()) {
       return;
     }
-    address = found->second;
+    peer = {found->second.link_address, found->second.incarnation};
   }
-  m_links.Send(address, {control::kAllowSlotsPath, control::Encode(allowances)},
+  m_links.Send(peer, {control::kAllowSlotsPath, control::Encode(allowances)},
                m_options.timeout,
                [this, member, on_member_done = std::move(on_member_done)](
                    const link::Reply& reply) {
@@ -219,18 +219,36 @@
   }
 }
 
+bool SlotLending::IsNewest(const control::SlotAllowances& allowances) {
+  const auto owner = m_members.find(allowances.owner);
+  const bool is_former_incarnation =
+      owner != m_members.end() && !owner->second.incarnation.empty() &&
+      !allowances.incarnation.empty() &&
+      owner->second.incarnation != allowances.incarnation;
+  if (is_former_incarnation) {
+    return false;
+  }
+  auto& [incarnation, sequence] = m_newest[allowances.owner];
+  // Each incarnation of an owner counts its messages anew.
+  if (incarnation == allowances.incarnation &&
+      allowances.sequence <= sequence) {
+    return false;
+  }
+  incarnation = allowances.incarnation;
+  sequence = allowances.sequence;
+  return true;
+}
+
 control::SlotReports SlotLending::ApplyAllowances(
     const control::SlotAllowances& allowances) {
   const base::TimePoint now = base::RuntimeClock::now();
   std::map<std::string, int> applied;
   {
     std::lock_guard<std::mutex> lock(m_mutex);
-    uint64_t& newest = m_newest_sequence[allowances.owner];
     // A message that arrives after a newer one is not applied. The reply
     // contains the current allowances, from which the owner sees that its older
     // ones are not in force.
-    if (allowances.sequence > newest) {
-      newest = allowances.sequence;
+    if (IsNewest(allowances)) {
       for (const auto& [host, allowed] : allowances.allowed) {
         const auto owner = m_owner_of.find(host);
         if (owner != m_owner_of.end() && owner->second == allowances.owner) {
--- a/services/shallotwick-gateway/slot_lending.h
+++ b/services/shallotwick-gateway/slot_lending.h
@@ -7,6 +7,7 @@
 #include <mutex>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "base/periodic_task.h"
@@ -31,6 +32,14 @@
   base::Duration ownership_delay = std::chrono::milliseconds(2'500);
 };
 
+// The gateway that lends and borrows.
+struct SlotLender {
+  std::string gateway;
+  std::string incarnation;
+
+  auto operator<=>(const SlotLender&) const = default;
+};
+
 // Lends executors' slots from gateways that don't need them to gateways that
 // do. The owner of a host, which is the first gateway in rendezvous order,
 // allocates its slots. It sends allowances for the host only while a gateway
@@ -38,7 +47,7 @@
 // Thread-safe.
 class SlotLending {
  public:
-  SlotLending(std::string gateway, control::LinkThread& links,
+  SlotLending(SlotLender lender, control::LinkThread& links,
               routing::Dispatcher& dispatcher, SlotLendingOptions options);
 
   void Stop() { m_task.Stop(); }
@@ -74,12 +83,16 @@
                         const control::SlotReports& reports);
   void RestoreExpiredShares(const Reports& reports, base::TimePoint now);
 
+  // Returns whether the message is the newest one of its owner.
+  bool IsNewest(const control::SlotAllowances& allowances);
+
   std::string m_gateway;
+  std::string m_incarnation;
   control::LinkThread& m_links;
   routing::Dispatcher& m_dispatcher;
   SlotLendingOptions m_options;
   std::mutex m_mutex;
-  std::map<std::string, std::string> m_addresses;
+  std::map<std::string, routing::MemberRoute> m_members;
   std::map<std::string, int> m_slots;
   std::map<std::string, std::string> m_owner_of;
   std::map<std::string, int> m_shares;
@@ -88,7 +101,8 @@
   uint64_t m_sequence = 0;
   // Members that have not responded in the current pass yet.
   size_t m_pending_responses = 0;
-  std::map<std::string, uint64_t> m_newest_sequence;
+  // The incarnation and the sequence of each owner's newest allowances.
+  std::map<std::string, std::pair<std::string, uint64_t>> m_newest;
   // When the last allowance for each host was received from its owner.
   std::map<std::string, base::TimePoint> m_last_allowance_at;
   base::PeriodicTask m_task;
--- a/services/shallotwick-gateway/view_tracker.cc
+++ b/services/shallotwick-gateway/view_tracker.cc
@@ -20,6 +20,7 @@
                          routing::ConfirmationLimits limits)
     : m_gateway(gateway),
       m_dispatcher(dispatcher),
+      m_limits(limits),
       m_confirmation(std::move(gateway), limits) {}
 
 void ViewTracker::ReplaceViewIfNewer(routing::RoutingView view,
@@ -44,6 +45,18 @@
   }
 }
 
+void ViewTracker::DiscardView(const std::string& previous,
+                              const std::string& current) {
+  base::Log(base::events::kViewDiscarded,
+            {{"version", std::to_string(GetVersion())},
+             {"view_system", previous},
+             {"system", current}});
+  m_dispatcher.DiscardView();
+  std::lock_guard<std::mutex> lock(m_mutex);
+  m_confirmation = routing::ViewConfirmation(m_gateway, m_limits);
+  m_ready_until.store(0);
+}
+
 bool ViewTracker::ApplyPush(const control::ViewPush& push) {
   if (push.view) {
     ReplaceViewIfNewer(*push.view, "controller");
--- a/services/shallotwick-gateway/view_tracker.h
+++ b/services/shallotwick-gateway/view_tracker.h
@@ -21,6 +21,9 @@
 
   // Replaces the current view if `view` is newer. An older view is refused.
   void ReplaceViewIfNewer(routing::RoutingView view, const std::string& source);
+  // Discards the view and all that confirms it, because it is of the system
+  // `previous` and the table service names the system `current`.
+  void DiscardView(const std::string& previous, const std::string& current);
   // Applies a push from the controller. Returns false if the push is a delta
   // from a version other than the current one.
   bool ApplyPush(const control::ViewPush& push);
@@ -46,6 +49,7 @@
 
   std::string m_gateway;
   routing::Dispatcher& m_dispatcher;
+  routing::ConfirmationLimits m_limits;
   mutable std::mutex m_mutex;
   routing::ViewConfirmation m_confirmation;
   std::atomic<int64_t> m_ready_until{0};
