--- a/tests/standin-cluster/cluster_standin.cc
+++ b/tests/standin-cluster/cluster_standin.cc
@@ -316,10 +316,10 @@
 }
 
 void ClusterStandin::ReplaceHostRows(json& rows) const {
-  for (size_t i = 0; i < m_executors.size(); ++i) {
-    for (json& row : rows) {
+  for (json& row : rows) {
+    for (size_t i = 0; i < m_executors.size(); ++i) {
       if (!m_executors[i].host_row.is_null() &&
-          row.value("machine", "") == MakeMachine(i).name) {
+          row.at("machine") == MakeMachine(i).name) {
         row = m_executors[i].host_row;
         break;
       }
