Report a submission that got no answer as failed in process tests

The system of a process test waited 30 s for hosts that nobody had been told to move: one of three runs of AnOutageOfTheStoreCountsNoGatewayOutThatRenewsOften, beside a load of about 20, failed in StartSystem with "not all hosts serve". Its printed state: document version 1, all hosts serving in office, and in the log of admin only the submission of office; the one of quotes never arrived. System::Submit had returned 200 for it, the status that an empty http::Response has; it did not look at the transfer's outcome.

Submit now returns status 0 and the error of a transfer without a complete answer, and the fleet test prints it.

--- a/tests/harness/system.cc
+++ b/tests/harness/system.cc
@@ -148,17 +148,25 @@
                               const std::string& text) {
   const std::string url = "http://" + m_admin_address + "/v1/sections/" + team;
   const http::TransferResult present = http::SendAndWait(url, {});
+  if (present.outcome != http::TransferOutcome::kComplete) {
+    return {0, {}, present.error};
+  }
   std::string revision = "0";
   if (present.response.status == 200) {
     revision =
         nlohmann::json::parse(present.response.body).at("revision").dump();
   }
-  return http::SendAndWait(url, {"PUT",
-                                 "/",
-                                 {{"If-Match", revision},
-                                  {"Authorization", "Bearer " + TokenOf(team)}},
-                                 text})
-      .response;
+  http::TransferResult result = http::SendAndWait(
+      url,
+      {"PUT",
+       "/",
+       {{"If-Match", revision}, {"Authorization", "Bearer " + TokenOf(team)}},
+       text});
+  // Without a complete answer the status is that of an empty response, 200.
+  if (result.outcome != http::TransferOutcome::kComplete) {
+    return {0, {}, result.error};
+  }
+  return result.response;
 }
 
 ProgramResult System::RunCtl(const std::string& team,
--- a/tests/harness/system.h
+++ b/tests/harness/system.h
@@ -34,7 +34,8 @@
   System(const System&) = delete;
   System& operator=(const System&) = delete;
 
-  // Submits a new section or an edit on its present text. Returns the answer.
+  // Submits a new section or an edit on its present text. Returns the answer;
+  // without a complete one, status 0 and the error.
   http::Response Submit(const std::string& team, const std::string& text);
   // Runs shallotwickctl as an operator of the team would.
   ProgramResult RunCtl(const std::string& team,
--- a/tests/process/fleet_test.cc
+++ b/tests/process/fleet_test.cc
@@ -63,12 +63,12 @@
   options.hosts = 8;
   options.reboot_milliseconds = 150;
   auto system = std::make_unique<harness::System>(options);
-  LONGS_EQUAL(
-      200, system->Submit("office", harness::MakeOfficeSection(1, 1)).status);
-  LONGS_EQUAL(
-      200,
-      system->Submit("quotes", harness::MakeTeamSection("quotes", kPromise, 1))
-          .status);
+  const http::Response office =
+      system->Submit("office", harness::MakeOfficeSection(1, 1));
+  LONGS_EQUAL_TEXT(200, office.status, office.body.c_str());
+  const http::Response quotes =
+      system->Submit("quotes", harness::MakeTeamSection("quotes", kPromise, 1));
+  LONGS_EQUAL_TEXT(200, quotes.status, quotes.body.c_str());
   if (!system->WaitUntilInForce()) {
     FAIL(("not in force: " + system->Describe()).c_str());
   }
@@ -163,7 +163,11 @@
     }
     CHECK_TRUE(harness::WaitFor([&] { return IsWaveDone(*m_system, "w1"); }));
     const auto record = nlohmann::json::parse(m_system->GetRecord(false));
-    LONGS_EQUAL(0, record.at("cut_by_reboot").get<int>());
+    const int cut = record.at("cut_by_reboot").get<int>();
+    if (cut != 0) {
+      FAIL(("cut by reboot: " + std::to_string(cut) + m_system->Describe())
+               .c_str());
+    }
   }
 };
 
