Extend no lease by a renewed session before ownership is confirmed

An owner whose session had lapsed, by a suspension for example, and was renewed granted leases of full length again at once. Only the answer to a further write shows whether another host has taken the pool over since. That host counts leases of its predecessor as over by the session that had lapsed; on a target that only the former owner reaches, a task could run on while it started elsewhere.

The limit of leases now follows the session only while the ownership is confirmed; until then the limit of the last confirmed moment holds, or that of the takeover. Known jobs go on under it as before.

RenewedSessionExtendsNoLeaseBeforeOwnershipIsConfirmed failed before: CHECK_TRUE(lease_ms <= last_lease_ms) failed.

--- a/services/shallotwick-scheduler/pool_runner.cc
+++ b/services/shallotwick-scheduler/pool_runner.cc
@@ -1,5 +1,6 @@
 #include "pool_runner.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 #include <utility>
@@ -134,7 +135,10 @@
   };
 }
 
-void PoolRunner::Start() { ReadRoster(); }
+void PoolRunner::Start() {
+  m_lease_limit = m_get_lease_limit();
+  ReadRoster();
+}
 
 void PoolRunner::SetConfig(const scheduling::ServingConfig& config) {
   m_scheduler.SetRoutes(config.GetPolicies());
@@ -431,7 +435,7 @@
   const auto now = base::RuntimeClock::now();
   if (CanGrantLeases() && !m_on_quiesced) {
     WriteRoster();
-    m_scheduler.SetLeaseLimit(m_get_lease_limit());
+    m_scheduler.SetLeaseLimit(UpdateLeaseLimit());
     m_scheduler.SetOwnershipConfirmed(IsOwnershipConfirmed());
     SendOrders(m_scheduler.Decide(now, m_get_unix_ms()));
     if (CanGrantLeases()) {
@@ -441,8 +445,19 @@
   ScheduleCommit();
 }
 
-bool PoolRunner::CanGrantLeases() const {
-  return base::RuntimeClock::now() < m_get_lease_limit();
+bool PoolRunner::CanGrantLeases() {
+  return base::RuntimeClock::now() < UpdateLeaseLimit();
+}
+
+// A renewal of the session does not show that no other host has taken over
+// since the session lapsed, and that host reckons with the leases that were
+// granted before.
+base::TimePoint PoolRunner::UpdateLeaseLimit() {
+  const base::TimePoint session_limit = m_get_lease_limit();
+  m_lease_limit = IsOwnershipConfirmed()
+                      ? session_limit
+                      : std::min(m_lease_limit, session_limit);
+  return m_lease_limit;
 }
 
 void PoolRunner::SendReports(base::TimePoint now) {
--- a/services/shallotwick-scheduler/pool_runner.h
+++ b/services/shallotwick-scheduler/pool_runner.h
@@ -118,7 +118,9 @@
   void EndUnlistedTarget(const std::string& id, const char* reason);
   void RunPeriodically();
   void RunSchedulingPass();
-  bool CanGrantLeases() const;
+  bool CanGrantLeases();
+  // Returns the time by which all leases that are granted now must end.
+  base::TimePoint UpdateLeaseLimit();
   void SendReports(base::TimePoint now);
   void SendOrders(const scheduling::PoolOrders& orders);
   // Counts an order as in flight until its result has been received.
@@ -156,6 +158,8 @@
   // The number of lapses after which the ownership was confirmed last. The
   // answer to a claim, or the feed, may come after the next takeover.
   std::optional<int64_t> m_confirmed_lapse_count;
+  // The limit when the ownership was last confirmed.
+  base::TimePoint m_lease_limit;
   bool m_is_confirming = false;
   // Ended jobs and their states; the change feed may still deliver their rows.
   std::map<std::string, scheduling::JobState> m_ended_jobs;
--- a/services/shallotwick-scheduler/tests/outage_test.cc
+++ b/services/shallotwick-scheduler/tests/outage_test.cc
@@ -319,6 +319,26 @@
   LONGS_EQUAL(1, m_target.m_running.size());
 }
 
+TEST(Outage, RenewedSessionExtendsNoLeaseBeforeOwnershipIsConfirmed) {
+  const auto pool = StartPool();
+  PutJob(kJob);
+  Advance(std::chrono::milliseconds(500));
+  LONGS_EQUAL(1, m_target.m_running.size());
+  m_lease_limit = base::RuntimeClock::now() + std::chrono::seconds(5);
+  const int64_t last_lease_ms = ObedientTarget::GetClockMs(m_lease_limit);
+  Advance(std::chrono::milliseconds(500));
+  // The session lapses and is renewed; commits of the pool get no answer yet.
+  m_store.m_is_away = true;
+  ++m_lapses;
+  m_lease_limit += std::chrono::seconds(5);
+  m_target.EndRuns();
+  Advance(std::chrono::milliseconds(500));
+  LONGS_EQUAL(1, m_target.m_running.size());
+  for (const int64_t lease_ms : m_target.m_leases) {
+    CHECK_TRUE(lease_ms <= last_lease_ms);
+  }
+}
+
 // Another host may have taken over and started such jobs.
 TEST(Outage, LapsedOwnerStartsNewJobsOnlyAfterItsOwnershipIsConfirmed) {
   const auto pool = StartPool();
