Don't count an earlier answer for a target that left and returned

Callers saw: a target that left the registry while idle and returned as another incarnation under its id counted as known, with its runs and its clock taken from an answer of the incarnation before.

TargetThatLeftAndReturnedIsNotKnownByEarlierAnswer failed before: CHECK_FALSE(m_pool.m_pool.AreRunsKnown(idle)) failed.

Cause: RemoveTarget erased the idle target while its report was in flight. The entry that returned got the same token, so the late answer passed for its own.

The target is now kept until the answer is there, as for targets whose lease has expired.

--- a/libraries/scheduling/pool_scheduler.cc
+++ b/libraries/scheduling/pool_scheduler.cc
@@ -104,8 +104,10 @@
     return;
   }
   target->m_is_registered = false;
+  // A report in flight would count for an entry that returns under this id.
   const bool is_unused =
       target->GetRuns().empty() && target->GetLeaseBound() <= now &&
+      m_reports_in_flight.count(id) == 0 &&
       target->m_processed_completion == target->m_acknowledged_completion;
   if (is_unused) {
     EraseTarget(id);
--- a/libraries/scheduling/tests/incarnations/late_answer_test.cc
+++ b/libraries/scheduling/tests/incarnations/late_answer_test.cc
@@ -71,3 +71,26 @@
   m_pool.m_pool.OnReport(orders[0], sent, m_pool.m_now, report);
   LONGS_EQUAL(0, m_pool.Decide().starts.size());
 }
+
+TEST(LateAnswer, TargetThatLeftAndReturnedIsNotKnownByEarlierAnswer) {
+  const std::string idle = m_pool.m_start.target == "t0" ? "t1" : "t0";
+  scheduling::TargetEntry entry =
+      m_pool.m_pool.GetTargets().at(idle).GetEntry();
+  // The clock of an idle target is read again after this time.
+  m_pool.m_now += std::chrono::seconds(31);
+  const auto sent = m_pool.m_now;
+  scheduling::ReportOrder order;
+  for (const auto& created : m_pool.m_pool.CreateReportOrders(sent)) {
+    order = created.target == idle ? created : order;
+  }
+  STRCMP_EQUAL(idle.c_str(), order.target.c_str());
+  m_pool.m_pool.RemoveTarget(idle, m_pool.m_now);
+  entry.incarnation_started_ms = scheduling::testing::kSecondBornMs;
+  m_pool.m_pool.UpdateTarget(entry, m_pool.m_now);
+  scheduling::TargetReport report;
+  report.clock_ms = 40'000;
+  report.incarnation_started_ms = kFirstBornMs;
+  m_pool.m_now += milliseconds(500);
+  m_pool.m_pool.OnReport(order, sent, m_pool.m_now, report);
+  CHECK_FALSE(m_pool.m_pool.AreRunsKnown(idle));
+}
