Release a host of a wave that one host list lacks

Callers saw: a target took no more tasks, although its host was no longer prepared for maintenance and the platform counted its room, until the host's turn in the wave came again.

HostThatOneListLacksIsNotCordonedForGood failed before: CHECK_FALSE(IsCordoned("i-m-1")) failed.

Cause: Release forgot the host first and then looked up its target in the host list. A list that is read while other hosts move may lack it.

The coordinator now keeps the pool and the target that it has cordoned and releases these, whatever the list shows.

--- a/services/shallotwick-scheduler/tests/scheduler_test.cc
+++ b/services/shallotwick-scheduler/tests/scheduler_test.cc
@@ -828,6 +828,10 @@
     }
   }
 
+  bool IsCordoned(const std::string& target) const {
+    return m_pool->GetScheduler().GetTargets().at(target).m_is_cordoned;
+  }
+
   void ReportRun(const std::string& target, int index, int percent,
                  int64_t ended = 0) {
     scheduling::TargetEntry entry;
@@ -918,6 +922,16 @@
   LONGS_EQUAL(1, m_hosts.m_maintained.size());
 }
 
+TEST(AbandonedMaintenance, HostThatOneListLacksIsNotCordonedForGood) {
+  Start(40, R"({"running":{},"done":[],"gone":[]})");
+  CHECK_TRUE(IsCordoned("i-m-1"));
+  m_hosts.m_hosts.erase(m_hosts.m_hosts.begin());
+  WaitForHostList();
+  m_waves->ProcessWaves(base::RuntimeClock::now());
+  CHECK_FALSE(m_waves->IsPreparing("m-1"));
+  CHECK_FALSE(IsCordoned("i-m-1"));
+}
+
 // All owners coordinate a wave in one row, so one write per host would limit
 // the pace of a wave of hundreds of hosts.
 TEST(Scheduler, IdleHostsOfWaveAreMaintainedInOneTransaction) {
--- a/services/shallotwick-scheduler/wave_coordinator.cc
+++ b/services/shallotwick-scheduler/wave_coordinator.cc
@@ -104,7 +104,7 @@
   }
   const auto waiting = hosts::ListWaitingHosts(wave, record);
   std::vector<hosts::FleetHost> idle;
-  for (const auto& [name, since] : m_preparing) {
+  for (const auto& [name, preparation] : m_preparing) {
     const auto host = m_ledger.GetHosts().find(name);
     if (host == m_ledger.GetHosts().end()) {
       continue;
@@ -215,8 +215,8 @@
       !m_ledger.IsFree(host.name, now)) {
     return false;
   }
-  if (m_preparing.try_emplace(host.name, now).second) {
-    pool->GetScheduler().SetCordoned(host.target, true);
+  if (m_preparing.count(host.name) == 0) {
+    Cordon(host, *pool, now);
   }
   if (!IsReadyForMaintenance(host, now)) {
     Evacuate(host, now);
@@ -244,6 +244,12 @@
   }
 }
 
+void WaveCoordinator::Cordon(const hosts::FleetHost& host, PoolRunner& pool,
+                             base::TimePoint now) {
+  m_preparing[host.name] = {now, host.pool, host.target};
+  pool.GetScheduler().SetCordoned(host.target, true);
+}
+
 // Cordons the next hosts of the wave, those with the fewest runs first.
 void WaveCoordinator::CordonNextHosts(const hosts::MaintenanceWave& wave,
                                       const hosts::WaveRecord& record,
@@ -276,8 +282,7 @@
       break;
     }
     const hosts::FleetHost& host = m_ledger.GetHosts().at(name);
-    m_preparing[name] = now;
-    m_find_pool(host.pool)->GetScheduler().SetCordoned(host.target, true);
+    Cordon(host, *m_find_pool(host.pool), now);
   }
 }
 
@@ -289,7 +294,7 @@
   }
   const scheduling::PoolScheduler& scheduler = pool->GetScheduler();
   const bool has_timed_out =
-      now >= m_preparing.at(host.name) + kMaxPreparationTime;
+      now >= m_preparing.at(host.name).since + kMaxPreparationTime;
   // A host without a target runs no tasks that could be interrupted.
   const bool is_known =
       host.target.empty() || scheduler.AreRunsKnown(host.target);
@@ -341,7 +346,8 @@
   const bool is_due = pool != nullptr &&
                       !pool->GetScheduler().CanInterrupt(host.target) &&
                       (pool->GetScheduler().CountShortRuns(host.target) == 0 ||
-                       now >= m_preparing.at(host.name) + kMaxPreparationTime);
+                       now >= m_preparing.at(host.name).since +
+                                  kMaxPreparationTime);
   if (is_due) {
     pool->GetScheduler().Evacuate(host.target);
     pool->Wake();
@@ -381,16 +387,16 @@
 }
 
 void WaveCoordinator::Release(const std::string& host) {
-  if (m_preparing.erase(host) == 0) {
-    return;
-  }
-  const auto listed = m_ledger.GetHosts().find(host);
-  if (listed == m_ledger.GetHosts().end()) {
+  const auto found = m_preparing.find(host);
+  if (found == m_preparing.end()) {
     return;
   }
-  PoolRunner* pool = m_find_pool(listed->second.pool);
+  const Preparation preparation = std::move(found->second);
+  m_preparing.erase(found);
+  // The host list may lack the host for a moment.
+  PoolRunner* pool = m_find_pool(preparation.pool);
   if (pool != nullptr) {
-    ResumeScheduling(*pool, listed->second.target);
+    ResumeScheduling(*pool, preparation.target);
   }
 }
 
--- a/services/shallotwick-scheduler/wave_coordinator.h
+++ b/services/shallotwick-scheduler/wave_coordinator.h
@@ -49,6 +49,13 @@
   }
 
  private:
+  // Since when a host is cordoned, and the target that is.
+  struct Preparation {
+    base::TimePoint since;
+    std::string pool;
+    std::string target;
+  };
+
   void ProcessWave(const hosts::MaintenanceWave& wave, base::TimePoint now);
   int CountFreeSlots(const hosts::MaintenanceWave& wave,
                      const hosts::WaveRecord& record) const;
@@ -64,6 +71,8 @@
                                   base::TimePoint now);
   void OnMaintenanceResolved(const hosts::FleetHost& host,
                              bool has_target_ended);
+  void Cordon(const hosts::FleetHost& host, PoolRunner& pool,
+              base::TimePoint now);
   void CordonNextHosts(const hosts::MaintenanceWave& wave,
                        const hosts::WaveRecord& record, int free_slots,
                        base::TimePoint now);
@@ -88,8 +97,8 @@
   // Waves whose status this host has written; the value is whether it was
   // written as completed.
   std::map<int64_t, bool> m_reported_status;
-  // Hosts cordoned for maintenance, and since when.
-  std::map<std::string, base::TimePoint> m_preparing;
+  // Hosts cordoned for maintenance.
+  std::map<std::string, Preparation> m_preparing;
   // Hosts whose maintenance was started by this process, and when.
   std::map<std::string, base::TimePoint> m_maintenance_started_at;
   AcceptedOperations m_accepted_operations;
