Release a host whose maintenance another holder has finished

Callers saw: after a takeover during a wave, a target took no more tasks for good, and its host was neither counted as capacity nor moved. With a later wave, the owner kept moving its long-running tasks away.

HostThatFormerHolderFinishesIsNotCordonedForGood failed before: CHECK_FALSE(IsCordoned("i-m-1")) failed.

Cause: a new owner cordons a host whose maintenance a former holder began. If that holder is active again and records the host as done, the host is neither waiting nor running, and only these were released.

Each pass now releases the hosts that no wave lists as waiting or running. A record that can't be read keeps its hosts cordoned.

--- a/services/shallotwick-scheduler/tests/scheduler_test.cc
+++ b/services/shallotwick-scheduler/tests/scheduler_test.cc
@@ -922,6 +922,17 @@
   LONGS_EQUAL(1, m_hosts.m_maintained.size());
 }
 
+TEST(AbandonedMaintenance, HostThatFormerHolderFinishesIsNotCordonedForGood) {
+  Start(40);
+  CHECK_TRUE(IsCordoned("i-m-1"));
+  m_store.Put(m_wave_key, R"({"running":{},"done":["m-1"],"gone":[]})");
+  WaitForHostList();
+  ProcessDueEvents();
+  m_waves->ProcessWaves(base::RuntimeClock::now());
+  CHECK_FALSE(IsCordoned("i-m-1"));
+  CHECK_FALSE(m_waves->IsPreparing("m-1"));
+}
+
 TEST(AbandonedMaintenance, HostThatOneListLacksIsNotCordonedForGood) {
   Start(40, R"({"running":{},"done":[],"gone":[]})");
   CHECK_TRUE(IsCordoned("i-m-1"));
--- a/services/shallotwick-scheduler/wave_coordinator.cc
+++ b/services/shallotwick-scheduler/wave_coordinator.cc
@@ -70,6 +70,7 @@
       m_ledger, [this](const hosts::FleetHost& host, bool has_target_ended) {
         OnMaintenanceResolved(host, has_target_ended);
       });
+  ReleaseUnneeded();
   for (const auto& [number, wave] : m_waves) {
     const auto reported = m_reported_status.find(number);
     if (reported != m_reported_status.end() && reported->second) {
@@ -343,11 +344,10 @@
 void WaveCoordinator::Evacuate(const hosts::FleetHost& host,
                                base::TimePoint now) {
   PoolRunner* pool = m_find_pool(host.pool);
-  const bool is_due = pool != nullptr &&
-                      !pool->GetScheduler().CanInterrupt(host.target) &&
-                      (pool->GetScheduler().CountShortRuns(host.target) == 0 ||
-                       now >= m_preparing.at(host.name).since +
-                                  kMaxPreparationTime);
+  const bool is_due =
+      pool != nullptr && !pool->GetScheduler().CanInterrupt(host.target) &&
+      (pool->GetScheduler().CountShortRuns(host.target) == 0 ||
+       now >= m_preparing.at(host.name).since + kMaxPreparationTime);
   if (is_due) {
     pool->GetScheduler().Evacuate(host.target);
     pool->Wake();
@@ -400,6 +400,33 @@
   }
 }
 
+bool WaveCoordinator::IsNeededByWave(const std::string& host) const {
+  return std::any_of(m_waves.begin(), m_waves.end(), [&](const auto& entry) {
+    const hosts::MaintenanceWave& wave = entry.second;
+    try {
+      const hosts::WaveRecord record =
+          ReadRecord(m_ledger.GetSharedRow(MakeWaveKey(wave.number)));
+      const auto waiting = hosts::ListWaitingHosts(wave, record);
+      return record.running.count(host) > 0 ||
+             std::find(waiting.begin(), waiting.end(), host) != waiting.end();
+    } catch (const std::runtime_error&) {
+      return true;
+    }
+  });
+}
+
+void WaveCoordinator::ReleaseUnneeded() {
+  std::vector<std::string> unneeded;
+  for (const auto& [name, preparation] : m_preparing) {
+    if (!IsNeededByWave(name)) {
+      unneeded.push_back(name);
+    }
+  }
+  for (const std::string& name : unneeded) {
+    Release(name);
+  }
+}
+
 void WaveCoordinator::ReportStatus(const hosts::MaintenanceWave& wave,
                                    bool is_completed) {
   const auto reported = m_reported_status.find(wave.number);
--- a/services/shallotwick-scheduler/wave_coordinator.h
+++ b/services/shallotwick-scheduler/wave_coordinator.h
@@ -88,6 +88,9 @@
   void Evacuate(const hosts::FleetHost& host, base::TimePoint now);
   void SetLeaving(const hosts::FleetHost& host, bool leaving);
   void Release(const std::string& host);
+  // Releases the hosts that are cordoned and that no wave needs any longer.
+  void ReleaseUnneeded();
+  bool IsNeededByWave(const std::string& host) const;
 
   storage::RowStore& m_store;
   hosts::HostOperations& m_operations;
