Release a host whose move is refused while a host list lacks it

Callers saw: a target took no more tasks for good, although its host stayed in the pool and counted as capacity.

RefusedMoveWhileHostListLacksHostLeavesNoCordon failed before: CHECK_FALSE(IsCordoned()) failed.

Cause: a cordon was lifted by the host's name, from the target in the latest host list. A list that is read while other hosts move may lack the host; the cordon then stayed, and the broker forgot it.

Cordons are now lifted for the target that was cordoned. A host that a list lacks, and that may be moving, stays cordoned until a list has it or its target is gone.

--- a/services/shallotwick-scheduler/capacity_broker.cc
+++ b/services/shallotwick-scheduler/capacity_broker.cc
@@ -272,24 +272,42 @@
     }
   }
   std::sort(candidates.begin(), candidates.end());
-  std::set<std::string> to_cordon;
+  HostTargets to_cordon;
   for (const auto& [runs, name] : candidates) {
     if (static_cast<int>(to_cordon.size()) < count) {
-      to_cordon.insert(name);
+      to_cordon[name] = m_ledger.GetHosts().at(name).target;
     }
   }
-  std::set<std::string>& previous = m_cordoned_for_transfer[pool];
-  for (const std::string& name : previous) {
-    const bool is_leaving =
-        m_is_reserved(name) || m_pending_transfers.count(name) > 0;
-    if (to_cordon.count(name) == 0 && !is_leaving) {
-      SetCordoned(pool, {name}, false);
-    }
-  }
-  for (const std::string& name : to_cordon) {
-    SetCordoned(pool, {name}, true);
+  ReleaseHosts(pool, runner, to_cordon);
+  for (const auto& [name, target] : to_cordon) {
+    SetCordoned(pool, target, true);
   }
-  previous = std::move(to_cordon);
+  m_cordoned_for_transfer[pool] = std::move(to_cordon);
+}
+
+void CapacityBroker::ReleaseHosts(const std::string& pool,
+                                  const PoolRunner& runner,
+                                  const HostTargets& to_cordon) {
+  HostTargets& to_release = m_to_release[pool];
+  to_release.merge(m_cordoned_for_transfer[pool]);
+  std::erase_if(to_release, [&](const auto& entry) {
+    const auto& [name, target] = entry;
+    const bool is_gone = runner.GetScheduler().GetTargets().count(target) == 0;
+    // The wave releases a reserved host.
+    if (is_gone || to_cordon.count(name) > 0 || m_is_reserved(name) ||
+        m_pending_transfers.count(name) > 0) {
+      return true;
+    }
+    // A host that the list lacks may be moving.
+    const auto host = m_ledger.GetHosts().find(name);
+    if (host == m_ledger.GetHosts().end()) {
+      return false;
+    }
+    if (host->second.pool == pool) {
+      SetCordoned(pool, target, false);
+    }
+    return true;
+  });
 }
 
 void CapacityBroker::TransferIdleHosts(const std::string& pool,
@@ -422,9 +440,9 @@
   std::map<std::string, hosts::FleetHost> listed;
   hosts::HostTransfers record = m_transfers[pool];
   for (const auto& [name, transfer] : transfers) {
-    SetCordoned(transfer.from, {name}, true);
     request.hosts.push_back(name);
     listed[name] = m_ledger.GetHosts().at(name);
+    SetCordoned(transfer.from, listed[name].target, true);
     m_transfer_ended_at.erase(name);
     record[name] = transfer;
   }
@@ -442,11 +460,11 @@
         m_writing_transfers.erase(pool);
         OnTransferred(pool, listed.at(host), outcome);
       });
-  request.on_refused = m_lifetime.Guard([this, pool, transfers] {
+  request.on_refused = m_lifetime.Guard([this, pool, listed] {
     m_writing_transfers.erase(pool);
-    for (const auto& [name, transfer] : transfers) {
+    for (const auto& [name, host] : listed) {
       m_transfers[pool].erase(name);
-      SetCordoned(transfer.from, {name}, false);
+      SetCordoned(host.pool, host.target, false);
     }
   });
   m_ledger.Operate(std::move(request));
@@ -473,18 +491,11 @@
 }
 
 void CapacityBroker::SetCordoned(const std::string& pool,
-                                 const std::vector<std::string>& names,
-                                 bool cordoned) {
+                                 const std::string& target, bool cordoned) {
   const auto pools = m_get_pools();
   const auto runner = pools.find(pool);
-  if (runner == pools.end()) {
-    return;
-  }
-  for (const std::string& name : names) {
-    const auto host = m_ledger.GetHosts().find(name);
-    if (host != m_ledger.GetHosts().end()) {
-      runner->second->GetScheduler().SetCordoned(host->second.target, cordoned);
-    }
+  if (runner != pools.end()) {
+    runner->second->GetScheduler().SetCordoned(target, cordoned);
   }
 }
 
@@ -493,7 +504,7 @@
                                    hosts::HostOperationOutcome outcome) {
   if (outcome != hosts::HostOperationOutcome::kDone) {
     m_transfers[pool].erase(host.name);
-    SetCordoned(host.pool, {host.name}, false);
+    SetCordoned(host.pool, host.target, false);
     return;
   }
   const auto now = base::RuntimeClock::now();
--- a/services/shallotwick-scheduler/capacity_broker.h
+++ b/services/shallotwick-scheduler/capacity_broker.h
@@ -53,6 +53,8 @@
     double usable_cores = 0;
   };
 
+  // The targets of hosts, by host.
+  using HostTargets = std::map<std::string, std::string>;
   // All pools other than standby pools.
   using Pools = std::map<std::string, hosts::PoolCapacity>;
 
@@ -99,8 +101,12 @@
   // Removes from the pool's record the transfers that all owners can see in
   // their lists of hosts.
   void RemoveVisibleTransfers(const std::string& pool, base::TimePoint now);
-  void SetCordoned(const std::string& pool,
-                   const std::vector<std::string>& names, bool cordoned);
+  void SetCordoned(const std::string& pool, const std::string& target,
+                   bool cordoned);
+  // Releases the hosts that no longer are to be transferred, those that may be
+  // moving once they turn out not to be.
+  void ReleaseHosts(const std::string& pool, const PoolRunner& runner,
+                    const HostTargets& to_cordon);
   // `host`: as it was listed when the transfer was ordered.
   void OnTransferred(const std::string& pool, const hosts::FleetHost& host,
                      hosts::HostOperationOutcome outcome);
@@ -114,7 +120,9 @@
   // Time since which a pool has had more hosts than it demands.
   std::map<std::string, base::TimePoint> m_surplus_since;
   // Hosts cordoned for transfer to another pool, by their current pool.
-  std::map<std::string, std::set<std::string>> m_cordoned_for_transfer;
+  std::map<std::string, HostTargets> m_cordoned_for_transfer;
+  // Those no longer to be transferred that may be moving, by pool.
+  std::map<std::string, HostTargets> m_to_release;
   struct ObservedDemand {
     int wanted = 0;
     base::TimePoint rose_at;
--- a/services/shallotwick-scheduler/tests/capacity_broker_test.cc
+++ b/services/shallotwick-scheduler/tests/capacity_broker_test.cc
@@ -97,14 +97,7 @@
     m_ledger->m_on_change = [] {};
     m_ledger->Start();
     ProcessDueEvents();
-    m_broker = std::make_unique<scheduler::CapacityBroker>(
-        m_hosts, *m_ledger, std::chrono::seconds(1));
-    m_broker->m_get_pools = [this] {
-      return std::map<std::string, scheduler::PoolRunner*>{
-          {kPool, m_pool.get()}};
-    };
-    m_broker->m_is_reserved = [](const std::string&) { return false; };
-    m_broker->SetStandbyPools({"standby"});
+    StartBroker();
     for (int i = 0; i < 3; ++i) {
       Rebalance();
     }
@@ -121,6 +114,17 @@
     base::RuntimeClock::Resume();
   }
 
+  void StartBroker() {
+    m_broker = std::make_unique<scheduler::CapacityBroker>(
+        m_hosts, *m_ledger, std::chrono::seconds(1));
+    m_broker->m_get_pools = [this] {
+      return std::map<std::string, scheduler::PoolRunner*>{
+          {kPool, m_pool.get()}};
+    };
+    m_broker->m_is_reserved = [](const std::string&) { return false; };
+    m_broker->SetStandbyPools({"standby"});
+  }
+
   void StartPool() {
     scheduler::PoolRunnerOptions options;
     options.service = kPool;
@@ -170,8 +174,9 @@
     }
   }
 
-  void AnswerMove() {
-    m_hosts.m_moves[0].second(hosts::HostOperationOutcome::kDone);
+  void AnswerMove(hosts::HostOperationOutcome outcome =
+                      hosts::HostOperationOutcome::kDone) {
+    m_hosts.m_moves[0].second(outcome);
     ProcessDueEvents();
   }
 
@@ -211,3 +216,19 @@
   Rebalance();
   LONGS_EQUAL(1, CountRuns());
 }
+
+TEST(CapacityBroker, RefusedMoveWhileHostListLacksHostLeavesNoCordon) {
+  const hosts::FleetHost host = m_hosts.m_hosts[0];
+  m_hosts.m_hosts.erase(m_hosts.m_hosts.begin());
+  ReadHostList();
+  Rebalance();
+  CHECK_TRUE(IsCordoned());
+  AnswerMove(hosts::HostOperationOutcome::kBusy);
+  Rebalance();
+  m_hosts.m_hosts.push_back(host);
+  for (int i = 0; i < 3; ++i) {
+    ReadHostList();
+    Rebalance();
+  }
+  CHECK_FALSE(IsCordoned());
+}
