Release a host after a transfer that only a former owner had planned

Callers saw: after a takeover, a target took no more tasks for good, although its host stayed in the pool and counted as capacity.

TransferOfFormerOwnerLeavesNoCordon failed before: CHECK_FALSE(IsCordoned()) failed.

Cause: a new owner cordons a host to transfer it. If it then chooses another host while the former owner's row still names this one, the host counted as leaving: its cordon stayed, and the broker forgot it. No answer to a move lifts it, since this owner has ordered none.

Such hosts are now remembered and released once no row names them and the host list still has them in the pool.

--- a/services/shallotwick-scheduler/capacity_broker.cc
+++ b/services/shallotwick-scheduler/capacity_broker.cc
@@ -294,13 +294,13 @@
     const auto& [name, target] = entry;
     const bool is_gone = runner.GetScheduler().GetTargets().count(target) == 0;
     // The wave releases a reserved host.
-    if (is_gone || to_cordon.count(name) > 0 || m_is_reserved(name) ||
-        m_pending_transfers.count(name) > 0) {
+    if (is_gone || to_cordon.count(name) > 0 || m_is_reserved(name)) {
       return true;
     }
     // A host that the list lacks may be moving.
     const auto host = m_ledger.GetHosts().find(name);
-    if (host == m_ledger.GetHosts().end()) {
+    if (host == m_ledger.GetHosts().end() ||
+        m_pending_transfers.count(name) > 0) {
       return false;
     }
     if (host->second.pool == pool) {
--- a/services/shallotwick-scheduler/tests/capacity_broker_test.cc
+++ b/services/shallotwick-scheduler/tests/capacity_broker_test.cc
@@ -232,3 +232,37 @@
   }
   CHECK_FALSE(IsCordoned());
 }
+
+// The row of a former owner stays until this owner has rewritten it.
+TEST(CapacityBroker, TransferOfFormerOwnerLeavesNoCordon) {
+  const auto report_runs = [this](const std::string& target, int runs) {
+    std::vector<scheduling::ReportedRun> running;
+    for (int i = 0; i < runs; ++i) {
+      running.push_back({{target, 0, 0, i}, 1, "", 10, 0});
+    }
+    Report(target, running);
+  };
+  hosts::CapacityDemand demand;
+  demand.timely = 2;
+  demand.wanted = 2;
+  m_store.Put({scheduler::kHostsTable, scheduler::kSinglePartition,
+               std::string("need/") + kOtherPool},
+              hosts::EncodeCapacityDemand(demand));
+  m_hosts.m_hosts.push_back(m_hosts.m_hosts[1]);
+  m_hosts.m_hosts.back().name = "m-3";
+  m_hosts.m_hosts.back().target = "i-m-3";
+  report_runs("i-m-2", 2);
+  report_runs("i-m-3", 2);
+  m_pool->GetScheduler().SetCordoned(kTarget, false);
+  ReadHostList();
+  StartBroker();
+  m_broker->RebalanceHosts(base::RuntimeClock::now());
+  CHECK_TRUE(IsCordoned());
+  report_runs(kTarget, 3);
+  m_broker->RebalanceHosts(base::RuntimeClock::now());
+  for (int i = 0; i < 3; ++i) {
+    ReadHostList();
+    Rebalance();
+  }
+  CHECK_FALSE(IsCordoned());
+}
