Load a pool beside a row of an impossible job

Callers saw: with one row in a pool's job table that no caller can submit (a negative count of tasks), no owner loads the pool, and its table of jobs is followed no more.

PoolWithRowOfImpossibleJobIsLoadedAndFollowed failed before: it aborted with std::length_error, "cannot create std::vector larger than max_size()".

Cause: jobs of callers and of peers are checked, those read from the table only decoded. The exception is no runtime_error, so it left the callback that goes on to follow the table.

Rows of jobs are now checked by the same rules, and by their key. The rows of all accepted jobs pass, as these rules have let them in.

--- a/services/shallotwick-scheduler/pool_runner.cc
+++ b/services/shallotwick-scheduler/pool_runner.cc
@@ -4,6 +4,7 @@
 #include <stdexcept>
 #include <utility>
 
+#include "base/finding.h"
 #include "base/log.h"
 #include "base/log_catalogue.h"
 #include "job_tables.h"
@@ -102,6 +103,20 @@
   return roster;
 }
 
+// Throws std::runtime_error unless the row is that of a job that could have
+// been submitted.
+scheduling::JobSpec DecodeJob(const storage::VersionedRow& row) {
+  scheduling::JobSpec job = scheduling::DecodeJobRecord(row.value);
+  if (job.id != row.key.key) {
+    throw std::runtime_error("id: is not that of the key");
+  }
+  base::Findings findings = scheduling::CheckJob(job);
+  if (!findings.empty()) {
+    throw base::InvalidInput(std::move(findings));
+  }
+  return job;
+}
+
 }  // namespace
 
 PoolRunner::PoolRunner(base::EventLoop& loop, storage::RowStore& store,
@@ -260,7 +275,7 @@
     return;
   }
   try {
-    scheduling::JobSpec spec = scheduling::DecodeJobRecord(row.value);
+    scheduling::JobSpec spec = DecodeJob(row);
     scheduling::JobProgress progress = scheduling::MakeInitialProgress(spec);
     // A job and its initial progress are written in one transaction and have
     // the same version.
--- a/services/shallotwick-scheduler/tests/scheduler_test.cc
+++ b/services/shallotwick-scheduler/tests/scheduler_test.cc
@@ -369,6 +369,22 @@
   LONGS_EQUAL(1, pool->GetScheduler().GetJobCount());
 }
 
+TEST(Scheduler, PoolWithRowOfImpossibleJobIsLoadedAndFollowed) {
+  scheduling::JobSpec job = MakeJob("bad-1");
+  job.steps[0].count = -1;
+  m_store.Put(scheduler::MakeJobKey(kService, job.id),
+              scheduling::EncodeJobRecord(job));
+  job = MakeJob("bad-2");
+  job.steps[0].after = {7};
+  m_store.Put(scheduler::MakeJobKey(kService, job.id),
+              scheduling::EncodeJobRecord(job));
+  m_store.Put(scheduler::MakeJobKey(kService, "bad-3"),
+              scheduling::EncodeJobRecord(MakeJob("other")));
+  PutJob("good");
+  const auto pool = StartPool();
+  LONGS_EQUAL(1, pool->GetScheduler().GetJobCount());
+}
+
 // Malformed rows, written by another build or due to a fault, must neither
 // terminate a process nor be taken for a live host.
 TEST(Scheduler, MalformedRowsDoNotTerminateProcess) {
