--- a/services/shallotwick-scheduler/wave_coordinator.cc
+++ b/services/shallotwick-scheduler/wave_coordinator.cc
@@ -400,25 +400,32 @@
   }
 }
 
-bool WaveCoordinator::IsNeededByWave(const std::string& host) const {
-  return std::any_of(m_waves.begin(), m_waves.end(), [&](const auto& entry) {
-    const hosts::MaintenanceWave& wave = entry.second;
+std::set<std::string> WaveCoordinator::ListNeededHosts() const {
+  std::set<std::string> needed;
+  for (const auto& [number, wave] : m_waves) {
     try {
       const hosts::WaveRecord record =
-          ReadRecord(m_ledger.GetSharedRow(MakeWaveKey(wave.number)));
+          ReadRecord(m_ledger.GetSharedRow(MakeWaveKey(number)));
       const auto waiting = hosts::ListWaitingHosts(wave, record);
-      return record.running.count(host) > 0 ||
-             std::find(waiting.begin(), waiting.end(), host) != waiting.end();
+      needed.insert(waiting.begin(), waiting.end());
+      for (const auto& [name, holder] : record.running) {
+        needed.insert(name);
+      }
     } catch (const std::runtime_error&) {
-      return true;
+      needed.insert(wave.hosts.begin(), wave.hosts.end());
     }
-  });
+  }
+  return needed;
 }
 
 void WaveCoordinator::ReleaseUnneeded() {
+  if (m_preparing.empty()) {
+    return;
+  }
+  const std::set<std::string> needed = ListNeededHosts();
   std::vector<std::string> unneeded;
   for (const auto& [name, preparation] : m_preparing) {
-    if (!IsNeededByWave(name)) {
+    if (needed.count(name) == 0) {
       unneeded.push_back(name);
     }
   }
--- a/services/shallotwick-scheduler/wave_coordinator.h
+++ b/services/shallotwick-scheduler/wave_coordinator.h
@@ -90,7 +90,8 @@
   void Release(const std::string& host);
   // Releases the hosts that are cordoned and that no wave needs any longer.
   void ReleaseUnneeded();
-  bool IsNeededByWave(const std::string& host) const;
+  // Returns the hosts that a wave lists as waiting or running.
+  std::set<std::string> ListNeededHosts() const;
 
   storage::RowStore& m_store;
   hosts::HostOperations& m_operations;
