Cordon the hosts of a wave again when their pool is gained again

Callers saw: after a pool was lost and gained again between two passes, a target whose host was about to be maintained took new tasks; the maintenance could interrupt them without the time to end.

HostOfPoolThatIsGainedAgainIsCordonedAgain failed with ForgetPool left empty: CHECK_TRUE(IsCordoned("i-m-1")) failed.

Cause: the coordinator still counted the host as cordoned, and since long ago, while the pool's new view of its targets did not.

The coordinator now forgets the hosts of a pool when the pool is lost.

--- a/services/shallotwick-scheduler/scheduler_process.cc
+++ b/services/shallotwick-scheduler/scheduler_process.cc
@@ -544,6 +544,7 @@
 // Only hosts that own pools need the registry and the host list.
 void SchedulerProcess::RemovePool(const std::string& pool) {
   m_pools.erase(pool);
+  m_waves.ForgetPool(pool);
   if (m_pools.empty()) {
     m_registry.Stop();
     m_host_ledger.Stop();
--- a/services/shallotwick-scheduler/tests/scheduler_test.cc
+++ b/services/shallotwick-scheduler/tests/scheduler_test.cc
@@ -949,6 +949,18 @@
   CHECK_FALSE(m_waves->IsPreparing("m-1"));
 }
 
+TEST(AbandonedMaintenance, HostOfPoolThatIsGainedAgainIsCordonedAgain) {
+  Start(40, R"({"running":{},"done":[],"gone":[]})");
+  CHECK_TRUE(IsCordoned("i-m-1"));
+  m_waves->ForgetPool(kService);
+  m_pool = StartPool();
+  ReportRun("i-m-1", 0, 100);
+  ReportRun("i-m-2", 1, 40);
+  CHECK_FALSE(IsCordoned("i-m-1"));
+  m_waves->ProcessWaves(base::RuntimeClock::now());
+  CHECK_TRUE(IsCordoned("i-m-1"));
+}
+
 TEST(AbandonedMaintenance, HostThatOneListLacksIsNotCordonedForGood) {
   Start(40, R"({"running":{},"done":[],"gone":[]})");
   CHECK_TRUE(IsCordoned("i-m-1"));
--- a/services/shallotwick-scheduler/wave_coordinator.cc
+++ b/services/shallotwick-scheduler/wave_coordinator.cc
@@ -62,6 +62,12 @@
   m_waves[wave.number] = wave;
 }
 
+void WaveCoordinator::ForgetPool(const std::string& pool) {
+  std::erase_if(m_preparing, [&pool](const auto& entry) {
+    return entry.second.pool == pool;
+  });
+}
+
 void WaveCoordinator::ProcessWaves(base::TimePoint now) {
   if (!m_ledger.IsLoaded()) {
     return;
--- a/services/shallotwick-scheduler/wave_coordinator.h
+++ b/services/shallotwick-scheduler/wave_coordinator.h
@@ -42,6 +42,9 @@
 
   void SetWave(const hosts::MaintenanceWave& wave);
   void ProcessWaves(base::TimePoint now);
+  // Forgets the hosts that are cordoned in a pool that is lost: if it is gained
+  // again, its targets are not cordoned.
+  void ForgetPool(const std::string& pool);
   // Whether the host is being prepared for maintenance and so must not be
   // moved.
   bool IsPreparing(const std::string& host) const {
