--- a/services/shallotwick-scheduler/wave_coordinator.h
+++ b/services/shallotwick-scheduler/wave_coordinator.h
@@ -42,6 +42,9 @@
 
   void SetWave(const hosts::MaintenanceWave& wave);
   void ProcessWaves(base::TimePoint now);
+  // Forgets the hosts that are cordoned in a pool that is lost: if it is gained
+  // again, its targets are not cordoned.
+  void ForgetPool(const std::string& pool);
   // Whether the host is being prepared for maintenance and so must not be
   // moved.
   bool IsPreparing(const std::string& host) const {
@@ -90,7 +93,8 @@
   void Release(const std::string& host);
   // Releases the hosts that are cordoned and that no wave needs any longer.
   void ReleaseUnneeded();
-  bool IsNeededByWave(const std::string& host) const;
+  // Returns the hosts that a wave lists as waiting or running.
+  std::set<std::string> ListNeededHosts() const;
 
   storage::RowStore& m_store;
   hosts::HostOperations& m_operations;
