--- a/libraries/scheduling/job.cc
+++ b/libraries/scheduling/job.cc
@@ -1,6 +1,7 @@
 #include "scheduling/job.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace shallotwick::scheduling {
 namespace {
@@ -74,6 +75,13 @@
   return JobChecker(job).Check();
 }
 
+void RequireValidJob(const JobSpec& job) {
+  std::vector<base::Finding> findings = CheckJob(job);
+  if (!findings.empty()) {
+    throw base::InvalidInput(std::move(findings));
+  }
+}
+
 double EstimateCoreSeconds(const JobSpec& job,
                            const RunTimeCorrection& correction) {
   constexpr double kMilliPerUnit = 1'000;
--- a/libraries/scheduling/job.h
+++ b/libraries/scheduling/job.h
@@ -75,6 +75,8 @@
 
 // Validates a job and returns all errors.
 std::vector<base::Finding> CheckJob(const JobSpec& job);
+// Throws base::InvalidInput with all errors unless the job is valid.
+void RequireValidJob(const JobSpec& job);
 
 // Identifies a task of a job.
 struct TaskName {
--- a/services/shallotwick-scheduler/peer_api.cc
+++ b/services/shallotwick-scheduler/peer_api.cc
@@ -1,10 +1,8 @@
 #include "peer_api.h"
 
 #include <stdexcept>
-#include <utility>
 #include <vector>
 
-#include "base/finding.h"
 #include "base/log.h"
 #include "base/log_catalogue.h"
 #include "peer_client.h"
@@ -45,10 +43,7 @@
   scheduling::JobSpec job;
   try {
     job = scheduling::DecodeJobRecord(body);
-    base::Findings findings = scheduling::CheckJob(job);
-    if (!findings.empty()) {
-      throw base::InvalidInput(std::move(findings));
-    }
+    scheduling::RequireValidJob(job);
   } catch (const std::runtime_error& error) {
     base::Log(base::events::kMalformedFrame,
               {{"pool", pool}, {"fault", error.what()}});
--- a/services/shallotwick-scheduler/pool_runner.cc
+++ b/services/shallotwick-scheduler/pool_runner.cc
@@ -5,7 +5,6 @@
 #include <stdexcept>
 #include <utility>
 
-#include "base/finding.h"
 #include "base/log.h"
 #include "base/log_catalogue.h"
 #include "job_tables.h"
@@ -111,10 +110,7 @@
   if (job.id != row.key.key) {
     throw std::runtime_error("id: is not that of the key");
   }
-  base::Findings findings = scheduling::CheckJob(job);
-  if (!findings.empty()) {
-    throw base::InvalidInput(std::move(findings));
-  }
+  scheduling::RequireValidJob(job);
   return job;
 }
 
