--- a/services/shallotwick-scheduler/accepted_operations.cc
+++ b/services/shallotwick-scheduler/accepted_operations.cc
@@ -4,12 +4,6 @@
 #include <vector>
 
 namespace shallotwick::scheduler {
-namespace {
-
-// The host list may be this much older than the acceptance of an operation.
-constexpr auto kHostListMargin = std::chrono::milliseconds(300);
-
-}  // namespace
 
 void AcceptedOperations::Add(const hosts::FleetHost& host,
                              base::TimePoint accepted_at) {
--- a/services/shallotwick-scheduler/host_ledger.h
+++ b/services/shallotwick-scheduler/host_ledger.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <functional>
 #include <map>
 #include <optional>
@@ -15,6 +16,10 @@
 
 namespace shallotwick::scheduler {
 
+// The host list may be this much older than the platform's answer to an
+// operation on a host.
+inline constexpr auto kHostListMargin = std::chrono::milliseconds(300);
+
 // An operation on one or more hosts. Owners agree on it by a conditional write
 // of one shared row before it is sent.
 struct HostOperationRequest {
--- a/services/shallotwick-scheduler/wave_coordinator.cc
+++ b/services/shallotwick-scheduler/wave_coordinator.cc
@@ -26,9 +26,6 @@
 // Time from a host's return until the next host is down: covers the delay of
 // the host list and the draining of the next host.
 constexpr auto kTurnaroundTime = std::chrono::milliseconds(1'500);
-// The host list may be slightly older than the response that reported the host
-// as down.
-constexpr auto kHostListMargin = std::chrono::milliseconds(300);
 
 hosts::WaveRecord ReadRecord(const storage::VersionedRow& row) {
   if (row.version == storage::kNoVersion) {
