--- a/services/shallotwick-scheduler/tests/capacity_broker_test.cc
+++ b/services/shallotwick-scheduler/tests/capacity_broker_test.cc
@@ -8,6 +8,7 @@
 
 #include "../job_tables.h"
 #include "fakes/fake_row_store.h"
+#include "fakes/unresponsive_targets.h"
 
 namespace base = shallotwick::base;
 namespace fakes = shallotwick::fakes;
@@ -21,19 +22,6 @@
 constexpr char kOtherPool[] = "orders";
 constexpr char kTarget[] = "i-m-1";
 
-// Ignores all orders; its targets never report.
-class SilentTargets : public scheduling::TargetOrders {
- public:
-  void Start(const scheduling::StartOrder&,
-             std::function<void(scheduling::OrderResult)>) override {}
-  void Stop(const scheduling::StopOrder&,
-            std::function<void(scheduling::OrderResult)>) override {}
-  void Pace(const scheduling::PaceOrder&,
-            std::function<void(scheduling::OrderResult)>) override {}
-  void Report(const scheduling::ReportOrder&,
-              std::function<void(scheduling::ReportResult)>) override {}
-};
-
 // A fleet of two hosts in one pool, whose moves the test answers.
 class HeldMoves : public hosts::HostOperations {
  public:
@@ -73,7 +61,7 @@
   base::EventLoop m_loop;
   fakes::FakeRowStore m_store{m_loop};
   base::MetricRegistry m_metrics;
-  SilentTargets m_targets;
+  fakes::UnresponsiveTargets m_targets;
   HeldMoves m_hosts{m_loop};
   std::unique_ptr<scheduler::PoolRunner> m_pool;
   std::unique_ptr<scheduler::HostLedger> m_ledger;
--- a/services/shallotwick-scheduler/tests/host_listing_test.cc
+++ b/services/shallotwick-scheduler/tests/host_listing_test.cc
@@ -9,6 +9,7 @@
 #include "../job_tables.h"
 #include "../pool_runner.h"
 #include "fakes/fake_row_store.h"
+#include "fakes/unresponsive_targets.h"
 
 namespace base = shallotwick::base;
 namespace fakes = shallotwick::fakes;
@@ -20,19 +21,6 @@
 
 constexpr char kPool[] = "quotes";
 
-// Ignores all orders; its targets never report.
-class SilentTargets : public scheduling::TargetOrders {
- public:
-  void Start(const scheduling::StartOrder&,
-             std::function<void(scheduling::OrderResult)>) override {}
-  void Stop(const scheduling::StopOrder&,
-            std::function<void(scheduling::OrderResult)>) override {}
-  void Pace(const scheduling::PaceOrder&,
-            std::function<void(scheduling::OrderResult)>) override {}
-  void Report(const scheduling::ReportOrder&,
-              std::function<void(scheduling::ReportResult)>) override {}
-};
-
 hosts::FleetHost MakeHost(const std::string& name, const std::string& target) {
   hosts::FleetHost host;
   host.name = name;
@@ -69,7 +57,7 @@
   base::EventLoop m_loop;
   fakes::FakeRowStore m_store{m_loop};
   base::MetricRegistry m_metrics;
-  SilentTargets m_targets;
+  fakes::UnresponsiveTargets m_targets;
   ScriptedHosts m_hosts{m_loop};
   std::unique_ptr<scheduler::PoolRunner> m_pool;
   std::unique_ptr<scheduler::HostLedger> m_ledger;
--- a/services/shallotwick-scheduler/tests/scheduler_test.cc
+++ b/services/shallotwick-scheduler/tests/scheduler_test.cc
@@ -14,6 +14,7 @@
 #include "../table_follower.h"
 #include "../wave_coordinator.h"
 #include "fakes/fake_row_store.h"
+#include "fakes/unresponsive_targets.h"
 #include "scheduling/job_record.h"
 
 namespace base = shallotwick::base;
@@ -54,21 +55,8 @@
   return listing;
 }
 
-// Ignores all orders; its targets never report.
-class UnresponsiveTargets : public scheduling::TargetOrders {
- public:
-  void Start(const scheduling::StartOrder&,
-             std::function<void(scheduling::OrderResult)>) override {}
-  void Stop(const scheduling::StopOrder&,
-            std::function<void(scheduling::OrderResult)>) override {}
-  void Pace(const scheduling::PaceOrder&,
-            std::function<void(scheduling::OrderResult)>) override {}
-  void Report(const scheduling::ReportOrder&,
-              std::function<void(scheduling::ReportResult)>) override {}
-};
-
 // Accepts all orders; its targets run nothing.
-class IdleTargets : public UnresponsiveTargets {
+class IdleTargets : public fakes::UnresponsiveTargets {
  public:
   explicit IdleTargets(base::EventLoop& loop) : m_loop(loop) {}
 
@@ -174,7 +162,7 @@
   base::EventLoop m_loop;
   fakes::FakeRowStore m_store{m_loop};
   base::MetricRegistry m_metrics;
-  UnresponsiveTargets m_targets;
+  fakes::UnresponsiveTargets m_targets;
   IdleTargets m_idle_targets{m_loop};
   FakeHosts m_hosts{m_loop};
   // The store's steady clock in milliseconds, if known.
