Keep what was read of a request while a response is written

Callers, gateways and tests lost requests on connections that they reused: the server closed the connection without an answer, and a request with a body ended with 'seek callback returned error 1', as it is not sent twice.

Cause: a handler that responds at once makes RESTinio write the response within the request handler. It then waits for the next request when the handler returns and once more when the response is written. The second time it resets its parser. If the head of the next request had been read by then, its body was parsed as a new request, an invalid method, and the connection closed.

The response is now written by a task of its own, after the handler has returned, so that RESTinio waits once. Handlers that respond later already did so: the scheduler's calls and its peers' were not affected.

--- a/libraries/http/server.cc
+++ b/libraries/http/server.cc
@@ -121,8 +121,13 @@
       if (m_sent.exchange(true)) {
         return;
       }
-      SendResponse(m_handle, response,
-                   m_shared_state->close_after_response.load());
+      auto builder = MakeResponse(m_handle, response,
+                                  m_shared_state->close_after_response.load());
+      // RESTinio writes a response at once if it is sent within the request
+      // handler. It then waits for the next request twice, and the second time
+      // it drops what it has read of that request meanwhile.
+      asio::post(m_shared_state->server->io_context(),
+                 [builder = std::move(builder)]() mutable { builder.done(); });
       m_shared_state->pending_requests.fetch_sub(1);
     }
 
@@ -187,8 +192,9 @@
     return restinio::request_accepted();
   }
 
-  static void SendResponse(const restinio::request_handle_t& handle,
-                           const Response& response, bool close) {
+  static restinio::response_builder_t<restinio::restinio_controlled_output_t>
+  MakeResponse(const restinio::request_handle_t& handle,
+               const Response& response, bool close) {
     auto builder = handle->create_response(restinio::http_status_line_t(
         restinio::http_status_code_t(static_cast<uint16_t>(response.status)),
         ""));
@@ -203,7 +209,7 @@
     if (handle->header().method() != restinio::http_method_head()) {
       builder.set_body(response.body);
     }
-    builder.done();
+    return builder;
   }
 
   ServerOptions m_options;
--- a/libraries/http/tests/server_test.cc
+++ b/libraries/http/tests/server_test.cc
@@ -84,6 +84,26 @@
   LONGS_EQUAL(200, http::SendAndWait(GetUrl(server), {}).response.status);
 }
 
+// The body arrives after the first response has been written.
+TEST(HttpServer, RequestReadDuringImmediateResponseIsNotLost) {
+  http::Server server(MakeOptions(), Echo);
+  asio::io_context context;
+  asio::ip::tcp::socket socket(context);
+  socket.connect({asio::ip::make_address("127.0.0.1"), server.GetPort()});
+  const std::string first =
+      "GET /first HTTP/1.1\r\nHost: a\r\n\r\n"
+      "PUT /second HTTP/1.1\r\nHost: a\r\nConnection: close\r\n"
+      "Content-Length: 4\r\n\r\n";
+  asio::write(socket, asio::buffer(first));
+  std::string received;
+  std::error_code error;
+  asio::read_until(socket, asio::dynamic_buffer(received), "/first|", error);
+  std::this_thread::sleep_for(std::chrono::milliseconds(50));
+  asio::write(socket, asio::buffer(std::string("body")), error);
+  asio::read(socket, asio::dynamic_buffer(received), error);
+  STRCMP_CONTAINS("/second|body", received.c_str());
+}
+
 TEST(HttpServer, RespondsOnceAndCountsPendingRequests) {
   std::mutex mutex;
   std::vector<http::Respond> pending;
