Leave the time of a stopped owner out of the soak's limit on cancellations

The check counted a second from the confirmation of a cancellation until nothing more may be ordered, without time in which the store was down, but with time in which the owner was stopped by a signal. An owner that can't run can't learn of a cancellation, and the rule holds for owners that run.

The limit stays a second, for the owner that sent the order, known by its fencing token; all other time counts as before, which OnlyTimeInWhichTheSenderOfAnOrderIsStoppedIsLeftOut checks.

--- a/tests/soak/fault_play.h
+++ b/tests/soak/fault_play.h
@@ -12,6 +12,7 @@
 
 #include "caller.h"
 #include "harness/process.h"
+#include "pause_log.h"
 #include "standin-cluster/cluster_standin.h"
 
 namespace shallotwick::soak {
@@ -67,6 +68,7 @@
   // Notes addresses of processes that have started and restarts those that
   // have ended.
   void WatchHosts();
+  void NoteOwnerships(size_t host);
   void PlanFaults();
   void PlanFault(Milliseconds at);
   void PlanSignal(Milliseconds at, size_t host, int signal);
@@ -97,6 +99,7 @@
   Clock::time_point m_begin = Clock::now();
   std::unique_ptr<standin::ClusterStandin> m_cluster;
   std::vector<Host> m_hosts;
+  PauseLog m_pauses;
   std::unique_ptr<AddressBook> m_addresses;
   std::vector<std::unique_ptr<Caller>> m_callers;
   std::multimap<Milliseconds, std::function<void()>> m_plan;
--- a/tests/soak/soak_test.cc
+++ b/tests/soak/soak_test.cc
@@ -8,6 +8,7 @@
 
 #include "fault_play.h"
 #include "harness/process.h"
+#include "pause_log.h"
 
 namespace {
 
@@ -22,6 +23,30 @@
 
 TEST_GROUP(Soak){};
 
+TEST(Soak, OnlyTimeInWhichTheSenderOfAnOrderIsStoppedIsLeftOut) {
+  const shallotwick::standin::ClusterStandin cluster(1, 100);
+  const auto begin = std::chrono::steady_clock::now();
+  const auto at = [begin](int seconds) {
+    return begin + std::chrono::seconds(seconds);
+  };
+  shallotwick::soak::PauseLog pauses;
+  pauses.AddOwner(5, 0);
+  pauses.AddOwner(6, 1);
+  pauses.Pause(0, at(1));
+  pauses.Pause(0, at(2));
+  pauses.Resume(0, at(4));
+  pauses.Resume(0, at(5));
+  constexpr uint64_t kTokens = 16'384;
+  CHECK_TRUE(pauses.GetActiveTime(5 * kTokens + 3, at(0), at(6), cluster) ==
+             std::chrono::seconds(3));
+  CHECK_TRUE(pauses.GetActiveTime(5 * kTokens, at(3), at(6), cluster) ==
+             std::chrono::seconds(2));
+  CHECK_TRUE(pauses.GetActiveTime(6 * kTokens, at(0), at(6), cluster) ==
+             std::chrono::seconds(6));
+  CHECK_TRUE(pauses.GetActiveTime(7 * kTokens, at(0), at(6), cluster) ==
+             std::chrono::seconds(6));
+}
+
 TEST(Soak, OverlappingFaultsBreakNoPromiseToCallersOrExecutors) {
   const uint32_t first = ReadNumber("SHALLOTWICK_SOAK_FIRST_SEED", 1);
   const uint32_t seeds = ReadNumber("SHALLOTWICK_SOAK_SEEDS", kUsualSeeds);
