--- a/review/standin/world.cc
+++ b/review/standin/world.cc
@@ -445,9 +445,28 @@
   return response;
 }
 
-Store::Store(Record& record) : m_record(record) {
-  m_server = std::make_unique<HttpServer>(
-      [this](const HttpRequest& request) { return Handle(request); });
+Store::Store(Record& record) : m_record(record) {}
+
+size_t Store::AddFront() {
+  m_fronts.push_back(std::make_unique<Front>());
+  Front& front = *m_fronts.back();
+  front.server =
+      std::make_unique<HttpServer>([this, &front](const HttpRequest& request) {
+        auto response = front.is_turned_away ? std::optional<HttpResponse>()
+                                             : Handle(request);
+        return front.is_turned_away
+                   ? std::optional(HttpResponse{kStatusBusy, "{}"})
+                   : response;
+      });
+  return m_fronts.size() - 1;
+}
+
+std::string Store::GetFrontAddress(size_t front) const {
+  return m_fronts.at(front)->server->GetAddress();
+}
+
+void Store::SetTurnedAway(size_t front, bool is_turned_away) {
+  m_fronts.at(front)->is_turned_away = is_turned_away;
 }
 
 void Store::Stop() {
@@ -456,7 +475,7 @@
     m_is_stopping = true;
   }
   m_changed.notify_all();
-  m_server.reset();
+  m_fronts.clear();
 }
 
 int64_t Store::GetNowMs() const {
@@ -1300,7 +1319,7 @@
   for (int i = 0; i < count; ++i) {
     m_schedulers.push_back(std::make_unique<Scheduler>(
         m_context.root, m_context.temporary, "edge-" + std::to_string(i + 1),
-        m_store.GetAddress(), m_cloud.GetAddress()));
+        m_store.GetFrontAddress(m_store.AddFront()), m_cloud.GetAddress()));
   }
   const bool are_ready = WaitFor(15'000, [this] {
     return std::all_of(
--- a/review/standin/world.h
+++ b/review/standin/world.h
@@ -109,7 +109,11 @@
   std::function<CommitFate(const Json& transaction)> m_on_commit;
   int64_t m_late_ms = 0;
 
-  std::string GetAddress() const { return m_server->GetAddress(); }
+  // Opens an address for one machine alone, and returns its number.
+  size_t AddFront();
+  std::string GetFrontAddress(size_t front) const;
+  // While it is turned away, all calls of that machine get 503.
+  void SetTurnedAway(size_t front, bool is_turned_away);
   void Put(const std::string& table, const std::string& key,
            const std::string& value);
   void Remove(const std::string& table, const std::string& key);
@@ -139,7 +143,11 @@
   uint64_t m_version = 0;
   bool m_is_stopping = false;
   Clock::time_point m_start = Clock::now();
-  std::unique_ptr<HttpServer> m_server;
+  struct Front {
+    std::atomic<bool> is_turned_away{false};
+    std::unique_ptr<HttpServer> server;
+  };
+  std::vector<std::unique_ptr<Front>> m_fronts;
 };
 
 // What became of a run, as an executor saw it.
@@ -248,6 +256,8 @@
   std::vector<std::unique_ptr<Executor>>& Get() { return m_executors; }
   std::vector<RunEvent> GetEvents();
   std::mutex& GetMutex() { return m_mutex; }
+  // The same with the mutex held.
+  const std::vector<RunEvent>& PeekEvents() const { return m_events; }
   // Calls back after that time, on the clock's thread and with the mutex held.
   void CallAfter(int64_t milliseconds, std::function<void()> call);
   // Returns how many runs of the task are present now.
