--- a/review/build.sh
+++ b/review/build.sh
@@ -5,7 +5,7 @@
 cd "$(dirname "$0")/.."
 mkdir -p target/review
 flags=(-std=c++20 -O1 -Wall -Wextra -pthread)
-g++ "${flags[@]}" -c review/standin/world.cc -o target/review/world.o
+g++ "${flags[@]}" -c review/world.cc -o target/review/world.o
 for source in review/[1-5]/case.cc; do
   number=$(basename "$(dirname "$source")")
   g++ "${flags[@]}" "$source" target/review/world.o -o "target/review/case-$number"
