--- a/review/1/case.cc
+++ b/review/1/case.cc
@@ -1,7 +1,7 @@
 // The store turns the owner of a pool away; a submission ends and is shown as
 // completed, and the executor that ran it crashes.
 
-#include "../standin/world.h"
+#include "../world.h"
 
 namespace {
 
