--- a/review/2/case.cc
+++ b/review/2/case.cc
@@ -3,7 +3,7 @@
 
 #include <algorithm>
 
-#include "../standin/world.h"
+#include "../world.h"
 
 namespace {
 
