--- a/review/5/case.cc
+++ b/review/5/case.cc
@@ -1,7 +1,7 @@
 // An executor crashes on which a member of a gang runs that checkpoints its
 // progress.
 
-#include "../standin/world.h"
+#include "../world.h"
 
 namespace {
 
