Show a job as ended only once that is stored

Cause: while the store turns the owner away, an end is only in the owner's memory and in the target's list. The owner told it from memory; the target crashed, and the successor ran the task again.

Fix: the owner tells an end once it is stored. So that this is soon, an owner that the store turns away commits through a peer. The condition on the owner's row is in the transaction, so the fence holds whoever sends it. A job whose row a cancellation has removed is not told as completed from memory either.

--- a/services/shallotwick-scheduler/job_state_lookup.h
+++ b/services/shallotwick-scheduler/job_state_lookup.h
@@ -13,8 +13,7 @@
 namespace shallotwick::scheduler {
 
 // Finds the state of a job for a caller: in the store, or with the owner of the
-// job's pool if the store fails or is slow. A job that has ended is shown so
-// while its end waits to be stored.
+// job's pool if the store fails or is slow.
 class JobStateLookup {
  public:
   JobStateLookup(base::EventLoop& loop, JobService& jobs);
--- a/services/shallotwick-scheduler/pool_records.cc
+++ b/services/shallotwick-scheduler/pool_records.cc
@@ -101,20 +101,16 @@
 }
 
 // A row may also be gone because this owner stored the end of the job and has
-// not received the response yet.
+// not received the response yet, which then corrects the state.
 void PoolRunner::RemoveCancelledJob(const std::string& job) {
-  const scheduling::JobState state =
-      m_scheduler.FindState(job).value_or(scheduling::JobState::kCancelled);
   m_scheduler.CancelJob(job);
   m_progress_versions.erase(job);
-  RecordEndedJob(job, scheduling::IsTerminal(state)
-                          ? state
-                          : scheduling::JobState::kCancelled);
+  RecordEndedJob(job, scheduling::JobState::kCancelled);
 }
 
 void PoolRunner::RecordEndedJob(const std::string& job,
                                 scheduling::JobState state) {
-  if (m_ended_jobs.try_emplace(job, state).second) {
+  if (m_ended_jobs.insert_or_assign(job, state).second) {
     m_ended_jobs_by_time.emplace_back(base::RuntimeClock::now(), job);
   }
 }
--- a/services/shallotwick-scheduler/pool_runner.cc
+++ b/services/shallotwick-scheduler/pool_runner.cc
@@ -541,11 +541,15 @@
                ? std::nullopt
                : std::optional(ended->second);
   }
+  // Another owner may know more.
+  if (!IsOwnershipConfirmed()) {
+    return std::nullopt;
+  }
+  // An end that is not stored may be lost with its target.
   const auto state = m_scheduler.FindState(job);
-  // Another owner may know more of a job that has not ended here.
-  const bool is_certain =
-      state && (scheduling::IsTerminal(*state) || IsOwnershipConfirmed());
-  return is_certain ? state : std::nullopt;
+  return state && scheduling::IsTerminal(*state)
+             ? std::optional(scheduling::JobState::kRunning)
+             : state;
 }
 
 void PoolRunner::Quiesce(std::function<void()> on_quiesced) {
--- a/services/shallotwick-scheduler/pool_runner.h
+++ b/services/shallotwick-scheduler/pool_runner.h
@@ -80,8 +80,8 @@
   scheduling::PoolScheduler& GetScheduler() { return m_scheduler; }
   const scheduling::PoolScheduler& GetScheduler() const { return m_scheduler; }
   bool IsLoaded() const { return m_is_loaded; }
-  // Returns the state of a job, if this owner is certain of it. The end of a
-  // job may not be stored yet: its tasks have ended all the same.
+  // Returns the state of a job, if this owner is certain of it. A job has ended
+  // once that is stored.
   std::optional<scheduling::JobState> FindState(const std::string& job) const;
   double ForecastCores(base::Duration ahead) {
     return m_arrivals.ForecastCores(ahead, base::RuntimeClock::now());
--- a/services/shallotwick-scheduler/scheduler_process.cc
+++ b/services/shallotwick-scheduler/scheduler_process.cc
@@ -21,6 +21,8 @@
 // further connection to a target has a cost.
 constexpr int kConnectionsPerTarget = 4;
 constexpr auto kStoreProbePeriod = std::chrono::milliseconds(250);
+// A peer answers this much later than the store answers the peer.
+constexpr auto kRelayTimeMargin = std::chrono::milliseconds(200);
 // Requests to a peer are few and answered from memory.
 constexpr int kConnectionsPerPeer = 2;
 // Time for which registry changes are batched; a draining target must be known
@@ -112,6 +114,9 @@
       m_job_states(m_loop, m_jobs),
       m_api(m_jobs, m_job_states, m_metrics),
       m_peer_connections(m_loop.GetContext(), kConnectionsPerPeer),
+      m_relayed_store(m_loop, m_store),
+      m_store_relay(m_store_client, settings.GetString("platform"),
+                    GetTimeout(settings, "platform-timeout-ms")),
       m_peers(m_peer_connections),
       m_submissions(m_loop, m_store, m_jobs, m_peers),
       m_max_lease(GetMilliseconds(settings, "longest-lease-ms")),
@@ -283,12 +288,17 @@
                                    const std::string& job) {
     return FindOwnState(pool, job);
   };
+  ConnectStoreRelays(settings);
   m_peer_server = std::make_unique<http::Server>(
       MakeServerOptions(settings.GetString("peer-listen")),
       [this](http::Request request, http::Respond respond) {
         m_loop.Post(
             [this, request = std::move(request), respond = std::move(respond)] {
-              m_peer_api.Handle(request, respond);
+              if (platform::RowStoreRelay::IsRelayed(request.target)) {
+                RelayToStore(request, respond);
+              } else {
+                m_peer_api.Handle(request, respond);
+              }
             });
       });
   base::Endpoint peer_endpoint =
@@ -297,6 +307,42 @@
   m_session.m_peer_address = base::FormatEndpoint(peer_endpoint);
 }
 
+void SchedulerProcess::ConnectStoreRelays(const base::Settings& settings) {
+  m_relayed_store.m_is_store_away = [this] { return !IsStoreReachable(); };
+  m_relayed_store.m_list_peers = [this] { return ListPeers(); };
+  m_relayed_store.m_get_store =
+      [this, timeout = GetTimeout(settings, "platform-timeout-ms")](
+          const std::string& address) -> storage::RowStore& {
+    return m_peer_stores
+        .try_emplace(address, m_peer_connections, address,
+                     timeout + kRelayTimeMargin, platform::kRelayPath)
+        .first->second;
+  };
+}
+
+std::vector<std::string> SchedulerProcess::ListPeers() const {
+  std::vector<std::string> addresses;
+  for (const auto& [host, cores] : m_session.GetMonitor().GetLiveHosts()) {
+    std::string address = m_session.GetMonitor().GetPeerAddress(host);
+    if (!(host == m_session.GetSelf()) && !address.empty()) {
+      addresses.push_back(std::move(address));
+    }
+  }
+  return addresses;
+}
+
+// A request is passed on once, so that it does not go round among hosts that
+// are all turned away.
+void SchedulerProcess::RelayToStore(const http::Request& request,
+                                    const http::Respond& respond) {
+  if (!IsStoreReachable()) {
+    respond(http::MakeProblem(kRefusedStatus, "store-unreachable",
+                              "The store turns this host away too."));
+    return;
+  }
+  m_store_relay.Handle(request, respond);
+}
+
 void SchedulerProcess::FollowRegistry() {
   m_targets.m_is_service_known = [this](const std::string& service) {
     return m_ownership.GetPools().count(service) > 0;
@@ -519,7 +565,7 @@
   options.max_lease = m_max_lease;
   options.max_stop_time = m_max_stop_time;
   options.retention = m_retention;
-  auto runner = std::make_unique<PoolRunner>(m_loop, m_store, m_orders,
+  auto runner = std::make_unique<PoolRunner>(m_loop, m_relayed_store, m_orders,
                                              m_metrics, options);
   runner->m_is_session_valid = [this] {
     return m_session.IsSessionValid(base::RuntimeClock::now());
--- a/services/shallotwick-scheduler/scheduler_process.h
+++ b/services/shallotwick-scheduler/scheduler_process.h
@@ -22,8 +22,10 @@
 #include "peer_client.h"
 #include "platform/host_operations_client.h"
 #include "platform/row_store_client.h"
+#include "platform/row_store_relay.h"
 #include "platform/target_orders_client.h"
 #include "pool_runner.h"
+#include "relayed_store.h"
 #include "session_renewer.h"
 #include "storage/observed_store.h"
 #include "submission_router.h"
@@ -45,6 +47,12 @@
 
  private:
   void ConnectToPeers(const base::Settings& settings);
+  // Lets this host reach the store through its peers, and peers through it.
+  void ConnectStoreRelays(const base::Settings& settings);
+  // Returns the addresses of the other hosts that were live when the sessions
+  // were last read.
+  std::vector<std::string> ListPeers() const;
+  void RelayToStore(const http::Request& request, const http::Respond& respond);
   void WaitForSignal();
   void OnOperatorRow(const storage::VersionedRow& row);
   void SetConfig(const std::string& text);
@@ -97,6 +105,10 @@
   JobStateLookup m_job_states;
   JobApi m_api;
   http::ConnectionPool m_peer_connections;
+  // The store through the peer at an address.
+  std::map<std::string, platform::RowStoreClient> m_peer_stores;
+  RelayedStore m_relayed_store;
+  platform::RowStoreRelay m_store_relay;
   PeerClient m_peers;
   PeerApi m_peer_api;
   SubmissionRouter m_submissions;
