Take a host of a wave as done only after its maintenance was accepted

Cause: the start of a maintenance was kept by the host's name and never cleared. In a later wave the start of an earlier one made a host count as done as soon as the wave's record named it, which is before the platform is called.

Fix: the wave's record says which hosts the platform has accepted, and only these can be done. A write without an answer proves nothing: the record that is read back decides whether the platform is asked again. Hosts missing from the list are kept by wave too, and a refusal in one wave frees no slot of another.

--- a/libraries/hosts/maintenance_wave.cc
+++ b/libraries/hosts/maintenance_wave.cc
@@ -31,8 +31,15 @@
 
 }  // namespace
 
+void MarkDone(WaveRecord& record, const std::string& host) {
+  record.running.erase(host);
+  record.accepted.erase(host);
+  record.done.insert(host);
+}
+
 std::string EncodeWaveRecord(const WaveRecord& record) {
   return nlohmann::json{{"running", record.running},
+                        {"accepted", record.accepted},
                         {"done", record.done},
                         {"gone", record.gone},
                         {"began_ms", record.began_ms}}
@@ -44,6 +51,8 @@
     const auto object = nlohmann::json::parse(text);
     WaveRecord record;
     object.at("running").get_to(record.running);
+    // Records of earlier versions lack it.
+    record.accepted = object.value("accepted", record.accepted);
     object.at("done").get_to(record.done);
     object.at("gone").get_to(record.gone);
     record.began_ms = object.value("began_ms", int64_t{0});
--- a/libraries/hosts/maintenance_wave.h
+++ b/libraries/hosts/maintenance_wave.h
@@ -29,6 +29,9 @@
 // again.
 struct WaveRecord {
   std::map<std::string, std::string> running;
+  // The hosts in `running` whose maintenance for this wave the platform has
+  // accepted. Only these can be done.
+  std::set<std::string> accepted;
   std::set<std::string> done;
   // Hosts that left the fleet before they were maintained.
   std::set<std::string> gone;
@@ -38,6 +41,9 @@
   auto operator<=>(const WaveRecord&) const = default;
 };
 
+// Records that a host in `running` is up again.
+void MarkDone(WaveRecord& record, const std::string& host);
+
 std::string EncodeWaveRecord(const WaveRecord& record);
 // Throws std::runtime_error if the text is not a valid record.
 WaveRecord DecodeWaveRecord(const std::string& text);
--- a/services/shallotwick-scheduler/wave_coordinator.cc
+++ b/services/shallotwick-scheduler/wave_coordinator.cc
@@ -94,11 +94,12 @@
       m_ledger.GetSharedRow(MakeWaveKey(wave.number));
   const hosts::WaveRecord record = ReadRecord(row);
   if (hosts::IsWaveCompleted(wave, record)) {
+    ForgetWave(wave.number);
     ReportStatus(wave, true);
     return;
   }
   ReportStatus(wave, false);
-  if (RecordReturnedHosts(wave, row, record, now)) {
+  if (UpdateRecord(wave, row, record, now)) {
     return;
   }
   const int free_slots = CountFreeSlots(wave, record);
@@ -149,64 +150,120 @@
   return hosts::CountPacedFreeSlots(wave, record, pace);
 }
 
-// Records the hosts of this owner's pools that are up again, and those that
-// have left the fleet.
-bool WaveCoordinator::RecordReturnedHosts(const hosts::MaintenanceWave& wave,
-                                          const storage::VersionedRow& row,
-                                          hosts::WaveRecord record,
-                                          base::TimePoint now) {
-  bool has_changed = false;
-  const auto running = record.running;
-  for (const auto& [name, holder] : running) {
+bool WaveCoordinator::UpdateRecord(const hosts::MaintenanceWave& wave,
+                                   const storage::VersionedRow& row,
+                                   hosts::WaveRecord record,
+                                   base::TimePoint now) {
+  bool has_changed = RecordAcceptedHosts(wave.number, record);
+  has_changed |= RecordReturnedHosts(wave.number, record, now);
+  has_changed |= RecordMissingHosts(wave, record);
+  if (has_changed) {
+    m_ledger.WriteSharedRow(row, hosts::EncodeWaveRecord(record));
+    base::Log(base::events::kWaveProgress,
+              {{"wave", std::to_string(wave.number)},
+               {"running", std::to_string(record.running.size())},
+               {"accepted", std::to_string(record.accepted.size())},
+               {"done", std::to_string(record.done.size())},
+               {"gone", std::to_string(record.gone.size())}});
+    return true;
+  }
+  for (const auto& [name, holder] : record.running) {
     const auto host = m_ledger.GetHosts().find(name);
-    if (host == m_ledger.GetHosts().end()) {
-      continue;
+    const bool is_abandoned = host != m_ledger.GetHosts().end() &&
+                              record.accepted.count(name) == 0 &&
+                              IsInCharge(holder);
+    if (is_abandoned &&
+        ResumeAbandonedMaintenance(wave, host->second, row, record, now)) {
+      return true;
     }
-    const auto started = m_maintenance_started_at.find(name);
-    if (started == m_maintenance_started_at.end()) {
-      const bool is_abandoned =
-          holder == m_options.holder || !m_is_holder_active(holder);
-      if (is_abandoned &&
-          ResumeAbandonedMaintenance(wave, host->second, row, record, now)) {
-        return true;
-      }
+  }
+  return false;
+}
+
+bool WaveCoordinator::IsInCharge(const std::string& holder) const {
+  return holder == m_options.holder || !m_is_holder_active(holder);
+}
+
+bool WaveCoordinator::RecordAcceptedHosts(int64_t wave,
+                                          hosts::WaveRecord& record) {
+  bool has_changed = false;
+  for (const auto& [number, name] : m_unrecorded_acceptances) {
+    if (number == wave && record.running.count(name) > 0) {
+      has_changed |= record.accepted.insert(name).second;
+    }
+  }
+  return has_changed;
+}
+
+// That a host is up proves nothing by itself: the record names it before the
+// platform is asked, and an earlier wave may have maintained it.
+bool WaveCoordinator::RecordReturnedHosts(int64_t wave,
+                                          hosts::WaveRecord& record,
+                                          base::TimePoint now) {
+  std::vector<std::string> returned;
+  for (const std::string& name : record.accepted) {
+    const auto holder = record.running.find(name);
+    const auto host = m_ledger.GetHosts().find(name);
+    if (holder == record.running.end() || host == m_ledger.GetHosts().end()) {
       continue;
     }
+    const auto accepted_at =
+        m_accepted_at.try_emplace({wave, name}, now).first->second;
     const bool has_returned =
+        IsInCharge(holder->second) &&
         host->second.state == hosts::HostState::kUp &&
         m_ledger.GetListTime() >=
-            started->second + m_options.maintenance_time + kHostListMargin;
+            accepted_at + m_options.maintenance_time + kHostListMargin;
     if (has_returned) {
-      record.running.erase(name);
-      record.done.insert(name);
-      has_changed = true;
+      returned.push_back(name);
     }
   }
+  for (const std::string& name : returned) {
+    hosts::MarkDone(record, name);
+  }
+  return !returned.empty();
+}
+
+bool WaveCoordinator::RecordMissingHosts(const hosts::MaintenanceWave& wave,
+                                         hosts::WaveRecord& record) {
+  bool has_changed = false;
+  const base::TimePoint listed_at = m_ledger.GetListTime();
   for (const std::string& name : hosts::ListWaitingHosts(wave, record)) {
+    const WaveHost key{wave.number, name};
     // A row without a readable name may be that of any host.
     const bool may_be_listed = m_ledger.GetHosts().count(name) > 0 ||
                                m_ledger.GetHosts().count("") > 0;
     if (may_be_listed) {
-      m_missing_since.erase(name);
+      m_absences.erase(key);
       continue;
     }
-    const auto since = m_missing_since.try_emplace(name, now).first->second;
-    if (now >= since + kMissingHostTimeout) {
+    Absence& absence =
+        m_absences.try_emplace(key, Absence{listed_at, listed_at})
+            .first->second;
+    // Lists that were not read may have shown the host.
+    if (listed_at > absence.until + kMissingHostTimeout) {
+      absence.since = listed_at;
+    }
+    absence.until = listed_at;
+    if (listed_at >= absence.since + kMissingHostTimeout) {
       record.gone.insert(name);
       has_changed = true;
     }
   }
-  if (has_changed) {
-    m_ledger.WriteSharedRow(row, hosts::EncodeWaveRecord(record));
-    base::Log(base::events::kWaveProgress,
-              {{"wave", std::to_string(wave.number)},
-               {"running", std::to_string(record.running.size())},
-               {"done", std::to_string(record.done.size())},
-               {"gone", std::to_string(record.gone.size())}});
-  }
   return has_changed;
 }
 
+void WaveCoordinator::ForgetWave(int64_t number) {
+  const auto is_of_wave = [number](const auto& entry) {
+    return entry.first.first == number;
+  };
+  std::erase_if(m_unrecorded_acceptances, [number](const WaveHost& entry) {
+    return entry.first == number;
+  });
+  std::erase_if(m_accepted_at, is_of_wave);
+  std::erase_if(m_absences, is_of_wave);
+}
+
 // The previous holder may not have sent the request. Repeating it is safe: the
 // platform reports maintenance that is already done. As the platform may carry
 // it out only now, the host is drained like any other.
@@ -329,10 +386,10 @@
                         hosts::HostOperations::OnOutcome on_done) {
     m_operations.Maintain(name, number, fence, std::move(on_done));
   };
-  request.on_done =
-      m_lifetime.Guard([this, by_name](const std::string& name,
-                                       hosts::HostOperationOutcome outcome) {
-        OnMaintenanceResult(by_name.at(name), outcome);
+  request.on_done = m_lifetime.Guard(
+      [this, number = wave.number, by_name](
+          const std::string& name, hosts::HostOperationOutcome outcome) {
+        OnMaintenanceResult(number, by_name.at(name), outcome);
       });
   request.on_refused = m_lifetime.Guard([this, selected] {
     for (const hosts::FleetHost& host : selected) {
@@ -364,29 +421,32 @@
   }
 }
 
-void WaveCoordinator::OnMaintenanceResult(const hosts::FleetHost& host,
+void WaveCoordinator::OnMaintenanceResult(int64_t wave,
+                                          const hosts::FleetHost& host,
                                           hosts::HostOperationOutcome outcome) {
   if (outcome == hosts::HostOperationOutcome::kDone) {
-    m_maintenance_started_at[host.name] = base::RuntimeClock::now();
+    const auto now = base::RuntimeClock::now();
+    m_unrecorded_acceptances.insert({wave, host.name});
+    m_accepted_at[{wave, host.name}] = now;
     m_preparing.erase(host.name);
-    m_accepted_operations.Add(host, base::RuntimeClock::now());
+    m_accepted_operations.Add(host, now);
     return;
   }
   SetLeaving(host, false);
   Release(host.name);
   // The host's slot in the wave is freed; its maintenance is retried later.
-  for (const auto& [number, wave] : m_waves) {
-    const storage::VersionedRow row =
-        m_ledger.GetSharedRow(MakeWaveKey(number));
-    hosts::WaveRecord record = ReadRecord(row);
-    if (record.running.erase(host.name) > 0) {
-      if (outcome == hosts::HostOperationOutcome::kNotInWave ||
-          outcome == hosts::HostOperationOutcome::kInvalid) {
-        record.gone.insert(host.name);
-      }
-      m_ledger.WriteSharedRow(row, hosts::EncodeWaveRecord(record));
-    }
+  const storage::VersionedRow row = m_ledger.GetSharedRow(MakeWaveKey(wave));
+  hosts::WaveRecord record = ReadRecord(row);
+  const auto running = record.running.find(host.name);
+  if (running == record.running.end() || running->second != m_options.holder) {
+    return;
+  }
+  record.running.erase(running);
+  if (outcome == hosts::HostOperationOutcome::kNotInWave ||
+      outcome == hosts::HostOperationOutcome::kInvalid) {
+    record.gone.insert(host.name);
   }
+  m_ledger.WriteSharedRow(row, hosts::EncodeWaveRecord(record));
 }
 
 void WaveCoordinator::Release(const std::string& host) {
--- a/services/shallotwick-scheduler/wave_coordinator.h
+++ b/services/shallotwick-scheduler/wave_coordinator.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "accepted_operations.h"
@@ -64,9 +65,18 @@
                      const hosts::WaveRecord& record) const;
   // Returns whether it has changed the record or requested an operation that
   // changes it.
-  bool RecordReturnedHosts(const hosts::MaintenanceWave& wave,
-                           const storage::VersionedRow& row,
-                           hosts::WaveRecord record, base::TimePoint now);
+  bool UpdateRecord(const hosts::MaintenanceWave& wave,
+                    const storage::VersionedRow& row, hosts::WaveRecord record,
+                    base::TimePoint now);
+  // Each of these returns whether it has changed the record.
+  bool RecordAcceptedHosts(int64_t wave, hosts::WaveRecord& record);
+  bool RecordReturnedHosts(int64_t wave, hosts::WaveRecord& record,
+                           base::TimePoint now);
+  bool RecordMissingHosts(const hosts::MaintenanceWave& wave,
+                          hosts::WaveRecord& record);
+  // Whether this process takes care of the maintenance that `holder` started.
+  bool IsInCharge(const std::string& holder) const;
+  void ForgetWave(int64_t number);
   bool ResumeAbandonedMaintenance(const hosts::MaintenanceWave& wave,
                                   const hosts::FleetHost& host,
                                   const storage::VersionedRow& row,
@@ -85,7 +95,7 @@
                         const std::vector<hosts::FleetHost>& selected,
                         const storage::VersionedRow& row,
                         hosts::WaveRecord record);
-  void OnMaintenanceResult(const hosts::FleetHost& host,
+  void OnMaintenanceResult(int64_t wave, const hosts::FleetHost& host,
                            hosts::HostOperationOutcome outcome);
   void ReportStatus(const hosts::MaintenanceWave& wave, bool is_completed);
   void Evacuate(const hosts::FleetHost& host, base::TimePoint now);
@@ -106,10 +116,20 @@
   std::map<int64_t, bool> m_reported_status;
   // Hosts cordoned for maintenance.
   std::map<std::string, Preparation> m_preparing;
-  // Hosts whose maintenance was started by this process, and when.
-  std::map<std::string, base::TimePoint> m_maintenance_started_at;
+  // A host is maintained once for each wave that names it.
+  using WaveHost = std::pair<int64_t, std::string>;
+  // Acceptances by the platform that the wave's record may lack.
+  std::set<WaveHost> m_unrecorded_acceptances;
+  // When this process first knew of an acceptance.
+  std::map<WaveHost, base::TimePoint> m_accepted_at;
   AcceptedOperations m_accepted_operations;
-  std::map<std::string, base::TimePoint> m_missing_since;
+  // The request times of the first and the last of consecutive host lists that
+  // lack a host.
+  struct Absence {
+    base::TimePoint since;
+    base::TimePoint until;
+  };
+  std::map<WaveHost, Absence> m_absences;
   base::Lifetime m_lifetime;
 };
 
