Store a job once, whatever service serves its route

Cause: a job was unique by one row in the partition of its route's present service. The row of the former service was not looked at.

Fix: the store names the service of each route. Changing it writes fences into the partitions of both services in one transaction; submissions expect the fence of their partition. So a host with the former configuration stores nothing in the former service any more, and reading that one settles whether a job is new.

Failed before, on with the real program: Jobs.AJobHandedInAgainAfterItsQueueChangedServiceRunsOnce ("queued" instead of "completed").

--- a/libraries/base/log_catalogue.h
+++ b/libraries/base/log_catalogue.h
@@ -121,6 +121,9 @@
 inline constexpr LogEvent kConfigInForce{
     506, "config-in-force", Severity::kInfo,
     "A newer configuration governs this host."};
+inline constexpr LogEvent kRoutePlaced{
+    507, "route-placed", Severity::kInfo,
+    "The store names the service that accepts the jobs of a route."};
 inline constexpr LogEvent kJobAccepted{510, "job-accepted", Severity::kInfo,
                                        "A job is stored and will run."};
 inline constexpr LogEvent kJobRefused{
@@ -192,6 +195,7 @@
                                     kPoolReleased,
                                     kSessionReplaced,
                                     kConfigInForce,
+                                    kRoutePlaced,
                                     kJobAccepted,
                                     kJobRefused,
                                     kJobOutcomeUnknown,
--- a/services/shallotwick-scheduler/job_api.h
+++ b/services/shallotwick-scheduler/job_api.h
@@ -33,6 +33,11 @@
     return base::Duration(0);
   };
 
+  // Returns the other services that may have jobs of the route.
+  std::function<std::vector<std::string>(const scheduling::Route&)>
+      m_list_former_services =
+          [](const scheduling::Route&) { return std::vector<std::string>(); };
+
   // Returns whether a job of the pool can be stored at present.
   std::function<bool(const std::string& pool)> m_can_submit;
   // Stores an accepted job.
--- a/services/shallotwick-scheduler/job_service.cc
+++ b/services/shallotwick-scheduler/job_service.cc
@@ -1,5 +1,6 @@
 #include "job_service.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "job_tables.h"
@@ -27,12 +28,21 @@
 
 void JobService::AddSubmission(const std::string& service,
                                const scheduling::JobSpec& job,
+                               const RouteFence& fence,
                                storage::RowTransaction& transaction) {
   // The progress row outlives the job, so a repeated submission is detected.
   const storage::RowKey progress = MakeProgressKey(service, job.id);
   scheduling::JobProgress initial;
   initial.route = job.route;
   transaction.expected.push_back({progress, storage::kNoVersion});
+  for (const storage::ExpectedVersion& expected : fence.expected) {
+    const bool is_present =
+        std::find(transaction.expected.begin(), transaction.expected.end(),
+                  expected) != transaction.expected.end();
+    if (!is_present) {
+      transaction.expected.push_back(expected);
+    }
+  }
   transaction.writes.push_back(
       {MakeJobKey(service, job.id), scheduling::EncodeJobRecord(job)});
   transaction.writes.push_back({progress, scheduling::EncodeProgress(initial)});
@@ -40,40 +50,94 @@
 
 void JobService::Submit(const std::string& service,
                         const scheduling::JobSpec& job, OnOutcome on_done) {
-  storage::RowTransaction transaction;
-  AddSubmission(service, job, transaction);
-  TrySubmit(service, transaction, 1, std::move(on_done));
+  PrepareSubmission(
+      service, job,
+      [this, service, job, on_done = std::move(on_done)](
+          std::optional<JobCallOutcome> outcome, const RouteFence& fence) {
+        if (outcome) {
+          on_done(*outcome);
+          return;
+        }
+        storage::RowTransaction transaction;
+        AddSubmission(service, job, fence, transaction);
+        TrySubmit(service, job.id, transaction, 1, on_done);
+      });
 }
 
-void JobService::TrySubmit(const std::string& service,
+// The fence is read before the former services are: from then on, a job that
+// one of them accepts makes the fence fail.
+void JobService::PrepareSubmission(const std::string& service,
+                                   const scheduling::JobSpec& job,
+                                   OnFence on_done) {
+  const std::optional<RouteFence> fence = m_find_fence(service, job.route);
+  if (!fence) {
+    on_done(JobCallOutcome::kRefused, {});
+    return;
+  }
+  if (fence->former_services.empty()) {
+    on_done(std::nullopt, *fence);
+    return;
+  }
+  Find(fence->former_services, job.id, 1,
+       [fence, on_done = std::move(on_done)](JobCallOutcome outcome,
+                                             const FoundJob&) {
+         const bool is_new = outcome == JobCallOutcome::kNotFound;
+         on_done(is_new ? std::nullopt : std::optional(outcome), *fence);
+       });
+}
+
+std::set<std::string> JobService::ListStoredJobs(
+    const std::string& service, const storage::RowCommitResult& result) {
+  std::set<std::string> stored;
+  for (const storage::VersionedRow& row : result.current) {
+    const bool is_stored = row.key.table == GetProgressTable(service) &&
+                           row.version != storage::kNoVersion &&
+                           !row.is_removed;
+    if (is_stored) {
+      stored.insert(row.key.key);
+    }
+  }
+  return stored;
+}
+
+void JobService::TrySubmit(const std::string& service, const std::string& id,
                            const storage::RowTransaction& transaction,
                            int attempt, OnOutcome on_done) {
   m_store.Commit(
       transaction,
-      m_lifetime.Guard(
-          [this, service, transaction, attempt, on_done = std::move(on_done)](
-              const storage::RowCommitResult& result) mutable {
-            switch (result.status) {
-              case storage::RowCommitStatus::kCommitted:
-              // The job already exists: this is a repeated submission, or an
-              // earlier attempt took effect without a response.
-              case storage::RowCommitStatus::kConflict:
-                on_done(JobCallOutcome::kDone);
-                return;
-              case storage::RowCommitStatus::kRefused:
-                // An earlier attempt may still take effect.
-                on_done(attempt == 1 ? JobCallOutcome::kRefused
-                                     : JobCallOutcome::kUnknown);
-                return;
-              case storage::RowCommitStatus::kUnknown:
-                break;
-            }
-            if (attempt >= kMaxAttempts) {
-              on_done(JobCallOutcome::kUnknown);
+      m_lifetime.Guard([this, service, id, transaction, attempt,
+                        on_done = std::move(on_done)](
+                           const storage::RowCommitResult& result) mutable {
+        switch (result.status) {
+          case storage::RowCommitStatus::kCommitted:
+            on_done(JobCallOutcome::kDone);
+            return;
+          // Either the job already exists: this is a repeated submission,
+          // or an earlier attempt took effect without a response. Or its
+          // route has another service by now, and no attempt can take
+          // effect.
+          case storage::RowCommitStatus::kConflict:
+            if (ListStoredJobs(service, result).count(id) > 0) {
+              on_done(JobCallOutcome::kDone);
               return;
             }
-            TrySubmit(service, transaction, attempt + 1, std::move(on_done));
-          }));
+            m_on_fenced();
+            on_done(JobCallOutcome::kRefused);
+            return;
+          case storage::RowCommitStatus::kRefused:
+            // An earlier attempt may still take effect.
+            on_done(attempt == 1 ? JobCallOutcome::kRefused
+                                 : JobCallOutcome::kUnknown);
+            return;
+          case storage::RowCommitStatus::kUnknown:
+            break;
+        }
+        if (attempt >= kMaxAttempts) {
+          on_done(JobCallOutcome::kUnknown);
+          return;
+        }
+        TrySubmit(service, id, transaction, attempt + 1, std::move(on_done));
+      }));
 }
 
 void JobService::Find(std::vector<std::string> services, const std::string& id,
--- a/services/shallotwick-scheduler/job_service.h
+++ b/services/shallotwick-scheduler/job_service.h
@@ -3,10 +3,12 @@
 #include <cstdint>
 #include <functional>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
 #include "base/event_loop.h"
+#include "route_registry.h"
 #include "scheduling/progress.h"
 #include "storage/row_store.h"
 
@@ -33,15 +35,35 @@
     return std::nullopt;
   };
 
+  // Returns the condition under which a job of the route may be stored for the
+  // service; std::nullopt if the service accepts none.
+  std::function<std::optional<RouteFence>(const std::string& service,
+                                          const std::string& route)>
+      m_find_fence =
+          [](const std::string&, const std::string&) { return RouteFence{}; };
+  // Called when a job was not stored since its route has another service.
+  std::function<void()> m_on_fenced = [] {};
+
   using OnOutcome = std::function<void(JobCallOutcome)>;
   using OnState = std::function<void(JobCallOutcome, scheduling::JobState)>;
   using OnCount = std::function<void(JobCallOutcome, int64_t)>;
 
+  using OnFence =
+      std::function<void(std::optional<JobCallOutcome>, const RouteFence&)>;
+
   // Adds the entries to a transaction that store a job, unless it is stored
-  // already.
+  // already or the fence has failed.
   static void AddSubmission(const std::string& service,
                             const scheduling::JobSpec& job,
+                            const RouteFence& fence,
                             storage::RowTransaction& transaction);
+  // Returns the jobs of the service that a conflict shows as stored.
+  static std::set<std::string> ListStoredJobs(
+      const std::string& service, const storage::RowCommitResult& result);
+  // Gets the fence for storing a job, or the outcome if it must not be stored:
+  // the service does not accept it, or a former service of the route has it.
+  void PrepareSubmission(const std::string& service,
+                         const scheduling::JobSpec& job, OnFence on_done);
   // Stores a job; repeating the call has no further effect.
   void Submit(const std::string& service, const scheduling::JobSpec& job,
               OnOutcome on_done);
@@ -63,7 +85,7 @@
 
   void CountQueuedRows(const std::string& service, const std::string& route,
                        OnCount on_done);
-  void TrySubmit(const std::string& service,
+  void TrySubmit(const std::string& service, const std::string& id,
                  const storage::RowTransaction& transaction, int attempt,
                  OnOutcome on_done);
   void Find(std::vector<std::string> services, const std::string& id,
--- a/services/shallotwick-scheduler/job_tables.h
+++ b/services/shallotwick-scheduler/job_tables.h
@@ -16,6 +16,8 @@
 inline constexpr char kRosterTable[] = "rosters";
 // Number of waiting jobs by pool.
 inline constexpr char kQueueTable[] = "queues";
+// The service of each route, and fences of services that served one before.
+inline constexpr char kRouteTable[] = "routes";
 // Host locks, progress of maintenance waves, and capacity demands.
 inline constexpr char kHostsTable[] = "hosts";
 inline constexpr char kSinglePartition[] = "";
--- a/services/shallotwick-scheduler/scheduler_process.cc
+++ b/services/shallotwick-scheduler/scheduler_process.cc
@@ -110,6 +110,7 @@
                   kRegistryBatchDelay,
                   base::Duration(0),
                   kShortFeedWait}),
+      m_routes(m_loop, m_store),
       m_jobs(m_loop, m_store),
       m_job_states(m_loop, m_jobs),
       m_api(m_jobs, m_job_states, m_metrics),
@@ -154,6 +155,14 @@
     return m_clock.GetStoreMs(base::RuntimeClock::now());
   };
   m_jobs.m_get_store_ms = m_host_ledger.m_get_store_ms;
+  m_jobs.m_find_fence = [this](const std::string& service,
+                               const std::string& route) {
+    return m_routes.FindFence(service, route);
+  };
+  m_jobs.m_on_fenced = [this] { m_routes.Refresh(); };
+  m_api.m_list_former_services = [this](const scheduling::Route& route) {
+    return m_routes.ListFormerServices(route);
+  };
   const auto get_unix_ms = [this] {
     return m_clock.GetUnixMs(base::RuntimeClock::now(),
                              base::WallClockMilliseconds());
@@ -439,7 +448,8 @@
 }
 
 bool SchedulerProcess::IsReady() const {
-  return !m_is_stopping && m_config && IsStoreReachable();
+  return !m_is_stopping && m_config && m_routes.IsLoaded() &&
+         IsStoreReachable();
 }
 
 bool SchedulerProcess::IsStoreReachable() const {
@@ -548,6 +558,7 @@
   base::Log(base::events::kConfigInForce,
             {{"version", std::to_string(m_config->version)},
              {"routes", std::to_string(m_config->routes.size())}});
+  m_routes.SetConfig(*m_config);
   m_ownership.SetPools(m_config->services);
   m_capacity.SetStandbyPools(m_config->standby_services);
   for (const auto& [pool, runner] : m_pools) {
--- a/services/shallotwick-scheduler/scheduler_process.h
+++ b/services/shallotwick-scheduler/scheduler_process.h
@@ -26,6 +26,7 @@
 #include "platform/target_orders_client.h"
 #include "pool_runner.h"
 #include "relayed_store.h"
+#include "route_registry.h"
 #include "session_renewer.h"
 #include "storage/observed_store.h"
 #include "submission_router.h"
@@ -101,6 +102,7 @@
   TargetRegistry m_targets;
   TableFollower m_operator_table;
   TableFollower m_registry;
+  RouteRegistry m_routes;
   JobService m_jobs;
   JobStateLookup m_job_states;
   JobApi m_api;
--- a/services/shallotwick-scheduler/submission_batcher.cc
+++ b/services/shallotwick-scheduler/submission_batcher.cc
@@ -10,21 +10,38 @@
 namespace shallotwick::scheduler {
 namespace {
 
-// A job takes three entries of a transaction.
+// A job takes three entries of a transaction; the fences of the routes take the
+// rest.
 constexpr size_t kMaxJobsPerTransaction = storage::kMaxTransactionEntries / 3;
+constexpr size_t kMaxEntriesPerJob = 4;
 // The owner's own transactions wait in the same queue.
 constexpr int kMaxBatchesInFlight = 3;
 // Callers wait for three seconds, and a transaction takes up to one.
 constexpr auto kMaxWait = std::chrono::milliseconds(1'500);
 constexpr auto kRefusalDelay = std::chrono::milliseconds(100);
 
+size_t CountEntries(const storage::RowTransaction& transaction) {
+  return transaction.expected.size() + transaction.writes.size() +
+         transaction.removals.size();
+}
+
 }  // namespace
 
 void SubmissionBatcher::Submit(const scheduling::JobSpec& job,
                                JobService::OnOutcome on_done) {
-  m_waiting.push_back(
-      {job, std::move(on_done), false, base::RuntimeClock::now() + kMaxWait});
-  SendBatch();
+  m_jobs.PrepareSubmission(
+      m_pool, job,
+      m_lifetime.Guard(
+          [this, job, on_done = std::move(on_done)](
+              std::optional<JobCallOutcome> outcome, const RouteFence& fence) {
+            if (outcome) {
+              on_done(*outcome);
+              return;
+            }
+            m_waiting.push_back({job, fence, on_done, false,
+                                 base::RuntimeClock::now() + kMaxWait});
+            SendBatch();
+          }));
 }
 
 void SubmissionBatcher::SendBatch() {
@@ -38,7 +55,9 @@
   std::vector<Submission> repeated;
   std::set<std::string> jobs;
   storage::RowTransaction transaction;
-  while (!m_waiting.empty() && batch.size() < kMaxJobsPerTransaction) {
+  while (!m_waiting.empty() && batch.size() < kMaxJobsPerTransaction &&
+         CountEntries(transaction) + kMaxEntriesPerJob <=
+             storage::kMaxTransactionEntries) {
     Submission submission = std::move(m_waiting.front());
     m_waiting.pop_front();
     const scheduling::JobSpec& job = submission.job;
@@ -47,7 +66,7 @@
       repeated.push_back(std::move(submission));
       continue;
     }
-    JobService::AddSubmission(m_pool, job, transaction);
+    JobService::AddSubmission(m_pool, job, submission.fence, transaction);
     batch.push_back(std::move(submission));
   }
   for (Submission& submission : repeated) {
@@ -63,6 +82,22 @@
       }));
 }
 
+bool SubmissionBatcher::IsFenced(const Submission& submission,
+                                 const storage::RowCommitResult& result) {
+  for (const storage::ExpectedVersion& expected : submission.fence.expected) {
+    uint64_t version = storage::kNoVersion;
+    for (const storage::VersionedRow& row : result.current) {
+      if (row.key == expected.key && !row.is_removed) {
+        version = row.version;
+      }
+    }
+    if (version != expected.version) {
+      return true;
+    }
+  }
+  return false;
+}
+
 void SubmissionBatcher::OnCommitted(const storage::RowCommitResult& result,
                                     std::vector<Submission> batch) {
   const auto now = base::RuntimeClock::now();
@@ -70,12 +105,8 @@
     m_not_before = now + kRefusalDelay;
     m_loop.RunAfter(kRefusalDelay, m_lifetime.Guard([this] { SendBatch(); }));
   }
-  std::set<std::string> stored;
-  for (const storage::VersionedRow& row : result.current) {
-    if (row.version != storage::kNoVersion && !row.is_removed) {
-      stored.insert(row.key.key);
-    }
-  }
+  const std::set<std::string> stored =
+      JobService::ListStoredJobs(m_pool, result);
   for (Submission& submission : batch) {
     switch (result.status) {
       case storage::RowCommitStatus::kCommitted:
@@ -87,6 +118,11 @@
           submission.on_done(JobCallOutcome::kDone);
           continue;
         }
+        if (IsFenced(submission, result)) {
+          m_jobs.m_on_fenced();
+          submission.on_done(JobCallOutcome::kRefused);
+          continue;
+        }
         break;
       case storage::RowCommitStatus::kRefused:
         break;
--- a/services/shallotwick-scheduler/submission_batcher.h
+++ b/services/shallotwick-scheduler/submission_batcher.h
@@ -17,8 +17,8 @@
 class SubmissionBatcher {
  public:
   SubmissionBatcher(base::EventLoop& loop, storage::RowStore& store,
-                    std::string pool)
-      : m_loop(loop), m_store(store), m_pool(std::move(pool)) {}
+                    JobService& jobs, std::string pool)
+      : m_loop(loop), m_store(store), m_jobs(jobs), m_pool(std::move(pool)) {}
 
   // Stores a job; repeating the call has no further effect.
   void Submit(const scheduling::JobSpec& job, JobService::OnOutcome on_done);
@@ -26,6 +26,7 @@
  private:
   struct Submission {
     scheduling::JobSpec job;
+    RouteFence fence;
     JobService::OnOutcome on_done;
     // An earlier transaction with this job got no response.
     bool may_be_stored = false;
@@ -34,11 +35,14 @@
   };
 
   void SendBatch();
+  static bool IsFenced(const Submission& submission,
+                       const storage::RowCommitResult& result);
   void OnCommitted(const storage::RowCommitResult& result,
                    std::vector<Submission> batch);
 
   base::EventLoop& m_loop;
   storage::RowStore& m_store;
+  JobService& m_jobs;
   std::string m_pool;
   std::deque<Submission> m_waiting;
   int m_batches_in_flight = 0;
--- a/services/shallotwick-scheduler/submission_router.cc
+++ b/services/shallotwick-scheduler/submission_router.cc
@@ -36,7 +36,8 @@
 }
 
 SubmissionBatcher& SubmissionRouter::GetBatcher(const std::string& pool) {
-  return m_batchers.try_emplace(pool, m_loop, m_store, pool).first->second;
+  return m_batchers.try_emplace(pool, m_loop, m_store, m_jobs, pool)
+      .first->second;
 }
 
 void SubmissionRouter::Submit(const std::string& pool,
--- a/tests/process/jobs_test.cc
+++ b/tests/process/jobs_test.cc
@@ -26,6 +26,12 @@
     R"({"count":2,"cpu":500,"memMb":100,"estMs":50,"after":[0]}]})";
 constexpr int kTasksOfTwoSteps = 6;
 
+// The queue is served by "desk", which has no executors.
+constexpr char kQueueOfOtherService[] =
+    R"({"version":9,"limits":{},"services":[{"name":"quotes"},)"
+    R"({"name":"desk"}],"routes":[{"name":"quote","host":"127.0.0.1",)"
+    R"("prefix":"/quote/","service":"desk","attempts":3}]})";
+
 // Sixteen hexadecimal digits that end with the number.
 std::string MakeId(int number) {
   const std::string digits = std::to_string(number);
@@ -209,6 +215,31 @@
   CheckEachTaskRanOnce(1);
 }
 
+// A job is one job, whichever service serves its queue when it is handed in
+// again.
+TEST(Jobs, AJobHandedInAgainAfterItsQueueChangedServiceRunsOnce) {
+  Start(2, 30);
+  const std::string id = MakeId(1);
+  LONGS_EQUAL(200, Call(0, "POST", "/quote/" + id, kTwoSteps).status);
+  CHECK_TRUE(WaitForState(0, id, "completed"));
+  m_cluster->PutRow("op", "config", kQueueOfOtherService);
+  CHECK_TRUE(harness::WaitFor([this] {
+    return m_hosts[0]->FindEvents("config-in-force").size() == 2 &&
+           m_hosts[1]->FindEvents("config-in-force").size() == 2;
+  }));
+  CHECK_TRUE(harness::WaitFor([this, &id] {
+    return Call(1, "POST", "/quote/" + id, kTwoSteps).status == 200;
+  }));
+  STRCMP_EQUAL("{\"pending\":0}", Call(1, "GET", "/quote/").body.c_str());
+  STRCMP_EQUAL("completed", GetState(0, id).c_str());
+  // The queue takes new jobs.
+  CHECK_TRUE(harness::WaitFor([this] {
+    return Call(0, "POST", "/quote/" + MakeId(2), kTwoSteps).status == 200;
+  }));
+  STRCMP_EQUAL("queued", GetState(1, MakeId(2)).c_str());
+  CheckEachTaskRanOnce(1);
+}
+
 TEST(Jobs, WithTheStoreAwayJobsAreRefusedWithATimeToComeBack) {
   Start(1, 30);
   m_cluster->SetStoreDown(true);
