Resume all members of a gang from one checkpoint

Cause: each task kept its own checkpoint. The owner knew an older one of the crashed member and newer ones of the others, and members that resume from different checkpoints do not work together.

Fix: one method sets the checkpoint, for all members at once; the latest that any member has reported or saved counts. Values of an earlier run do not replace those of a later one, and stored records with different values are joined. An end with a checkpoint is acknowledged once that is stored.

--- a/libraries/scheduling/active_job.cc
+++ b/libraries/scheduling/active_job.cc
@@ -24,6 +24,9 @@
         unfinished_count += stored.done ? 0 : 1;
         tasks.push_back(std::move(task));
       }
+      if (m_spec.steps[steps.size() - 1].gang) {
+        ShareCheckpoint(tasks);
+      }
       unfinished.push_back(unfinished_count);
       m_unassigned += unfinished_count;
     }
@@ -102,6 +105,43 @@
   task.run = 0;
 }
 
+bool ActiveJob::SetCheckpoint(const TaskName& name, int64_t run,
+                              const std::string& checkpoint) {
+  ActiveTask& named = *FindTask(name);
+  const bool is_known = checkpoint.empty() || run < named.checkpoint_run ||
+                        checkpoint == named.progress.checkpoint;
+  if (is_known) {
+    return false;
+  }
+  const auto set = [&](ActiveTask& task) {
+    task.progress.checkpoint = checkpoint;
+    task.checkpoint_run = run;
+  };
+  if (IsGang(name)) {
+    // Members that resume from different checkpoints do not work together.
+    for (ActiveTask& task : GetStep(name.occurrence, name.step)) {
+      set(task);
+    }
+  } else {
+    set(named);
+  }
+  return true;
+}
+
+// Earlier versions stored a checkpoint for each member.
+void ActiveJob::ShareCheckpoint(std::vector<ActiveTask>& tasks) {
+  const auto first = std::find_if(
+      tasks.begin(), tasks.end(),
+      [](const ActiveTask& task) { return !task.progress.checkpoint.empty(); });
+  if (first == tasks.end()) {
+    return;
+  }
+  const std::string checkpoint = first->progress.checkpoint;
+  for (ActiveTask& task : tasks) {
+    task.progress.checkpoint = checkpoint;
+  }
+}
+
 void ActiveJob::MarkDone(const TaskName& name) {
   auto& tasks = GetStep(name.occurrence, name.step);
   int& unfinished = m_unfinished[static_cast<size_t>(name.occurrence)]
--- a/libraries/scheduling/active_job.h
+++ b/libraries/scheduling/active_job.h
@@ -17,6 +17,8 @@
   int64_t run = 0;
   // The highest run number that was ever assigned to this task.
   int64_t last_run = 0;
+  // The run that the checkpoint in `progress` is from; 0 if it was stored.
+  int64_t checkpoint_run = 0;
   // The target of the last failed or stalled run; placement avoids it if
   // another target is suitable.
   std::string avoided_target;
@@ -53,6 +55,13 @@
   int CountUnassigned() const { return m_unassigned; }
   void AssignRun(ActiveTask& task, const std::string& target, int64_t run);
   void ReleaseRun(ActiveTask& task);
+  // Sets the checkpoint from which the task resumes, unless it has one from a
+  // later run. The tasks of a gang share one. Returns whether it has changed.
+  bool SetCheckpoint(const TaskName& name, int64_t run,
+                     const std::string& checkpoint);
+  bool IsGang(const TaskName& name) const {
+    return m_spec.steps[static_cast<size_t>(name.step)].gang;
+  }
   // Marks a task as done. If its step runs as a gang, marks all tasks of the
   // step as done.
   void MarkDone(const TaskName& name);
@@ -66,6 +75,8 @@
 
  private:
   void RecomputeChain();
+  // Gives all tasks of a gang the checkpoint of the first that has one.
+  static void ShareCheckpoint(std::vector<ActiveTask>& tasks);
 
   JobSpec m_spec;
   std::vector<std::vector<std::vector<ActiveTask>>> m_tasks;
--- a/libraries/scheduling/pool_reports.cc
+++ b/libraries/scheduling/pool_reports.cc
@@ -299,8 +299,9 @@
   if (task->progress.done) {
     return;
   }
-  if (!completion.checkpoint.empty()) {
-    task->progress.checkpoint = completion.checkpoint;
+  if (job->SetCheckpoint(completion.task, completion.run,
+                         completion.checkpoint)) {
+    m_changes.MarkChanged(job->GetSpec().id, false);
   }
   LogDecision("run-ended", completion.task, completion.run, target.m_entry.id,
               is_failure ? "failed" : "interrupted");
@@ -360,6 +361,15 @@
   run.load = reported.load;
   if (!reported.checkpoint.empty()) {
     run.checkpoint = reported.checkpoint;
+    ShareGangCheckpoint(reported);
+  }
+}
+
+void PoolScheduler::ShareGangCheckpoint(const ReportedRun& reported) {
+  ActiveJob* job = FindJob(reported.task.job);
+  const ActiveTask* task = FindTask(reported.task);
+  if (task != nullptr && !task->progress.done && job->IsGang(reported.task)) {
+    job->SetCheckpoint(reported.task, reported.run, reported.checkpoint);
   }
 }
 
@@ -386,6 +396,7 @@
     task->last_run = std::max(task->last_run, reported.run);
   }
   target.GetRuns()[reported.task] = run;
+  ShareGangCheckpoint(reported);
   if (!is_wanted) {
     LogDecision("run-unwanted", reported.task, reported.run, target.m_entry.id,
                 "task is done, job has ended or task runs elsewhere");
--- a/libraries/scheduling/pool_scheduler.cc
+++ b/libraries/scheduling/pool_scheduler.cc
@@ -308,9 +308,12 @@
   const Run run = found->second;
   target.GetRuns().erase(found);
   m_runs_to_stop.erase({target.m_entry.id, name});
-  ActiveTask* task = FindTask(name);
-  if (task != nullptr && !run.checkpoint.empty() && !task->progress.done) {
-    task->progress.checkpoint = run.checkpoint;
+  ActiveJob* job = FindJob(name.job);
+  const ActiveTask* task = FindTask(name);
+  // That of a gang is taken from each report: other members may have reported a
+  // later one since.
+  if (task != nullptr && !task->progress.done && !job->IsGang(name)) {
+    job->SetCheckpoint(name, run.number, run.checkpoint);
   }
   ReleaseTask(name, target.m_entry.id, run.number);
 }
--- a/libraries/scheduling/pool_scheduler.h
+++ b/libraries/scheduling/pool_scheduler.h
@@ -240,6 +240,8 @@
                     ActiveJob& job, ActiveTask& task);
   void ApplyRunning(TargetLedger& target, const ReportedRun& reported,
                     base::TimePoint now);
+  // Gives a checkpoint that a member of a gang has reported to all members.
+  void ShareGangCheckpoint(const ReportedRun& reported);
   void AdoptRun(TargetLedger& target, const ReportedRun& reported,
                 base::TimePoint now);
   void ResolveUnlistedRuns(TargetLedger& target, const TargetReport& report,
