Report the number of waiting jobs only as far as the jobs are known

Cause: an owner whose session had lapsed confirms its ownership by writing its count, before it has taken in the jobs that arrived meanwhile; the count bore the present time, so other hosts trusted it.

Fix: that report is never fresh, and the others bear the time up to which the feed of jobs is complete.

Failed before, on: Outage.OwnerThatDoesNotKnowAllJobsYetReportsNoCount (0 instead of 1).

--- a/services/shallotwick-scheduler/pool_records.cc
+++ b/services/shallotwick-scheduler/pool_records.cc
@@ -165,10 +165,13 @@
   storage::RowTransaction transaction;
   transaction.expected = {
       {MakeOwnerKey(m_options.service), m_options.owner_version}};
+  // Jobs that arrived since the lapse are not counted yet, so the report must
+  // not be taken as fresh.
+  constexpr int64_t kNeverCounted = 0;
   transaction.writes = {
       {MakeQueueKey(m_options.service),
-       EncodeQueueReport(QueueReport{m_get_store_ms().value_or(0),
-                                     m_scheduler.CountQueuedByRoute()})}};
+       EncodeQueueReport(
+           QueueReport{kNeverCounted, m_scheduler.CountQueuedByRoute()})}};
   m_store.Commit(std::move(transaction),
                  m_lifetime.Guard([this, lapses = m_get_lapse_count()](
                                       const storage::RowCommitResult& result) {
@@ -190,12 +193,16 @@
   const std::optional<int64_t> store_ms = m_get_store_ms();
   const bool is_due = store_ms && !m_is_reporting_queues &&
                       now >= m_queues_reported_at + kQueueReportPeriod;
-  if (!is_due) {
+  if (!is_due || !IsOwnershipConfirmed()) {
     return;
   }
+  // The feed of jobs may lag behind, above all after an outage.
+  const auto lag = std::chrono::duration_cast<std::chrono::milliseconds>(
+      now - m_jobs.GetCurrentAsOf());
   m_is_reporting_queues = true;
   m_queues_reported_at = now;
-  const QueueReport report{*store_ms, m_scheduler.CountQueuedByRoute()};
+  const QueueReport report{std::max(int64_t{0}, *store_ms - lag.count()),
+                           m_scheduler.CountQueuedByRoute()};
   storage::RowTransaction transaction;
   transaction.expected = {
       {MakeOwnerKey(m_options.service), m_options.owner_version}};
--- a/services/shallotwick-scheduler/table_follower.cc
+++ b/services/shallotwick-scheduler/table_follower.cc
@@ -16,6 +16,7 @@
   ++m_generation;
   m_loading.clear();
   m_next_partition = 0;
+  m_load_started = base::RuntimeClock::now();
   ReadNextPartition();
 }
 
@@ -32,6 +33,7 @@
 void TableFollower::ReadNextPartition() {
   if (m_next_partition == m_options.partitions.size()) {
     m_is_loaded = true;
+    SetCurrentAsOf(m_load_started);
     m_on_reset(m_loading);
     m_loading.clear();
     m_last_update = base::RuntimeClock::now();
@@ -61,15 +63,23 @@
       }));
 }
 
+void TableFollower::SetCurrentAsOf(base::TimePoint time) {
+  m_current_as_of = std::max(m_current_as_of, time);
+}
+
 void TableFollower::ReadChanges() {
   m_store.ReadChanges(
       m_options.table, m_version, m_options.feed_wait,
-      m_lifetime.Guard([this, generation = m_generation](
-                           const storage::ChangeFeedResult& result) {
-        if (generation == m_generation) {
-          OnFeed(result);
-        }
-      }));
+      m_lifetime.Guard(
+          [this, generation = m_generation, sent = base::RuntimeClock::now()](
+              const storage::ChangeFeedResult& result) {
+            if (generation == m_generation) {
+              if (result.status == storage::ChangeFeedStatus::kRead) {
+                SetCurrentAsOf(sent);
+              }
+              OnFeed(result);
+            }
+          }));
 }
 
 void TableFollower::ScheduleIdleCheck() {
@@ -96,19 +106,23 @@
 void TableFollower::ReloadAfterIdle() {
   storage::ReadPartition(
       m_store, m_options.table, m_options.partitions.front(),
-      m_lifetime.Guard([this, generation = m_generation](
-                           const storage::RowReadResult& result) {
-        // The feed may have delivered newer changes in the meantime.
-        const bool is_reload_newer = result.is_read &&
-                                     generation == m_generation &&
-                                     result.version > m_version;
-        if (is_reload_newer) {
-          m_version = result.version;
-          m_on_reset(result.rows);
-        }
-        m_last_update = base::RuntimeClock::now();
-        ScheduleIdleCheck();
-      }));
+      m_lifetime.Guard(
+          [this, generation = m_generation, sent = base::RuntimeClock::now()](
+              const storage::RowReadResult& result) {
+            if (result.is_read && generation == m_generation) {
+              SetCurrentAsOf(sent);
+            }
+            // The feed may have delivered newer changes in the meantime.
+            const bool is_reload_newer = result.is_read &&
+                                         generation == m_generation &&
+                                         result.version > m_version;
+            if (is_reload_newer) {
+              m_version = result.version;
+              m_on_reset(result.rows);
+            }
+            m_last_update = base::RuntimeClock::now();
+            ScheduleIdleCheck();
+          }));
 }
 
 void TableFollower::OnFeed(const storage::ChangeFeedResult& result) {
--- a/services/shallotwick-scheduler/table_follower.h
+++ b/services/shallotwick-scheduler/table_follower.h
@@ -53,9 +53,12 @@
   // Starts again with the given partitions.
   void Restart(std::vector<std::string> partitions);
   bool IsLoaded() const { return m_is_loaded; }
+  // Returns a time up to which all changes have certainly been delivered.
+  base::TimePoint GetCurrentAsOf() const { return m_current_as_of; }
 
  private:
   void ReadNextPartition();
+  void SetCurrentAsOf(base::TimePoint time);
   void ReadChanges();
   void RetryAfterDelay(void (TableFollower::*step)());
   void ScheduleIdleCheck();
@@ -74,6 +77,8 @@
   bool m_is_loaded = false;
   bool m_is_idle_check_scheduled = false;
   base::TimePoint m_last_update;
+  base::TimePoint m_current_as_of;
+  base::TimePoint m_load_started;
   base::Lifetime m_lifetime;
 };
 
--- a/services/shallotwick-scheduler/tests/outage_test.cc
+++ b/services/shallotwick-scheduler/tests/outage_test.cc
@@ -14,6 +14,7 @@
 #include "../peer_api.h"
 #include "../peer_client.h"
 #include "../pool_runner.h"
+#include "../queue_report.h"
 #include "../relayed_store.h"
 #include "../submission_router.h"
 #include "fakes/fake_row_store.h"
@@ -367,6 +368,39 @@
   CHECK_FALSE(pool->FindState(kJob) == JobState::kCompleted);
 }
 
+// A count is given to callers without looking at the jobs.
+TEST(Outage, OwnerThatDoesNotKnowAllJobsYetReportsNoCount) {
+  const auto pool = StartPool();
+  const auto get_store_ms = [] {
+    return 50'000 + ObedientTarget::GetClockMs(base::RuntimeClock::now());
+  };
+  pool->m_get_store_ms = get_store_ms;
+  Advance(std::chrono::milliseconds(1'500));
+  LoseStore();
+  Advance(std::chrono::seconds(3));
+  // Stored by hosts that the store serves; too large for the target.
+  scheduling::JobSpec job = MakeJob(kJob);
+  job.steps[0].demand.cpu_milli = 64'000;
+  m_store.Put(scheduler::MakeProgressKey(kService, kJob),
+              scheduling::EncodeProgress(scheduling::JobProgress{}));
+  m_store.Put(scheduler::MakeJobKey(kService, kJob),
+              scheduling::EncodeJobRecord(job));
+  RegainStore();
+  int64_t queued = 0;
+  for (int i = 0; i < 40; ++i) {
+    Advance(std::chrono::milliseconds(50));
+    const auto report = scheduler::ReadQueueReport(
+        m_store.Get(scheduler::MakeQueueKey(kService)));
+    CHECK_TRUE(report.has_value());
+    if (report->IsFresh(get_store_ms())) {
+      queued =
+          report->queued.count("quote") > 0 ? report->queued.at("quote") : 0;
+      LONGS_EQUAL(1, queued);
+    }
+  }
+  LONGS_EQUAL(1, queued);
+}
+
 TEST(Outage, OwnerThatTheStoreTurnsAwayStoresEndsThroughPeer) {
   storage::RowStore& peer_view = m_peer_view;
   scheduler::RelayedStore relayed(m_loop, m_store);
