Soak: check that no executor is given more than it has room for

It counts the runs that executors saw, which start whatever they are told to, until they have ended; stops of the stand-in now take 20 to 500 ms (20 before), so that what is being stopped takes part.

--- a/tests/soak/promises.cc
+++ b/tests/soak/promises.cc
@@ -38,7 +38,11 @@
     for (const RunEvent& event : cluster.GetEvents()) {
       if (event.what == "start") {
         CheckStart(event);
-      } else if (event.what == "done") {
+        CheckCapacity(event);
+      } else {
+        --m_present[event.executor];
+      }
+      if (event.what == "done") {
         m_done.insert(event.task);
       }
     }
@@ -76,6 +80,16 @@
     CheckOrder(job, start);
   }
 
+  // Executors start whatever they are told to. A run that is being stopped is
+  // present until it has ended.
+  void CheckCapacity(const RunEvent& start) {
+    const int64_t used = ++m_present[start.executor] * kTaskCpuMilli;
+    if (used > standin::kMachineCpuMilli) {
+      m_broken.push_back("start beyond the capacity: " + Describe(start) +
+                         ", in use " + std::to_string(used));
+    }
+  }
+
   void CheckOrder(const CalledJob& job, const RunEvent& start) {
     // ID.0.STEP.INDEX
     const size_t from = job.id.size() + 3;
@@ -115,6 +129,8 @@
   std::map<std::string, const CalledJob*> m_jobs;
   std::map<std::string, std::chrono::steady_clock::time_point> m_noted;
   std::set<std::string> m_done;
+  // The runs that are present on each executor.
+  std::map<std::string, int64_t> m_present;
 };
 
 }  // namespace
--- a/tests/standin-cluster/executor_model.cc
+++ b/tests/standin-cluster/executor_model.cc
@@ -9,7 +9,9 @@
 
 using nlohmann::json;
 
-constexpr int64_t kStopMs = 20;
+// A stop takes between these times, which depend on the task and the run.
+constexpr int64_t kLeastStopMs = 20;
+constexpr int64_t kMostStopMs = 500;
 constexpr int64_t kLongestLeaseMs = 10'000;
 
 int64_t GetUnixMs() {
@@ -18,6 +20,14 @@
       .count();
 }
 
+int64_t Draw(const std::string& task, int64_t run, int64_t least,
+             int64_t most) {
+  const size_t hash =
+      std::hash<std::string>()(task + "#" + std::to_string(run));
+  return least +
+         static_cast<int64_t>(hash % static_cast<size_t>(most - least + 1));
+}
+
 }  // namespace
 
 ExecutorModel::ExecutorModel(std::string id, int64_t run_ms)
@@ -111,11 +121,8 @@
     if (order.value("untilMs", int64_t{0}) <= GetClockMs()) {
       return Refuse("late");
     }
-    const size_t draw =
-        std::hash<std::string>()(task + "#" + std::to_string(run)) %
-        static_cast<size_t>(m_most_run_ms - m_least_run_ms + 1);
     m_runs[task] =
-        Run{run, GetClockMs() + m_least_run_ms + static_cast<int64_t>(draw),
+        Run{run, GetClockMs() + Draw(task, run, m_least_run_ms, m_most_run_ms),
             "done"};
     Record(task, run, "start", ordered, m_fence);
   }
@@ -131,8 +138,12 @@
   const auto run = order.at("run").get<int64_t>();
   const auto present = m_runs.find(task);
   if (present != m_runs.end() && present->second.number == run) {
+    if (present->second.how == "stopped") {
+      return {200, {{"clockMs", GetClockMs()}}};
+    }
     present->second.how = "stopped";
-    present->second.ends_ms = GetClockMs() + kStopMs;
+    present->second.ends_ms =
+        GetClockMs() + Draw(task, run, kLeastStopMs, kMostStopMs);
   } else {
     int64_t& highest = m_highest_ended[task];
     highest = std::max(highest, run);
