--- a/tests/soak/soak_test.cc
+++ b/tests/soak/soak_test.cc
@@ -5,10 +5,13 @@
 #include <cstdlib>
 #include <filesystem>
 #include <iostream>
+#include <nlohmann/json.hpp>
 
 #include "fault_play.h"
 #include "harness/process.h"
+#include "http/blocking_client.h"
 #include "pause_log.h"
+#include "promises.h"
 
 namespace {
 
@@ -47,6 +50,36 @@
              std::chrono::seconds(6));
 }
 
+TEST(Soak, StartOnAFullExecutorIsFound) {
+  using nlohmann::json;
+  const shallotwick::standin::ClusterStandin cluster(1, 60'000);
+  const json entry =
+      json::parse(cluster.GetRow("servers", "", cluster.GetExecutorId(0)));
+  shallotwick::soak::CalledJob job;
+  job.id = "5c0e7a21d94b36f8";
+  job.counts = {9};
+  job.is_unknown = true;
+  for (int i = 0; i < job.counts[0]; ++i) {
+    shallotwick::http::Request request;
+    request.method = "POST";
+    request.target = "/v1/run-start";
+    request.headers = {{"Content-Type", "application/json"}};
+    request.body = json{
+        {"task", shallotwick::soak::MakeTaskName(job, 0, i)},
+        {"run", 1},
+        {"spec", "text"},
+        {"untilMs", 9'000},
+        {"fence", 1}}.dump();
+    const auto answer = shallotwick::http::SendAndWait(
+        "http://" + entry.at("addr").get<std::string>() + request.target,
+        request);
+    LONGS_EQUAL(200, answer.response.status);
+  }
+  const auto broken = shallotwick::soak::FindBrokenPromises({job}, cluster, {});
+  LONGS_EQUAL(1, broken.size());
+  STRCMP_CONTAINS("start beyond the capacity", broken[0].c_str());
+}
+
 TEST(Soak, OverlappingFaultsBreakNoPromiseToCallersOrExecutors) {
   const uint32_t first = ReadNumber("SHALLOTWICK_SOAK_FIRST_SEED", 1);
   const uint32_t seeds = ReadNumber("SHALLOTWICK_SOAK_SEEDS", kUsualSeeds);
