Relay transactions only; forget records of routes that are gone

From reading the change again: a peer passes on transactions and nothing else, as nothing else is asked for, and a route's record that is no longer in the store does not make all later changes conflict.

--- a/services/shallotwick-scheduler/relayed_store.h
+++ b/services/shallotwick-scheduler/relayed_store.h
@@ -9,9 +9,9 @@
 
 namespace shallotwick::scheduler {
 
-// The store, through a peer while it turns this host away. Each transaction
-// carries its own conditions, so it does not matter which host sends it.
-// Changes are always read directly.
+// The store; while it turns this host away, transactions go through a peer.
+// Each carries its own conditions, so it does not matter which host sends it.
+// Rows are always read directly.
 class RelayedStore : public storage::RowStore {
  public:
   RelayedStore(base::EventLoop& loop, storage::RowStore& store);
@@ -22,8 +22,7 @@
   std::function<std::vector<std::string>()> m_list_peers = [] {
     return std::vector<std::string>{};
   };
-  // Returns the store as it is reached through the peer at `address`. It
-  // refuses what the peer does not pass on.
+  // Returns the store as it is reached through the peer at `address`.
   std::function<storage::RowStore&(const std::string& address)> m_get_store;
 
   void Commit(storage::RowTransaction transaction,
--- a/services/shallotwick-scheduler/route_registry.cc
+++ b/services/shallotwick-scheduler/route_registry.cc
@@ -107,17 +107,15 @@
     RefreshAfterDelay();
     return;
   }
+  m_placements.clear();
   for (const storage::VersionedRow& row : result.rows) {
-    OnRow(row);
+    m_placements[row.key.key] = Decode(row);
   }
   WriteChanges();
 }
 
-void RouteRegistry::OnRow(const storage::VersionedRow& row) {
-  Placement& known = m_placements[row.key.key];
-  if (row.version < known.version) {
-    return;
-  }
+RouteRegistry::Placement RouteRegistry::Decode(
+    const storage::VersionedRow& row) const {
   Placement placement;
   placement.version = row.version;
   try {
@@ -137,7 +135,7 @@
                                  m_config.services.end()};
     placement.config_version = 0;
   }
-  known = std::move(placement);
+  return placement;
 }
 
 bool RouteRegistry::NeedsChange(const scheduling::Route& route) const {
--- a/services/shallotwick-scheduler/route_registry.h
+++ b/services/shallotwick-scheduler/route_registry.h
@@ -60,7 +60,7 @@
 
   static std::string MakeKey(const scheduling::Route& route);
   static std::string Encode(const Placement& placement);
-  void OnRow(const storage::VersionedRow& row);
+  Placement Decode(const storage::VersionedRow& row) const;
   void OnRead(const storage::RowReadResult& result);
   // Records the routes that are new or have changed their service.
   void WriteChanges();
