--- a/services/shallotwick-scheduler/job_service.cc
+++ b/services/shallotwick-scheduler/job_service.cc
@@ -35,13 +35,11 @@
   scheduling::JobProgress initial;
   initial.route = job.route;
   transaction.expected.push_back({progress, storage::kNoVersion});
-  for (const storage::ExpectedVersion& expected : fence.expected) {
-    const bool is_present =
-        std::find(transaction.expected.begin(), transaction.expected.end(),
-                  expected) != transaction.expected.end();
-    if (!is_present) {
-      transaction.expected.push_back(expected);
-    }
+  // Jobs of one route share the fence, and a transaction names each row once.
+  if (fence.expected &&
+      std::find(transaction.expected.begin(), transaction.expected.end(),
+                *fence.expected) == transaction.expected.end()) {
+    transaction.expected.push_back(*fence.expected);
   }
   transaction.writes.push_back(
       {MakeJobKey(service, job.id), scheduling::EncodeJobRecord(job)});
--- a/services/shallotwick-scheduler/route_registry.cc
+++ b/services/shallotwick-scheduler/route_registry.cc
@@ -72,8 +72,9 @@
   const uint64_t version = placement.former_services.empty()
                                ? storage::kNoVersion
                                : placement.version;
-  return RouteFence{{{MakeFenceKey(service, key), version}},
-                    placement.former_services};
+  return RouteFence{
+      storage::ExpectedVersion{MakeFenceKey(service, key), version},
+      placement.former_services};
 }
 
 std::vector<std::string> RouteRegistry::ListFormerServices(
@@ -176,13 +177,13 @@
         {MakeRecordKey(key), before == m_placements.end()
                                  ? storage::kNoVersion
                                  : before->second.version});
-    transaction.writes.push_back({MakeRecordKey(key), Encode(placement)});
+    const std::string value = Encode(placement);
+    transaction.writes.push_back({MakeRecordKey(key), value});
     if (before != m_placements.end()) {
-      transaction.writes.push_back(
-          {MakeFenceKey(route.service, key), Encode(placement)});
+      transaction.writes.push_back({MakeFenceKey(route.service, key), value});
       if (!before->second.service.empty()) {
         transaction.writes.push_back(
-            {MakeFenceKey(before->second.service, key), Encode(placement)});
+            {MakeFenceKey(before->second.service, key), value});
       }
     }
     changes[key] = placement;
--- a/services/shallotwick-scheduler/route_registry.h
+++ b/services/shallotwick-scheduler/route_registry.h
@@ -15,9 +15,8 @@
 
 // The condition under which a job of a route may be stored for a service.
 struct RouteFence {
-  // Fails once another service serves the route. Empty for a route without a
-  // record.
-  std::vector<storage::ExpectedVersion> expected;
+  // Fails once another service serves the route.
+  std::optional<storage::ExpectedVersion> expected;
   // The services that served the route before. They accept no more jobs of it,
   // but may have accepted the job.
   std::vector<std::string> former_services;
--- a/services/shallotwick-scheduler/submission_batcher.cc
+++ b/services/shallotwick-scheduler/submission_batcher.cc
@@ -10,9 +10,7 @@
 namespace shallotwick::scheduler {
 namespace {
 
-// A job takes three entries of a transaction; the fences of the routes take the
-// rest.
-constexpr size_t kMaxJobsPerTransaction = storage::kMaxTransactionEntries / 3;
+// Entries of a transaction that a job takes, with the fence of its route.
 constexpr size_t kMaxEntriesPerJob = 4;
 // The owner's own transactions wait in the same queue.
 constexpr int kMaxBatchesInFlight = 3;
@@ -55,9 +53,8 @@
   std::vector<Submission> repeated;
   std::set<std::string> jobs;
   storage::RowTransaction transaction;
-  while (!m_waiting.empty() && batch.size() < kMaxJobsPerTransaction &&
-         CountEntries(transaction) + kMaxEntriesPerJob <=
-             storage::kMaxTransactionEntries) {
+  while (!m_waiting.empty() && CountEntries(transaction) + kMaxEntriesPerJob <=
+                                   storage::kMaxTransactionEntries) {
     Submission submission = std::move(m_waiting.front());
     m_waiting.pop_front();
     const scheduling::JobSpec& job = submission.job;
@@ -84,18 +81,17 @@
 
 bool SubmissionBatcher::IsFenced(const Submission& submission,
                                  const storage::RowCommitResult& result) {
-  for (const storage::ExpectedVersion& expected : submission.fence.expected) {
-    uint64_t version = storage::kNoVersion;
-    for (const storage::VersionedRow& row : result.current) {
-      if (row.key == expected.key && !row.is_removed) {
-        version = row.version;
-      }
-    }
-    if (version != expected.version) {
-      return true;
+  const auto& expected = submission.fence.expected;
+  if (!expected) {
+    return false;
+  }
+  uint64_t version = storage::kNoVersion;
+  for (const storage::VersionedRow& row : result.current) {
+    if (row.key == expected->key && !row.is_removed) {
+      version = row.version;
     }
   }
-  return false;
+  return version != expected->version;
 }
 
 void SubmissionBatcher::OnCommitted(const storage::RowCommitResult& result,
--- a/services/shallotwick-scheduler/tests/outage_test.cc
+++ b/services/shallotwick-scheduler/tests/outage_test.cc
@@ -18,6 +18,7 @@
 #include "../relayed_store.h"
 #include "../submission_router.h"
 #include "fakes/fake_row_store.h"
+#include "fakes/paused_loop.h"
 #include "routing/submission_path.h"
 #include "scheduling/job_record.h"
 #include "storage/observed_store.h"
@@ -226,23 +227,12 @@
   void setup() override { base::RuntimeClock::Pause(); }
   void teardown() override { base::RuntimeClock::Resume(); }
 
-  void ProcessDueEvents() {
-    m_loop.GetContext().restart();
-    m_loop.GetContext().poll();
-  }
+  void ProcessDueEvents() { fakes::ProcessDueEvents(m_loop); }
 
   void Advance(base::Duration by) {
     constexpr auto kStep = std::chrono::milliseconds(50);
     for (auto left = by; left > base::Duration(0); left -= kStep) {
-      base::RuntimeClock::Advance(kStep);
-      bool has_ticked = false;
-      m_loop.RunAfter(-std::chrono::hours(1),
-                      [&has_ticked] { has_ticked = true; });
-      while (!has_ticked) {
-        m_loop.GetContext().restart();
-        m_loop.GetContext().run_one();
-      }
-      ProcessDueEvents();
+      fakes::AdvanceTimers(m_loop, kStep);
     }
   }
 
--- a/services/shallotwick-scheduler/tests/route_registry_test.cc
+++ b/services/shallotwick-scheduler/tests/route_registry_test.cc
@@ -10,6 +10,7 @@
 #include "../job_tables.h"
 #include "../submission_batcher.h"
 #include "fakes/fake_row_store.h"
+#include "fakes/paused_loop.h"
 
 namespace base = shallotwick::base;
 namespace fakes = shallotwick::fakes;
@@ -68,10 +69,7 @@
   void setup() override { base::RuntimeClock::Pause(); }
   void teardown() override { base::RuntimeClock::Resume(); }
 
-  void ProcessDueEvents() {
-    m_loop.GetContext().restart();
-    m_loop.GetContext().poll();
-  }
+  void ProcessDueEvents() { fakes::ProcessDueEvents(m_loop); }
 
   std::unique_ptr<Host> MakeHost(const scheduling::ServingConfig& config) {
     auto host = std::make_unique<Host>(m_loop, m_store);
--- a/services/shallotwick-scheduler/tests/scheduler_test.cc
+++ b/services/shallotwick-scheduler/tests/scheduler_test.cc
@@ -14,6 +14,7 @@
 #include "../table_follower.h"
 #include "../wave_coordinator.h"
 #include "fakes/fake_row_store.h"
+#include "fakes/paused_loop.h"
 #include "fakes/unresponsive_targets.h"
 #include "scheduling/job_record.h"
 
@@ -169,29 +170,14 @@
   std::optional<int64_t> m_store_ms;
 
   // Runs all handlers that are ready, without advancing the clock.
-  void ProcessDueEvents() {
-    m_loop.GetContext().restart();
-    m_loop.GetContext().poll();
-  }
+  void ProcessDueEvents() { fakes::ProcessDueEvents(m_loop); }
 
   // Resumes the clock, so that a failed check does not leave it paused for the
   // following tests.
   void teardown() override { base::RuntimeClock::Resume(); }
 
   // Advances the paused clock and runs the timers that become due.
-  void AdvanceTimers(base::Duration by) {
-    base::RuntimeClock::Advance(by);
-    // The loop reads the clock again only when a timer earlier than all others
-    // is added.
-    bool has_ticked = false;
-    m_loop.RunAfter(-std::chrono::hours(1),
-                    [&has_ticked] { has_ticked = true; });
-    while (!has_ticked) {
-      m_loop.GetContext().restart();
-      m_loop.GetContext().run_one();
-    }
-    ProcessDueEvents();
-  }
+  void AdvanceTimers(base::Duration by) { fakes::AdvanceTimers(m_loop, by); }
 
   std::unique_ptr<scheduler::PoolRunner> StartPool() {
     return StartPool(m_targets);
--- a/services/shallotwick-scheduler/tests/wave_coordinator_test.cc
+++ b/services/shallotwick-scheduler/tests/wave_coordinator_test.cc
@@ -8,6 +8,7 @@
 
 #include "../job_tables.h"
 #include "fakes/fake_row_store.h"
+#include "fakes/paused_loop.h"
 #include "fakes/unresponsive_targets.h"
 #include "platform/host_operations_client.h"
 #include "platform/names.h"
@@ -144,16 +145,7 @@
   // Advances the paused clock; coordinates the waves each 100 ms.
   void Advance(base::Duration by) {
     for (auto left = by; left > base::Duration(0); left -= kStep) {
-      base::RuntimeClock::Advance(kStep);
-      bool has_ticked = false;
-      m_loop.RunAfter(-std::chrono::hours(1),
-                      [&has_ticked] { has_ticked = true; });
-      while (!has_ticked) {
-        m_loop.GetContext().restart();
-        m_loop.GetContext().run_one();
-      }
-      m_loop.GetContext().restart();
-      m_loop.GetContext().poll();
+      fakes::AdvanceTimers(m_loop, kStep);
       if (m_waves) {
         m_waves->ProcessWaves(base::RuntimeClock::now());
       }
--- a/services/shallotwick-scheduler/wave_coordinator.cc
+++ b/services/shallotwick-scheduler/wave_coordinator.cc
@@ -187,9 +187,9 @@
 bool WaveCoordinator::RecordAcceptedHosts(int64_t wave,
                                           hosts::WaveRecord& record) {
   bool has_changed = false;
-  for (const auto& [number, name] : m_unrecorded_acceptances) {
-    if (number == wave && record.running.count(name) > 0) {
-      has_changed |= record.accepted.insert(name).second;
+  for (const auto& [accepted, time] : m_accepted_at) {
+    if (accepted.first == wave && record.running.count(accepted.second) > 0) {
+      has_changed |= record.accepted.insert(accepted.second).second;
     }
   }
   return has_changed;
@@ -257,9 +257,6 @@
   const auto is_of_wave = [number](const auto& entry) {
     return entry.first.first == number;
   };
-  std::erase_if(m_unrecorded_acceptances, [number](const WaveHost& entry) {
-    return entry.first == number;
-  });
   std::erase_if(m_accepted_at, is_of_wave);
   std::erase_if(m_absences, is_of_wave);
 }
@@ -426,7 +423,6 @@
                                           hosts::HostOperationOutcome outcome) {
   if (outcome == hosts::HostOperationOutcome::kDone) {
     const auto now = base::RuntimeClock::now();
-    m_unrecorded_acceptances.insert({wave, host.name});
     m_accepted_at[{wave, host.name}] = now;
     m_preparing.erase(host.name);
     m_accepted_operations.Add(host, now);
--- a/services/shallotwick-scheduler/wave_coordinator.h
+++ b/services/shallotwick-scheduler/wave_coordinator.h
@@ -118,9 +118,8 @@
   std::map<std::string, Preparation> m_preparing;
   // A host is maintained once for each wave that names it.
   using WaveHost = std::pair<int64_t, std::string>;
-  // Acceptances by the platform that the wave's record may lack.
-  std::set<WaveHost> m_unrecorded_acceptances;
-  // When this process first knew of an acceptance.
+  // When this process first knew that the platform had accepted a maintenance,
+  // which the wave's record may lack.
   std::map<WaveHost, base::TimePoint> m_accepted_at;
   AcceptedOperations m_accepted_operations;
   // The request times of the first and the last of consecutive host lists that
