--- a/libraries/base/log_catalogue.h
+++ b/libraries/base/log_catalogue.h
@@ -134,6 +134,12 @@
     "A call for a job ended without an answer of the store."};
 inline constexpr LogEvent kJobCancelled{513, "job-cancelled", Severity::kInfo,
                                         "A job was cancelled by a caller."};
+inline constexpr LogEvent kJobEndStored{
+    514, "job-end-stored", Severity::kInfo,
+    "The end of a job is stored; the version of its row is named."};
+inline constexpr LogEvent kJobEndRelayed{
+    515, "job-end-relayed", Severity::kInfo,
+    "A caller was told the end of a job by its owner, not by the store."};
 inline constexpr LogEvent kTaskDecision{
     520, "task-decision", Severity::kInfo,
     "A decision on one run of a task; what, where and why are named."};
@@ -200,6 +206,8 @@
                                     kJobRefused,
                                     kJobOutcomeUnknown,
                                     kJobCancelled,
+                                    kJobEndStored,
+                                    kJobEndRelayed,
                                     kTaskDecision,
                                     kTargetEnded,
                                     kTargetAlive,
--- a/libraries/scheduling/progress.cc
+++ b/libraries/scheduling/progress.cc
@@ -51,6 +51,15 @@
 
 }  // namespace
 
+const char* NameOf(JobState state) {
+  for (const auto& [named, name] : kStateNames) {
+    if (named == state) {
+      return name;
+    }
+  }
+  return "";
+}
+
 bool IsTerminal(JobState state) {
   return state != JobState::kQueued && state != JobState::kRunning;
 }
@@ -68,11 +77,7 @@
 
 std::string EncodeProgress(const JobProgress& progress) {
   nlohmann::json json;
-  for (const auto& [state, name] : kStateNames) {
-    if (state == progress.state) {
-      json["state"] = name;
-    }
-  }
+  json["state"] = NameOf(progress.state);
   if (IsTerminal(progress.state)) {
     return json.dump();
   }
--- a/libraries/scheduling/progress.h
+++ b/libraries/scheduling/progress.h
@@ -12,6 +12,7 @@
 enum class JobState { kQueued, kRunning, kCompleted, kFailed, kCancelled };
 
 bool IsTerminal(JobState state);
+const char* NameOf(JobState state);
 
 // The stored state of a task.
 struct TaskProgress {
--- a/services/shallotwick-scheduler/job_state_lookup.cc
+++ b/services/shallotwick-scheduler/job_state_lookup.cc
@@ -2,6 +2,9 @@
 
 #include <utility>
 
+#include "base/log.h"
+#include "base/log_catalogue.h"
+
 namespace shallotwick::scheduler {
 namespace {
 
@@ -19,6 +22,14 @@
   bool is_owner_asked = false;
   bool is_owner_pending = false;
 
+  void FinishByOwner(scheduling::JobState state) {
+    if (on_done && scheduling::IsTerminal(state)) {
+      base::Log(
+          base::events::kJobEndRelayed,
+          {{"pool", pool}, {"job", job}, {"state", scheduling::NameOf(state)}});
+    }
+    Finish(JobCallOutcome::kDone, state);
+  }
   void Finish(JobCallOutcome outcome, scheduling::JobState state) {
     if (on_done) {
       std::exchange(on_done, nullptr)(outcome, state);
@@ -79,7 +90,7 @@
                                    std::optional<scheduling::JobState> state) {
                 lookup->is_owner_pending = false;
                 if (state) {
-                  lookup->Finish(JobCallOutcome::kDone, *state);
+                  lookup->FinishByOwner(*state);
                 } else if (lookup->has_store_failed) {
                   lookup->Finish(JobCallOutcome::kRefused, {});
                 } else {
--- a/services/shallotwick-scheduler/pool_records.cc
+++ b/services/shallotwick-scheduler/pool_records.cc
@@ -308,6 +308,12 @@
       if (scheduling::IsTerminal(change.progress.state)) {
         m_progress_versions.erase(change.job);
         RecordEndedJob(change.job, change.progress.state);
+        base::Log(base::events::kJobEndStored,
+                  {{"pool", m_options.service},
+                   {"job", change.job},
+                   {"state", scheduling::NameOf(change.progress.state)},
+                   {"version", std::to_string(result.version)},
+                   {"fence", std::to_string(m_options.owner_version)}});
       } else {
         m_progress_versions[change.job] = result.version;
       }
