Stand-in: a store that turns single hosts away

Each host now reaches the store at an address of its own, and is served, gets 503 or 429, or no answer.

--- a/tests/process/cluster_standin_test.cc
+++ b/tests/process/cluster_standin_test.cc
@@ -103,3 +103,26 @@
   CHECK(WaitFor([this] { return ReadRegistry().count("i-2") == 0; },
                 std::chrono::seconds(2)));
 }
+
+TEST(ClusterStandin, StoreTurnsOneHostAwayAndServesTheOther) {
+  ClusterStandin cluster(1, 100, 2);
+  const auto read = [&cluster](size_t host) {
+    return http::SendAndWait(
+        "http://" + cluster.GetStoreAddress(host) +
+            "/v1/rows-get?table=servers",
+        {}, http::TransferOptions::WithTimeout(std::chrono::milliseconds(300)));
+  };
+  using Rejection = ClusterStandin::Rejection;
+  const std::map<Rejection, int> statuses = {
+      {Rejection::kUnavailable, 503}, {Rejection::kTooManyRequests, 429}};
+  for (const auto& [rejection, status] : statuses) {
+    cluster.SetRejection(0, rejection);
+    LONGS_EQUAL(status, read(0).response.status);
+    LONGS_EQUAL(200, read(1).response.status);
+  }
+  cluster.SetRejection(0, Rejection::kSilent);
+  CHECK(http::TransferOutcome::kUnknown == read(0).outcome);
+  LONGS_EQUAL(200, read(1).response.status);
+  cluster.SetRejection(0, Rejection::kNone);
+  LONGS_EQUAL(200, read(0).response.status);
+}
--- a/tests/standin-cluster/cluster_standin.cc
+++ b/tests/standin-cluster/cluster_standin.cc
@@ -41,8 +41,9 @@
 
 }  // namespace
 
-ClusterStandin::ClusterStandin(int executors, int64_t run_ms)
-    : m_executors(static_cast<size_t>(executors)) {
+ClusterStandin::ClusterStandin(int executors, int64_t run_ms, size_t hosts)
+    : m_executors(static_cast<size_t>(executors)),
+      m_rejections(hosts, Rejection::kNone) {
   for (size_t i = 0; i < m_executors.size(); ++i) {
     m_executors[i].model =
         std::make_unique<ExecutorModel>("i-" + std::to_string(i), run_ms);
@@ -55,8 +56,19 @@
   m_store_server = std::make_unique<http::Server>(
       MakeOptions(0),
       [this](const http::Request& request, const http::Respond& respond) {
-        HandleStore(request, respond);
+        HandleStore(request, respond,
+                    [](const http::Respond&) { return false; });
       });
+  for (size_t host = 0; host < hosts; ++host) {
+    m_host_servers.push_back(std::make_unique<http::Server>(
+        MakeOptions(0), [this, host](const http::Request& request,
+                                     const http::Respond& respond) {
+          HandleStore(request, respond,
+                      [this, host](const http::Respond& rejected) {
+                        return Reject(host, rejected);
+                      });
+        }));
+  }
   m_rows.Put("op", "config", kConfig);
   // A row of another writer.
   m_rows.Put("servers", "i-broken", "{\"service\":7");
@@ -67,6 +79,9 @@
   m_stopping = true;
   m_clock.join();
   m_store_server->Stop();
+  for (const auto& server : m_host_servers) {
+    server->Stop();
+  }
   for (const Executor& executor : m_executors) {
     if (executor.server) {
       executor.server->Stop();
@@ -78,6 +93,31 @@
   return "127.0.0.1:" + std::to_string(m_store_server->GetPort());
 }
 
+std::string ClusterStandin::GetStoreAddress(size_t host) const {
+  return "127.0.0.1:" + std::to_string(m_host_servers[host]->GetPort());
+}
+
+void ClusterStandin::SetRejection(size_t host, Rejection rejection) {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  m_rejections[host] = rejection;
+}
+
+bool ClusterStandin::Reject(size_t host, const http::Respond& respond) const {
+  switch (m_rejections[host]) {
+    case Rejection::kNone:
+      return false;
+    case Rejection::kUnavailable:
+      respond(http::MakeJsonResponse(503, "{}"));
+      return true;
+    case Rejection::kTooManyRequests:
+      respond(http::MakeJsonResponse(429, "{}"));
+      return true;
+    case Rejection::kSilent:
+      return true;
+  }
+  return false;
+}
+
 std::unique_ptr<http::Server> ClusterStandin::Listen(size_t executor,
                                                      uint16_t port) {
   return std::make_unique<http::Server>(
@@ -252,8 +292,12 @@
 }
 
 void ClusterStandin::HandleStore(const http::Request& request,
-                                 const http::Respond& respond) {
+                                 const http::Respond& respond,
+                                 const RejectCall& reject) {
   const std::lock_guard<std::mutex> lock(m_mutex);
+  if (reject(respond)) {
+    return;
+  }
   if (m_is_store_down) {
     respond(http::MakeJsonResponse(503, "{}"));
     return;
@@ -281,8 +325,11 @@
     m_waiting.push_back(
         {std::chrono::steady_clock::now() +
              std::chrono::milliseconds(ReadNumber(request, "waitMs", 0)),
-         [this, table = ReadText(request, "table"), after, respond,
+         [this, table = ReadText(request, "table"), after, respond, reject,
           drops = m_history_drops](bool is_over) {
+           if (reject(respond)) {
+             return true;
+           }
            if (drops != m_history_drops) {
              respond(http::MakeJsonResponse(410, "{}"));
              return true;
--- a/tests/standin-cluster/cluster_standin.h
+++ b/tests/standin-cluster/cluster_standin.h
@@ -22,11 +22,14 @@
 // and executors in several zones, spoken to by its published calls.
 class ClusterStandin {
  public:
-  // Executors serve one service, "quotes"; each run takes `run_ms`.
-  ClusterStandin(int executors, int64_t run_ms);
+  // Executors serve one service, "quotes"; each run takes `run_ms`. Each of
+  // `hosts` reaches the store at an address of its own.
+  ClusterStandin(int executors, int64_t run_ms, size_t hosts = 0);
   ~ClusterStandin();
 
   std::string GetAddress() const;
+  // Where that host reaches the store, and nothing else.
+  std::string GetStoreAddress(size_t host) const;
   size_t GetExecutorCount() const { return m_executors.size(); }
   // The id that the executor has now.
   std::string GetExecutorId(size_t executor) const;
@@ -34,6 +37,9 @@
   int64_t GetUsableCpuMilli() const;
   // Answers each call to the store with 503 while set.
   void SetStoreDown(bool is_down);
+  // What the store does with the calls of one host while it serves the others.
+  enum class Rejection { kNone, kUnavailable, kTooManyRequests, kSilent };
+  void SetRejection(size_t host, Rejection rejection);
   // Returns for how long the store was up between two points in time.
   std::chrono::steady_clock::duration GetStoreUpTime(
       std::chrono::steady_clock::time_point from,
@@ -98,6 +104,8 @@
     Clock::time_point until;
     std::function<bool(bool is_over)> try_answer;
   };
+  // Rejects a call by an answer or by silence. Returns whether it does.
+  using RejectCall = std::function<bool(const http::Respond& respond)>;
   struct Executor {
     std::unique_ptr<ExecutorModel> model;
     std::unique_ptr<http::Server> server;
@@ -116,7 +124,9 @@
   };
 
   void ReplaceHostRows(nlohmann::json& rows) const;
-  void HandleStore(const http::Request& request, const http::Respond& respond);
+  void HandleStore(const http::Request& request, const http::Respond& respond,
+                   const RejectCall& reject);
+  bool Reject(size_t host, const http::Respond& respond) const;
   void HandleExecutor(size_t executor, const http::Request& request,
                       const http::Respond& respond);
   std::unique_ptr<http::Server> Listen(size_t executor, uint16_t port);
@@ -153,6 +163,8 @@
   std::atomic<int> m_writes{0};
   std::atomic<bool> m_stopping{false};
   std::unique_ptr<http::Server> m_store_server;
+  std::vector<std::unique_ptr<http::Server>> m_host_servers;
+  std::vector<Rejection> m_rejections;
   std::thread m_clock;
 };
 
