Test that a job shown as completed is not run again by a successor

Real processes in that picture: the store turns the owner and another host away while the tasks run, all hosts are asked for the job, the executors crash with their lists of ends, and the host that is served takes over. Once more with no host served and the owner killed.

--- a/tests/process/jobs_test.cc
+++ b/tests/process/jobs_test.cc
@@ -2,11 +2,13 @@
 #include <CppUTest/TestHarness.h>
 
 #include <algorithm>
+#include <chrono>
 #include <csignal>
 #include <filesystem>
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <set>
 
 #include "harness/process.h"
@@ -25,6 +27,9 @@
     R"({"spec":"text","steps":[{"count":4,"cpu":500,"memMb":100,"estMs":50},)"
     R"({"count":2,"cpu":500,"memMb":100,"estMs":50,"after":[0]}]})";
 constexpr int kTasksOfTwoSteps = 6;
+constexpr char kOneStep[] =
+    R"({"spec":"text","steps":[{"count":4,"cpu":500,"memMb":100,"estMs":50}]})";
+constexpr int kTasksOfOneStep = 4;
 
 // The queue is served by "desk", which has no executors.
 constexpr char kQueueOfOtherService[] =
@@ -56,7 +61,8 @@
   }
 
   void Start(int hosts, int64_t run_ms) {
-    m_cluster = std::make_unique<ClusterStandin>(3, run_ms);
+    m_cluster =
+        std::make_unique<ClusterStandin>(3, run_ms, static_cast<size_t>(hosts));
     for (int i = 0; i < hosts; ++i) {
       StartHost();
     }
@@ -69,8 +75,8 @@
         "services/shallotwick-scheduler/shallotwick-scheduler",
         std::vector<std::string>{"--name", name, "--listen", "127.0.0.1:0",
                                  "--ready-listen", "127.0.0.1:0", "--platform",
-                                 m_cluster->GetAddress(), "--hosts",
-                                 m_cluster->GetAddress()},
+                                 m_cluster->GetStoreAddress(m_hosts.size()),
+                                 "--hosts", m_cluster->GetAddress()},
         m_directory + "/" + name + ".log"));
     m_addresses.push_back(m_hosts.back()->WaitForStarted("http"));
     m_ready_addresses.push_back(m_hosts.back()->WaitForStarted("ready"));
@@ -124,6 +130,64 @@
     LONGS_EQUAL(0, m_cluster->GetDoubledTasks().size());
   }
 
+  int CountEvents(const std::string& what) {
+    const auto events = m_cluster->GetEvents();
+    return static_cast<int>(std::count_if(
+        events.begin(), events.end(), [&what](const standin::RunEvent& event) {
+          return event.what == what;
+        }));
+  }
+
+  // The store turns all hosts away, but for those served.
+  void TurnAway(const std::set<size_t>& served) {
+    for (size_t i = 0; i < m_hosts.size(); ++i) {
+      m_cluster->SetRejection(i, served.count(i) > 0
+                                     ? ClusterStandin::Rejection::kNone
+                                     : ClusterStandin::Rejection::kUnavailable);
+    }
+  }
+
+  void RestartExecutors() {
+    for (size_t i = 0; i < m_cluster->GetExecutorCount(); ++i) {
+      m_cluster->CrashExecutor(i, true);
+      m_cluster->BootExecutor(i, true, std::chrono::milliseconds(0));
+    }
+  }
+
+  // Hands a job in at the owner, turns hosts away while its tasks run, and asks
+  // all hosts for its state once they have ended.
+  std::optional<std::chrono::steady_clock::time_point> ShowEndWhileTurnedAway(
+      const std::string& id, size_t owner, const std::set<size_t>& served) {
+    LONGS_EQUAL(200, Call(owner, "POST", "/quote/" + id, kOneStep).status);
+    CHECK_TRUE(harness::WaitFor(
+        [this] { return CountEvents("start") == kTasksOfOneStep; }));
+    TurnAway(served);
+    CHECK_TRUE(harness::WaitFor(
+        [this] { return CountEvents("done") == kTasksOfOneStep; }));
+    std::optional<std::chrono::steady_clock::time_point> shown_at;
+    harness::WaitFor(
+        [this, &id, &shown_at] {
+          for (size_t i = 0; i < m_hosts.size() && !shown_at; ++i) {
+            if (GetState(i, id) == "completed") {
+              shown_at = std::chrono::steady_clock::now();
+            }
+          }
+          return shown_at.has_value();
+        },
+        std::chrono::milliseconds(1'500));
+    return shown_at;
+  }
+
+  void CheckNoStartAfter(
+      const std::optional<std::chrono::steady_clock::time_point>& shown_at) {
+    for (const standin::RunEvent& event : m_cluster->GetEvents()) {
+      CHECK_TEXT(event.what != "start" || !shown_at || event.at <= *shown_at,
+                 ("started after its job was shown as completed: " +
+                  event.task + " run " + std::to_string(event.run))
+                     .c_str());
+    }
+  }
+
   // The host that owns the pool, by its log.
   size_t FindOwner() {
     size_t owner = m_hosts.size();
@@ -270,3 +334,31 @@
   }
   CheckEachTaskRanOnce(jobs);
 }
+
+TEST(Jobs, JobShownAsCompletedIsNotRunAgainByTheOnlyHostThatTheStoreServes) {
+  Start(3, 700);
+  const size_t owner = FindOwner();
+  const size_t served = (owner + 1) % m_hosts.size();
+  const std::string id = MakeId(1);
+  const auto shown_at = ShowEndWhileTurnedAway(id, owner, {served});
+  RestartExecutors();
+  CHECK_TRUE(harness::WaitFor([this, served] {
+    return !m_hosts[served]->FindEvents("pool-loaded").empty();
+  }));
+  CHECK_TRUE(WaitForState(served, id, "completed"));
+  CHECK_TRUE(shown_at.has_value());
+  CheckNoStartAfter(shown_at);
+}
+
+TEST(Jobs, JobShownAsCompletedWhileNoHostIsServedIsNotRunAgain) {
+  Start(3, 700);
+  const size_t owner = FindOwner();
+  const size_t other = (owner + 1) % m_hosts.size();
+  const std::string id = MakeId(1);
+  const auto shown_at = ShowEndWhileTurnedAway(id, owner, {});
+  RestartExecutors();
+  m_hosts[owner]->Kill();
+  TurnAway({0, 1, 2});
+  CHECK_TRUE(WaitForState(other, id, "completed"));
+  CheckNoStartAfter(shown_at);
+}
