Soak: turn a share of the hosts away, check starts after a job was shown as completed

Once or twice in each seed the store turns some hosts away, half of the time all but one, by 503, 429, silence or cut connections, and up to half of the executors crash meanwhile. Callers ask more often for their newest jobs. New promises: nothing of a job is ordered over a second after any host showed it as completed, and by then all of its tasks had ended as done.

--- a/tests/soak/caller.cc
+++ b/tests/soak/caller.cc
@@ -1,5 +1,6 @@
 #include "caller.h"
 
+#include <algorithm>
 #include <array>
 #include <cstdio>
 #include <nlohmann/json.hpp>
@@ -11,6 +12,8 @@
 using nlohmann::json;
 
 constexpr int kMostAttempts = 6;
+// One of this many newest jobs is asked for in each round.
+constexpr size_t kNewJobs = 8;
 constexpr auto kRetryAfter = std::chrono::milliseconds(150);
 // Longer than a process is stopped for.
 constexpr auto kAnswerLimit = std::chrono::seconds(25);
@@ -57,6 +60,7 @@
 }
 
 void Caller::Act() {
+  AskForNewJob();
   const size_t kind = Draw(9);
   if (kind < 4 || m_jobs.empty()) {
     HandIn();
@@ -121,12 +125,26 @@
   if (result.outcome == KeepAliveConnection::Outcome::kComplete &&
       result.response.status == 200 && body.is_object()) {
     job.state = body.value("state", "");
+    if (job.state == "completed" && !job.shown_completed_at) {
+      job.shown_completed_at = std::chrono::steady_clock::now();
+      job.shown_completed_by = host;
+    }
   } else if (result.outcome == KeepAliveConnection::Outcome::kComplete &&
              result.response.status == 410) {
     job.state = "gone";
   }
 }
 
+void Caller::AskForNewJob() {
+  for (size_t i = m_jobs.size() - std::min(m_jobs.size(), kNewJobs);
+       i < m_jobs.size(); ++i) {
+    if (m_jobs[i].is_accepted && !IsOver(m_jobs[i].state)) {
+      Ask(m_jobs[i], Draw(m_addresses.GetCount() - 1));
+      return;
+    }
+  }
+}
+
 void Caller::Cancel(CalledJob& job) {
   job.is_cancel_asked = true;
   const auto result =
--- a/tests/soak/caller.h
+++ b/tests/soak/caller.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -43,6 +44,9 @@
   bool is_cancel_confirmed = false;
   Time cancel_confirmed_at;
   std::string state;
+  // When and by which host it was first shown as completed.
+  std::optional<Time> shown_completed_at;
+  size_t shown_completed_by = 0;
 };
 
 // Hands in jobs, asks for their state and cancels some.
@@ -50,7 +54,8 @@
  public:
   Caller(const AddressBook& addresses, uint32_t seed, int number);
 
-  // One round: a new job at times, a question or a cancellation.
+  // One round: a new job at times, a question or a cancellation, and a question
+  // about one of the newest jobs.
   void Act();
   // Asks for the states of jobs that are not over. Returns whether all that
   // were accepted are.
@@ -65,6 +70,7 @@
  private:
   void HandIn();
   void Ask(CalledJob& job, size_t host);
+  void AskForNewJob();
   void Cancel(CalledJob& job);
   size_t Draw(size_t most);
 
--- a/tests/soak/fault_play.cc
+++ b/tests/soak/fault_play.cc
@@ -7,6 +7,7 @@
 #include <atomic>
 #include <csignal>
 #include <fstream>
+#include <numeric>
 #include <set>
 #include <thread>
 #include <utility>
@@ -52,11 +53,13 @@
       m_options(options),
       m_directory(std::move(directory)),
       m_random(seed),
-      m_restart_random(seed) {}
+      m_restart_random(seed),
+      m_rejection_random(seed) {}
 
 FaultPlay::~FaultPlay() {
   m_hosts.clear();
   m_callers.clear();
+  m_store_links.clear();
   m_cluster.reset();
 }
 
@@ -64,6 +67,11 @@
   return std::uniform_int_distribution<int64_t>(least, most)(m_random);
 }
 
+int64_t FaultPlay::DrawRejection(int64_t least, int64_t most) {
+  return std::uniform_int_distribution<int64_t>(least,
+                                                most)(m_rejection_random);
+}
+
 FaultPlay::Milliseconds FaultPlay::GetAge() const {
   return std::chrono::duration_cast<Milliseconds>(Clock::now() - m_begin);
 }
@@ -93,8 +101,8 @@
       m_options.scheduler,
       std::vector<std::string>{"--name", name, "--listen", "127.0.0.1:0",
                                "--ready-listen", "127.0.0.1:0", "--platform",
-                               m_cluster->GetAddress(), "--hosts",
-                               m_cluster->GetAddress()},
+                               m_store_links[number].relay->GetAddress(),
+                               "--hosts", m_cluster->GetAddress()},
       log);
   Note(name + " starts, life " + std::to_string(host.life));
 }
@@ -247,6 +255,85 @@
   });
 }
 
+void FaultPlay::SetRejection(size_t host,
+                             standin::ClusterStandin::Rejection rejection,
+                             bool resets) {
+  StoreLink& link = m_store_links[host];
+  ++link.rejections;
+  m_cluster->SetRejection(host, rejection);
+  if (resets) {
+    link.relay->Cut();
+  }
+}
+
+void FaultPlay::EndRejection(size_t host) {
+  StoreLink& link = m_store_links[host];
+  if (--link.rejections == 0) {
+    m_cluster->SetRejection(host, standin::ClusterStandin::Rejection::kNone);
+    link.relay->Mend();
+  }
+}
+
+void FaultPlay::PlanRejection(Milliseconds at, Milliseconds length) {
+  using Rejection = standin::ClusterStandin::Rejection;
+  constexpr std::array<Rejection, 4> kRejections = {
+      Rejection::kUnavailable, Rejection::kTooManyRequests, Rejection::kSilent,
+      Rejection::kNone};
+  const auto kind =
+      static_cast<size_t>(DrawRejection(0, kRejections.size() - 1));
+  const Rejection rejection = kRejections[kind];
+  const bool resets = rejection == Rejection::kNone;
+  std::vector<size_t> hosts(m_hosts.size());
+  std::iota(hosts.begin(), hosts.end(), 0);
+  std::shuffle(hosts.begin(), hosts.end(), m_rejection_random);
+  // Half of the time all hosts but one are turned away.
+  const int64_t all_but_one =
+      std::max<int64_t>(1, static_cast<int64_t>(hosts.size()) - 1);
+  hosts.resize(static_cast<size_t>(
+      DrawRejection(0, 1) == 0 ? all_but_one : DrawRejection(1, all_but_one)));
+  for (const size_t host : hosts) {
+    Plan(at, [this, host, kind, rejection, resets] {
+      Note("the store turns host-" + std::to_string(host) + " away, kind " +
+           std::to_string(kind));
+      SetRejection(host, rejection, resets);
+    });
+    Plan(at + length, [this, host] {
+      Note("the store serves host-" + std::to_string(host));
+      EndRejection(host);
+    });
+  }
+}
+
+void FaultPlay::PlanCrashes(Milliseconds from, Milliseconds until) {
+  const auto last = static_cast<int64_t>(m_executor_outages.size()) - 1;
+  const int64_t count = DrawRejection(1, std::max<int64_t>(1, (last + 1) / 2));
+  const Milliseconds at(DrawRejection(from.count(), until.count()));
+  for (int64_t i = 0; i < count; ++i) {
+    const auto executor = static_cast<size_t>(DrawRejection(0, last));
+    const Restart restart =
+        DrawRejection(0, 1) == 0 ? Restart::kSameId : Restart::kNewId;
+    const bool resets = DrawRejection(0, 1) == 0;
+    const Milliseconds down(DrawRejection(100, 4'000));
+    Plan(at, [this, executor, restart, resets] {
+      BeginOutage(executor, restart, resets);
+    });
+    Plan(at + down, [this, executor] { EndOutage(executor, Milliseconds(0)); });
+  }
+}
+
+void FaultPlay::PlanRejections() {
+  for (int64_t left = DrawRejection(1, 2); left > 0; --left) {
+    const Milliseconds at(DrawRejection(500, 4'000));
+    const Milliseconds length(DrawRejection(1'500, 7'000));
+    PlanRejection(at, length);
+    // Before the session of an owner that is turned away expires, and after.
+    for (int64_t crashes = DrawRejection(1, 3); crashes > 0; --crashes) {
+      PlanCrashes(at + Milliseconds(200),
+                  at + std::min(length, Milliseconds(3'500)));
+    }
+  }
+}
+
 void FaultPlay::PlanFault(Milliseconds at) {
   const auto host =
       static_cast<size_t>(Draw(0, static_cast<int64_t>(m_hosts.size()) - 1));
@@ -320,6 +407,7 @@
     PlanFault(at);
     at += Milliseconds(Draw(0, 2 * pause));
   }
+  PlanRejections();
 }
 
 void FaultPlay::PlayUntil(Milliseconds end) {
@@ -404,14 +492,19 @@
   const auto usual_executors = static_cast<size_t>(Draw(2, 5));
   const size_t executors =
       m_options.executors == 0 ? usual_executors : m_options.executors;
-  m_cluster = std::make_unique<standin::ClusterStandin>(
-      static_cast<int>(executors), 300);
-  m_cluster->SeedFaults(m_seed);
   m_longest_run_ms = Draw(200, 2'500);
-  m_cluster->SetRunTime(kLeastRunMs, m_longest_run_ms);
   m_executor_outages.resize(executors);
   const auto usual_hosts = static_cast<size_t>(Draw(2, 5));
   m_hosts.resize(m_options.hosts == 0 ? usual_hosts : m_options.hosts);
+  m_cluster = std::make_unique<standin::ClusterStandin>(
+      static_cast<int>(executors), 300, m_hosts.size());
+  m_cluster->SeedFaults(m_seed);
+  m_cluster->SetRunTime(kLeastRunMs, m_longest_run_ms);
+  m_store_links.resize(m_hosts.size());
+  for (size_t i = 0; i < m_hosts.size(); ++i) {
+    m_store_links[i].relay =
+        std::make_unique<harness::Relay>(m_cluster->GetStoreAddress(i));
+  }
   m_addresses = std::make_unique<AddressBook>(m_hosts.size());
   for (size_t i = 0; i < m_hosts.size(); ++i) {
     StartHost(i);
--- a/tests/soak/fault_play.h
+++ b/tests/soak/fault_play.h
@@ -12,6 +12,7 @@
 
 #include "caller.h"
 #include "harness/process.h"
+#include "harness/relay.h"
 #include "pause_log.h"
 #include "standin-cluster/cluster_standin.h"
 
@@ -57,6 +58,12 @@
     Milliseconds restart_after{0};
     bool is_restart_planned = false;
   };
+  // How one host reaches the store.
+  struct StoreLink {
+    std::unique_ptr<harness::Relay> relay;
+    // Overlapping rejections end with the last of them.
+    int rejections = 0;
+  };
   struct ExecutorOutage {
     // Overlapping outages end with the last of them.
     int count = 0;
@@ -76,6 +83,14 @@
   void BeginOutage(size_t executor, Restart restart, bool resets);
   void EndOutage(size_t executor, Milliseconds delay);
   void PlanCutOff(Milliseconds at);
+  // The store turns a share of the hosts away, and meanwhile a share of the
+  // executors crashes.
+  void PlanRejections();
+  void PlanRejection(Milliseconds at, Milliseconds length);
+  void PlanCrashes(Milliseconds from, Milliseconds until);
+  void SetRejection(size_t host, standin::ClusterStandin::Rejection rejection,
+                    bool resets);
+  void EndRejection(size_t host);
   void SendSignal(size_t host, int signal);
   void PlayUntil(Milliseconds end);
   void StartProcesses();
@@ -87,6 +102,7 @@
   void CheckAnswers();
   void Plan(Milliseconds at, std::function<void()> action);
   int64_t Draw(int64_t least, int64_t most);
+  int64_t DrawRejection(int64_t least, int64_t most);
   Milliseconds GetAge() const;
   void Note(const std::string& what);
 
@@ -94,10 +110,13 @@
   FaultPlayOptions m_options;
   std::string m_directory;
   std::mt19937 m_random;
-  // Apart, so that the kinds of restarts don't change the plan of a seed.
+  // Apart, so that the kinds of restarts and the hosts turned away don't change
+  // the plan of a seed.
   std::mt19937 m_restart_random;
+  std::mt19937 m_rejection_random;
   Clock::time_point m_begin = Clock::now();
   std::unique_ptr<standin::ClusterStandin> m_cluster;
+  std::vector<StoreLink> m_store_links;
   std::vector<Host> m_hosts;
   PauseLog m_pauses;
   std::unique_ptr<AddressBook> m_addresses;
--- a/tests/soak/promises.cc
+++ b/tests/soak/promises.cc
@@ -1,7 +1,6 @@
 #include "promises.h"
 
 #include <map>
-#include <set>
 
 namespace shallotwick::soak {
 namespace {
@@ -13,6 +12,10 @@
 // which the owner is stopped.
 constexpr auto kCancellationLimit = std::chrono::seconds(1);
 
+// From the time at which a job is shown as completed until nothing of it is
+// ordered any more.
+constexpr auto kCompletionLimit = std::chrono::seconds(1);
+
 std::string Describe(const RunEvent& event) {
   return event.task + " run " + std::to_string(event.run) + " on " +
          event.executor;
@@ -43,7 +46,7 @@
         --m_present[event.executor];
       }
       if (event.what == "done") {
-        m_done.insert(event.task);
+        m_done.emplace(event.task, event.at);
       }
     }
     for (const CalledJob& job : jobs) {
@@ -77,6 +80,12 @@
       m_broken.push_back("start after a confirmed cancellation: " +
                          Describe(start));
     }
+    if (job.shown_completed_at &&
+        start.ordered > *job.shown_completed_at + kCompletionLimit) {
+      m_broken.push_back("start after its job was shown as completed by host-" +
+                         std::to_string(job.shown_completed_by) + ": " +
+                         Describe(start));
+    }
     CheckOrder(job, start);
   }
 
@@ -113,11 +122,12 @@
       m_broken.push_back("accepted job " + job.id + " is \"" + job.state +
                          "\"");
     }
-    for (size_t step = 0; job.state == "completed" && step < job.counts.size();
+    for (size_t step = 0; job.shown_completed_at && step < job.counts.size();
          ++step) {
       for (int i = 0; i < job.counts[step]; ++i) {
         const std::string task = MakeTaskName(job, step, i);
-        if (m_done.count(task) == 0) {
+        const auto done = m_done.find(task);
+        if (done == m_done.end() || done->second > *job.shown_completed_at) {
           m_broken.push_back("completed without its task " + task);
         }
       }
@@ -128,7 +138,8 @@
   const PauseLog& m_pauses;
   std::map<std::string, const CalledJob*> m_jobs;
   std::map<std::string, std::chrono::steady_clock::time_point> m_noted;
-  std::set<std::string> m_done;
+  // When a run of a task first ended as done.
+  std::map<std::string, std::chrono::steady_clock::time_point> m_done;
   // The runs that are present on each executor.
   std::map<std::string, int64_t> m_present;
 };
--- a/tests/soak/soak_test.cc
+++ b/tests/soak/soak_test.cc
@@ -22,6 +22,39 @@
   return text == nullptr ? usual : static_cast<uint32_t>(std::stoul(text));
 }
 
+// A job of one step whose caller got no answer.
+shallotwick::soak::CalledJob MakeUnansweredJob(int tasks) {
+  shallotwick::soak::CalledJob job;
+  job.id = "5c0e7a21d94b36f8";
+  job.counts = {tasks};
+  job.is_unknown = true;
+  return job;
+}
+
+// Starts all tasks of the job's first step on the first executor.
+void StartTasks(const shallotwick::soak::CalledJob& job,
+                const shallotwick::standin::ClusterStandin& cluster) {
+  using nlohmann::json;
+  const json entry =
+      json::parse(cluster.GetRow("servers", "", cluster.GetExecutorId(0)));
+  for (int i = 0; i < job.counts[0]; ++i) {
+    shallotwick::http::Request request;
+    request.method = "POST";
+    request.target = "/v1/run-start";
+    request.headers = {{"Content-Type", "application/json"}};
+    request.body = json{
+        {"task", shallotwick::soak::MakeTaskName(job, 0, i)},
+        {"run", 1},
+        {"spec", "text"},
+        {"untilMs", 9'000},
+        {"fence", 1}}.dump();
+    const auto answer = shallotwick::http::SendAndWait(
+        "http://" + entry.at("addr").get<std::string>() + request.target,
+        request);
+    LONGS_EQUAL(200, answer.response.status);
+  }
+}
+
 }  // namespace
 
 TEST_GROUP(Soak){};
@@ -51,35 +84,42 @@
 }
 
 TEST(Soak, StartOnAFullExecutorIsFound) {
-  using nlohmann::json;
   const shallotwick::standin::ClusterStandin cluster(1, 60'000);
-  const json entry =
-      json::parse(cluster.GetRow("servers", "", cluster.GetExecutorId(0)));
-  shallotwick::soak::CalledJob job;
-  job.id = "5c0e7a21d94b36f8";
-  job.counts = {9};
-  job.is_unknown = true;
-  for (int i = 0; i < job.counts[0]; ++i) {
-    shallotwick::http::Request request;
-    request.method = "POST";
-    request.target = "/v1/run-start";
-    request.headers = {{"Content-Type", "application/json"}};
-    request.body = json{
-        {"task", shallotwick::soak::MakeTaskName(job, 0, i)},
-        {"run", 1},
-        {"spec", "text"},
-        {"untilMs", 9'000},
-        {"fence", 1}}.dump();
-    const auto answer = shallotwick::http::SendAndWait(
-        "http://" + entry.at("addr").get<std::string>() + request.target,
-        request);
-    LONGS_EQUAL(200, answer.response.status);
-  }
+  shallotwick::soak::CalledJob job = MakeUnansweredJob(9);
+  StartTasks(job, cluster);
   const auto broken = shallotwick::soak::FindBrokenPromises({job}, cluster, {});
   LONGS_EQUAL(1, broken.size());
   STRCMP_CONTAINS("start beyond the capacity", broken[0].c_str());
 }
 
+TEST(Soak, StartAfterItsJobWasShownAsCompletedIsFound) {
+  const shallotwick::standin::ClusterStandin cluster(1, 60'000);
+  shallotwick::soak::CalledJob job = MakeUnansweredJob(1);
+  StartTasks(job, cluster);
+  const auto started = cluster.GetEvents().front().ordered;
+  job.shown_completed_at = started - std::chrono::milliseconds(1'001);
+  job.shown_completed_by = 3;
+  const auto broken = shallotwick::soak::FindBrokenPromises({job}, cluster, {});
+  LONGS_EQUAL(1, broken.size());
+  STRCMP_CONTAINS("start after its job was shown as completed by host-3",
+                  broken[0].c_str());
+  job.shown_completed_at = started - std::chrono::milliseconds(999);
+  LONGS_EQUAL(0,
+              shallotwick::soak::FindBrokenPromises({job}, cluster, {}).size());
+}
+
+TEST(Soak, JobShownAsCompletedBeforeItsTasksEndedIsFound) {
+  const shallotwick::standin::ClusterStandin cluster(1, 60'000);
+  shallotwick::soak::CalledJob job = MakeUnansweredJob(1);
+  StartTasks(job, cluster);
+  job.is_accepted = true;
+  job.state = "completed";
+  job.shown_completed_at = std::chrono::steady_clock::now();
+  const auto broken = shallotwick::soak::FindBrokenPromises({job}, cluster, {});
+  LONGS_EQUAL(1, broken.size());
+  STRCMP_CONTAINS("completed without its task", broken[0].c_str());
+}
+
 TEST(Soak, OverlappingFaultsBreakNoPromiseToCallersOrExecutors) {
   const uint32_t first = ReadNumber("SHALLOTWICK_SOAK_FIRST_SEED", 1);
   const uint32_t seeds = ReadNumber("SHALLOTWICK_SOAK_SEEDS", kUsualSeeds);
