--- a/services/shallotwick-scheduler/tests/outage_test.cc
+++ b/services/shallotwick-scheduler/tests/outage_test.cc
@@ -77,6 +77,8 @@
     if (order.lease_until_ms) {
       m_leases.push_back(*order.lease_until_ms);
     }
+    m_acknowledged =
+        std::max(m_acknowledged, order.last_acknowledged_completion);
     if (order.wait_ms > 0) {
       m_waiting = std::move(on_done);
       return;
@@ -84,10 +86,10 @@
     m_loop.Post([this, on_done = std::move(on_done)] { Answer(on_done); });
   }
 
-  void EndRuns() {
+  void EndRuns(scheduling::RunOutcome how = scheduling::RunOutcome::kDone) {
     for (const auto& [task, run] : m_running) {
-      m_ended.push_back({static_cast<int64_t>(m_ended.size()) + 1, task, run,
-                         scheduling::RunOutcome::kDone, ""});
+      m_ended.push_back(
+          {static_cast<int64_t>(m_ended.size()) + 1, task, run, how, ""});
     }
     m_running.clear();
     if (m_waiting) {
@@ -95,6 +97,13 @@
     }
   }
 
+  // Begins again and knows nothing of before.
+  void Crash() {
+    m_running.clear();
+    m_ended.clear();
+    m_waiting = nullptr;
+  }
+
   static int64_t GetClockMs(base::TimePoint time) {
     return std::chrono::duration_cast<std::chrono::milliseconds>(
                time.time_since_epoch())
@@ -103,6 +112,8 @@
 
   std::map<scheduling::TaskName, int64_t> m_running;
   std::vector<int64_t> m_leases;
+  // The last completion that it was told to forget.
+  int64_t m_acknowledged = 0;
   // The target with this id answers no report orders.
   std::string m_silent_target;
 
@@ -156,6 +167,45 @@
   std::string m_refused_table;
 };
 
+// A peer whose transactions get no answer and are carried out later.
+class LatePeer : public storage::RowStore {
+ public:
+  explicit LatePeer(storage::RowStore& store) : m_store(store) {}
+
+  void Commit(storage::RowTransaction transaction,
+              std::function<void(storage::RowCommitResult)> on_end) override {
+    m_late.push_back(std::move(transaction));
+    on_end({RowCommitStatus::kUnknown, storage::kNoVersion, {}, "no answer"});
+  }
+  void Read(const storage::RowRange& range,
+            std::function<void(storage::RowReadResult)> on_end) override {
+    m_store.Read(range, std::move(on_end));
+  }
+  void ReadChanges(
+      const std::string& table, uint64_t after, std::chrono::milliseconds wait,
+      std::function<void(storage::ChangeFeedResult)> on_end) override {
+    m_store.ReadChanges(table, after, wait, std::move(on_end));
+  }
+
+  // Returns how many of them take effect.
+  int CarryOut() {
+    int committed = 0;
+    for (storage::RowTransaction& transaction : std::exchange(m_late, {})) {
+      m_store.Commit(std::move(transaction),
+                     [&committed](const storage::RowCommitResult& result) {
+                       committed +=
+                           result.status == RowCommitStatus::kCommitted ? 1 : 0;
+                     });
+    }
+    return committed;
+  }
+
+  std::vector<storage::RowTransaction> m_late;
+
+ private:
+  storage::RowStore& m_store;
+};
+
 // A store as it is reached by a host that it does not turn away.
 class PeerView : public storage::RowStore {
  public:
@@ -221,6 +271,7 @@
   int64_t m_lapses = 0;
   base::TimePoint m_lease_limit = base::TimePoint::max();
   int m_losses = 0;
+  int64_t m_term = 1;
   // Registered beside the target t1 at the takeover.
   std::map<std::string, scheduling::TargetEntry> m_other_targets;
 
@@ -245,6 +296,31 @@
     ProcessDueEvents();
   }
 
+  // A store that sends transactions through `peer` while it is away.
+  std::unique_ptr<scheduler::RelayedStore> RelayThrough(storage::RowStore &
+                                                        peer) {
+    auto relayed = std::make_unique<scheduler::RelayedStore>(m_loop, m_store);
+    relayed->m_is_store_away = [this] { return m_store.m_is_away; };
+    relayed->m_list_peers = [] {
+      return std::vector<std::string>{"10.0.0.9:7000"};
+    };
+    relayed->m_get_store = [&peer](const std::string&) -> storage::RowStore& {
+      return peer;
+    };
+    return relayed;
+  }
+
+  // Another host takes the pool over after all targets have crashed.
+  std::unique_ptr<scheduler::PoolRunner> StartSuccessor() {
+    m_target.Crash();
+    m_is_session_valid = true;
+    m_lease_limit = base::TimePoint::max();
+    m_store.m_is_away = false;
+    m_pool_store = &m_store;
+    ++m_term;
+    return StartPool();
+  }
+
   // `before_start` is called once this host owns the pool.
   std::unique_ptr<scheduler::PoolRunner> StartPool(
       const std::function<void()>& before_start = [] {}) {
@@ -253,7 +329,7 @@
     options.owner_version =
         m_store.Put(scheduler::MakeOwnerKey(kService), "{}");
     before_start();
-    options.term = 1;
+    options.term = m_term;
     options.lease = std::chrono::milliseconds(5'000);
     auto pool = std::make_unique<scheduler::PoolRunner>(
         m_loop, *m_pool_store, m_target, m_metrics, options);
@@ -392,16 +468,8 @@
 }
 
 TEST(Outage, OwnerThatTheStoreTurnsAwayStoresEndsThroughPeer) {
-  storage::RowStore& peer_view = m_peer_view;
-  scheduler::RelayedStore relayed(m_loop, m_store);
-  relayed.m_is_store_away = [this] { return m_store.m_is_away; };
-  relayed.m_list_peers = [] {
-    return std::vector<std::string>{"10.0.0.9:7000"};
-  };
-  relayed.m_get_store = [&peer_view](const std::string&) -> storage::RowStore& {
-    return peer_view;
-  };
-  m_pool_store = &relayed;
+  const auto relayed = RelayThrough(m_peer_view);
+  m_pool_store = relayed.get();
   const auto pool = StartPool();
   PutJob(kJob);
   Advance(std::chrono::milliseconds(500));
@@ -411,6 +479,101 @@
   CHECK_TRUE(pool->FindState(kJob) == JobState::kCompleted);
 }
 
+TEST(Outage, EndIsAcknowledgedToItsTargetOnlyOnceStored) {
+  const auto pool = StartPool();
+  PutJob(kJob);
+  Advance(std::chrono::milliseconds(500));
+  m_store.m_is_away = true;
+  EndBothSteps();
+  Advance(std::chrono::seconds(3));
+  LONGS_EQUAL(0, m_target.m_acknowledged);
+  m_store.m_is_away = false;
+  Advance(std::chrono::seconds(1));
+  LONGS_EQUAL(2, m_target.m_acknowledged);
+}
+
+TEST(Outage, FailureThatOnlyTheOwnerRemembersIsNotShown) {
+  const auto pool = StartPool();
+  PutJob(kJob);
+  Advance(std::chrono::milliseconds(500));
+  m_store.m_is_away = true;
+  m_target.EndRuns(scheduling::RunOutcome::kFailed);
+  Advance(std::chrono::milliseconds(500));
+  CHECK_FALSE(pool->GetScheduler().IsActive(kJob));
+  CHECK_TRUE(pool->FindState(kJob) == JobState::kRunning);
+  m_store.m_is_away = false;
+  Advance(std::chrono::milliseconds(500));
+  CHECK_TRUE(pool->FindState(kJob) == JobState::kFailed);
+}
+
+TEST(Outage, SuccessorDoesNotRepeatTaskWhoseEndWasStoredThroughPeer) {
+  const auto relayed = RelayThrough(m_peer_view);
+  m_pool_store = relayed.get();
+  const auto former = StartPool();
+  PutJob(kJob);
+  Advance(std::chrono::milliseconds(500));
+  LoseStore();
+  m_target.EndRuns();
+  Advance(std::chrono::milliseconds(500));
+  const auto successor = StartSuccessor();
+  Advance(std::chrono::seconds(15));
+  LONGS_EQUAL(1, m_target.m_running.size());
+  LONGS_EQUAL(1, m_target.m_running.begin()->first.step);
+}
+
+TEST(Outage, RelayedTransactionCarriedOutUnderSuccessorChangesNothing) {
+  LatePeer peer(m_peer_view);
+  const auto relayed = RelayThrough(peer);
+  m_pool_store = relayed.get();
+  const auto former = StartPool();
+  PutJob(kJob);
+  Advance(std::chrono::milliseconds(500));
+  LoseStore();
+  EndBothSteps();
+  CHECK_FALSE(peer.m_late.empty());
+  CHECK_FALSE(former->FindState(kJob) == JobState::kCompleted);
+  m_store.Put(scheduler::MakeOwnerKey(kService), "{}");
+  LONGS_EQUAL(0, peer.CarryOut());
+  ProcessDueEvents();
+  CHECK_FALSE(StoredState(kJob) == JobState::kCompleted);
+}
+
+TEST(Outage, RelayedTransactionCarriedOutLateIsTakenForTheOwnersOwn) {
+  LatePeer peer(m_peer_view);
+  const auto relayed = RelayThrough(peer);
+  m_pool_store = relayed.get();
+  const auto pool = StartPool();
+  PutJob(kJob);
+  Advance(std::chrono::milliseconds(500));
+  LoseStore();
+  EndBothSteps();
+  peer.CarryOut();
+  Advance(std::chrono::milliseconds(500));
+  RegainStore();
+  Advance(std::chrono::seconds(1));
+  CHECK_TRUE(StoredState(kJob) == JobState::kCompleted);
+  LONGS_EQUAL(0, m_losses);
+  LONGS_EQUAL(0, m_target.m_running.size());
+  const auto shown = pool->FindState(kJob);
+  CHECK_TRUE(!shown || *shown == JobState::kCompleted);
+}
+
+TEST(Outage, OwnEndWithoutAnswerOfTheStoreIsNotTakenForCancellation) {
+  const auto pool = StartPool();
+  PutJob(kJob);
+  Advance(std::chrono::milliseconds(500));
+  m_target.EndRuns();
+  Advance(std::chrono::milliseconds(500));
+  m_store.m_faults = {{RowCommitStatus::kUnknown, true},
+                      {RowCommitStatus::kUnknown, true}};
+  m_target.EndRuns();
+  Advance(std::chrono::seconds(1));
+  CHECK_TRUE(StoredState(kJob) == JobState::kCompleted);
+  const auto shown = pool->FindState(kJob);
+  CHECK_TRUE(!shown || *shown == JobState::kCompleted);
+  LONGS_EQUAL(0, m_target.m_running.size());
+}
+
 TEST(Outage, LapsedOwnerStartsNothingThatItsLeasesDoNotCover) {
   const auto pool = StartPool();
   PutJob(kJob);
