Don't take an owner's own end for a cancellation when jobs are read again

What callers saw: a host that the store turns away is refused the state of a job that has ended, until retention is over; the log says that it was cancelled.

Cause: the commit of an end takes effect without an answer, and before it is repeated the owner reads all its jobs again (the feed was idle while another row changed). The job's row is gone, and OnJobsReset took that for a cancellation; the feed's own path asks whether the job is still active first.

Fix: only an active job that is gone was cancelled. The repeated commit conflicts, finds its own row and records the end. No task ran twice by it: the end is stored.

OwnEndWithoutAnswerOfTheStoreIsNotTakenForCancellation passed without reaching that path; it now reads the jobs again and expects the end, and failed before this. The two tests of relayed transactions counted before the store had answered, in a frame that was gone, and held back more than the end; both now hold back the end alone, and the second is the positive control of the first.

--- a/services/shallotwick-scheduler/pool_runner.cc
+++ b/services/shallotwick-scheduler/pool_runner.cc
@@ -220,10 +220,10 @@
   }
   if (m_is_loaded) {
     // After the store has dropped change history, jobs that no longer exist
-    // were cancelled in the meantime.
+    // were cancelled in the meantime, unless this owner has removed them.
     std::vector<std::string> gone;
     for (const auto& [id, version] : m_progress_versions) {
-      if (present.count(id) == 0) {
+      if (present.count(id) == 0 && m_scheduler.IsActive(id)) {
         gone.push_back(id);
       }
     }
--- a/services/shallotwick-scheduler/tests/outage_test.cc
+++ b/services/shallotwick-scheduler/tests/outage_test.cc
@@ -167,13 +167,18 @@
   std::string m_refused_table;
 };
 
-// A peer whose transactions get no answer and are carried out later.
+// A peer whose transactions that end a job get no answer and are carried out
+// later.
 class LatePeer : public storage::RowStore {
  public:
   explicit LatePeer(storage::RowStore& store) : m_store(store) {}
 
   void Commit(storage::RowTransaction transaction,
               std::function<void(storage::RowCommitResult)> on_end) override {
+    if (transaction.removals.empty()) {
+      m_store.Commit(std::move(transaction), std::move(on_end));
+      return;
+    }
     m_late.push_back(std::move(transaction));
     on_end({RowCommitStatus::kUnknown, storage::kNoVersion, {}, "no answer"});
   }
@@ -187,20 +192,19 @@
     m_store.ReadChanges(table, after, wait, std::move(on_end));
   }
 
-  // Returns how many of them take effect.
-  int CarryOut() {
-    int committed = 0;
+  void CarryOut() {
     for (storage::RowTransaction& transaction : std::exchange(m_late, {})) {
       m_store.Commit(std::move(transaction),
-                     [&committed](const storage::RowCommitResult& result) {
-                       committed +=
+                     [this](const storage::RowCommitResult& result) {
+                       m_committed +=
                            result.status == RowCommitStatus::kCommitted ? 1 : 0;
                      });
     }
-    return committed;
   }
 
   std::vector<storage::RowTransaction> m_late;
+  // How many of those carried out took effect.
+  int m_committed = 0;
 
  private:
   storage::RowStore& m_store;
@@ -533,8 +537,9 @@
   CHECK_FALSE(peer.m_late.empty());
   CHECK_FALSE(former->FindState(kJob) == JobState::kCompleted);
   m_store.Put(scheduler::MakeOwnerKey(kService), "{}");
-  LONGS_EQUAL(0, peer.CarryOut());
+  peer.CarryOut();
   ProcessDueEvents();
+  LONGS_EQUAL(0, peer.m_committed);
   CHECK_FALSE(StoredState(kJob) == JobState::kCompleted);
 }
 
@@ -547,15 +552,17 @@
   Advance(std::chrono::milliseconds(500));
   LoseStore();
   EndBothSteps();
+  CHECK_FALSE(StoredState(kJob) == JobState::kCompleted);
   peer.CarryOut();
+  ProcessDueEvents();
+  LONGS_EQUAL(1, peer.m_committed);
+  CHECK_TRUE(StoredState(kJob) == JobState::kCompleted);
   Advance(std::chrono::milliseconds(500));
   RegainStore();
   Advance(std::chrono::seconds(1));
-  CHECK_TRUE(StoredState(kJob) == JobState::kCompleted);
   LONGS_EQUAL(0, m_losses);
   LONGS_EQUAL(0, m_target.m_running.size());
-  const auto shown = pool->FindState(kJob);
-  CHECK_TRUE(!shown || *shown == JobState::kCompleted);
+  CHECK_TRUE(pool->FindState(kJob) == JobState::kCompleted);
 }
 
 TEST(Outage, OwnEndWithoutAnswerOfTheStoreIsNotTakenForCancellation) {
@@ -564,13 +571,16 @@
   Advance(std::chrono::milliseconds(500));
   m_target.EndRuns();
   Advance(std::chrono::milliseconds(500));
-  m_store.m_faults = {{RowCommitStatus::kUnknown, true},
-                      {RowCommitStatus::kUnknown, true}};
+  m_store.m_faults.assign(12, {RowCommitStatus::kUnknown, true});
   m_target.EndRuns();
-  Advance(std::chrono::seconds(1));
+  // Other changes make the owner read its jobs again.
+  for (int i = 0; i < 30; ++i) {
+    Advance(std::chrono::milliseconds(100));
+    m_store.Put({"other", "", "row"}, std::to_string(i));
+  }
   CHECK_TRUE(StoredState(kJob) == JobState::kCompleted);
-  const auto shown = pool->FindState(kJob);
-  CHECK_TRUE(!shown || *shown == JobState::kCompleted);
+  CHECK_TRUE(pool->FindState(kJob) == JobState::kCompleted);
+  LONGS_EQUAL(2, m_target.m_acknowledged);
   LONGS_EQUAL(0, m_target.m_running.size());
 }
 
