Don't say of a cancellation that may be stored that nothing was done

What callers saw: 503 (nothing was done) for a DELETE, though the job is cancelled.

Cause: the first attempt gets no answer but takes effect; then the store turns the host away and the job can't be read, which counted as a refusal of the whole call. Submissions guard against this, cancellations did not. Found by review.

Fix: once an attempt may have taken effect, the outcome is unknown (504) unless the store says otherwise. CancellationThatMayBeStoredIsNotRefused failed before.

--- a/services/shallotwick-scheduler/job_service.cc
+++ b/services/shallotwick-scheduler/job_service.cc
@@ -206,12 +206,13 @@
            on_done(outcome);
            return;
          }
-         TryCancel(found, id, 1, std::move(on_done));
+         TryCancel(found, id, 1, false, std::move(on_done));
        });
 }
 
 void JobService::TryCancel(const FoundJob& found, const std::string& id,
-                           int attempt, OnOutcome on_done) {
+                           int attempt, bool may_be_cancelled,
+                           OnOutcome on_done) {
   scheduling::JobProgress cancelled;
   cancelled.state = scheduling::JobState::kCancelled;
   const storage::RowKey key = MakeProgressKey(found.service, id);
@@ -221,31 +222,40 @@
   transaction.removals = {MakeJobKey(found.service, id)};
   m_store.Commit(
       std::move(transaction),
-      m_lifetime.Guard([this, found, id, attempt, on_done = std::move(on_done)](
+      m_lifetime.Guard([this, found, id, attempt, may_be_cancelled,
+                        on_done = std::move(on_done)](
                            const storage::RowCommitResult& result) mutable {
         if (result.status == storage::RowCommitStatus::kCommitted) {
           on_done(JobCallOutcome::kDone);
           return;
         }
-        const bool is_refused =
-            result.status == storage::RowCommitStatus::kRefused;
+        const bool may_be_done =
+            may_be_cancelled ||
+            result.status == storage::RowCommitStatus::kUnknown;
+        const auto not_done =
+            may_be_done ? JobCallOutcome::kUnknown : JobCallOutcome::kRefused;
         if (attempt >= kMaxAttempts) {
-          on_done(is_refused ? JobCallOutcome::kRefused
-                             : JobCallOutcome::kUnknown);
+          on_done(not_done);
           return;
         }
         // The owner updated the row in the meantime, or this attempt was lost
         // in transit.
         Find({found.service}, id, 1,
-             [this, id, attempt, on_done = std::move(on_done)](
-                 JobCallOutcome outcome, const FoundJob& latest) mutable {
+             [this, id, attempt, may_be_done, not_done,
+              on_done = std::move(on_done)](JobCallOutcome outcome,
+                                            const FoundJob& latest) mutable {
+               if (outcome == JobCallOutcome::kRefused) {
+                 on_done(not_done);
+                 return;
+               }
                const bool is_finished = outcome != JobCallOutcome::kDone ||
                                         scheduling::IsTerminal(latest.state);
                if (is_finished) {
                  on_done(outcome);
                  return;
                }
-               TryCancel(latest, id, attempt + 1, std::move(on_done));
+               TryCancel(latest, id, attempt + 1, may_be_done,
+                         std::move(on_done));
              });
       }));
 }
--- a/services/shallotwick-scheduler/job_service.h
+++ b/services/shallotwick-scheduler/job_service.h
@@ -90,8 +90,9 @@
                  OnOutcome on_done);
   void Find(std::vector<std::string> services, const std::string& id,
             int attempt, OnFound on_done);
+  // `may_be_cancelled`: an earlier attempt may have taken effect.
   void TryCancel(const FoundJob& found, const std::string& id, int attempt,
-                 OnOutcome on_done);
+                 bool may_be_cancelled, OnOutcome on_done);
 
   base::EventLoop& m_loop;
   storage::RowStore& m_store;
--- a/services/shallotwick-scheduler/tests/outage_test.cc
+++ b/services/shallotwick-scheduler/tests/outage_test.cc
@@ -584,6 +584,23 @@
   LONGS_EQUAL(0, m_target.m_running.size());
 }
 
+TEST(Outage, CancellationThatMayBeStoredIsNotRefused) {
+  PutJob(kJob);
+  scheduler::JobService jobs(m_loop, m_store);
+  m_store.m_faults = {{RowCommitStatus::kUnknown, true}};
+  std::optional<JobCallOutcome> outcome;
+  jobs.Cancel({kService}, kJob,
+              [&outcome](JobCallOutcome result) { outcome = result; });
+  // The store turns this host away once the first attempt has taken effect.
+  m_loop.GetContext().restart();
+  while (!m_store.m_faults.empty() && m_loop.GetContext().poll_one() > 0) {
+  }
+  m_store.m_is_away = true;
+  Advance(std::chrono::seconds(1));
+  CHECK_TRUE(StoredState(kJob) == JobState::kCancelled);
+  CHECK_TRUE(outcome == JobCallOutcome::kUnknown);
+}
+
 TEST(Outage, LapsedOwnerStartsNothingThatItsLeasesDoNotCover) {
   const auto pool = StartPool();
   PutJob(kJob);
