Let the tests of a job shown as completed last until a successor runs jobs

A second job, unfinished at the crash, now has to be run to its end by the successor before the starts are checked. The second expects that an end which no host can store is not shown at all, and that the tasks do run again. Both make sure that no task had ended before hosts were turned away.

--- a/tests/process/jobs_test.cc
+++ b/tests/process/jobs_test.cc
@@ -30,6 +30,12 @@
 constexpr char kOneStep[] =
     R"({"spec":"text","steps":[{"count":4,"cpu":500,"memMb":100,"estMs":50}]})";
 constexpr int kTasksOfOneStep = 4;
+constexpr char kFiveSteps[] =
+    R"({"spec":"text","steps":[{"count":1,"cpu":500,"memMb":100,"estMs":50},)"
+    R"({"count":1,"cpu":500,"memMb":100,"estMs":50,"after":[0]},)"
+    R"({"count":1,"cpu":500,"memMb":100,"estMs":50,"after":[1]},)"
+    R"({"count":1,"cpu":500,"memMb":100,"estMs":50,"after":[2]},)"
+    R"({"count":1,"cpu":500,"memMb":100,"estMs":50,"after":[3]}]})";
 
 // The queue is served by "desk", which has no executors.
 constexpr char kQueueOfOtherService[] =
@@ -130,11 +136,11 @@
     LONGS_EQUAL(0, m_cluster->GetDoubledTasks().size());
   }
 
-  int CountEvents(const std::string& what) {
+  int CountEvents(const std::string& job, const std::string& what) {
     const auto events = m_cluster->GetEvents();
     return static_cast<int>(std::count_if(
-        events.begin(), events.end(), [&what](const standin::RunEvent& event) {
-          return event.what == what;
+        events.begin(), events.end(), [&](const standin::RunEvent& event) {
+          return event.what == what && event.task.rfind(job, 0) == 0;
         }));
   }
 
@@ -160,10 +166,11 @@
       const std::string& id, size_t owner, const std::set<size_t>& served) {
     LONGS_EQUAL(200, Call(owner, "POST", "/quote/" + id, kOneStep).status);
     CHECK_TRUE(harness::WaitFor(
-        [this] { return CountEvents("start") == kTasksOfOneStep; }));
+        [this, &id] { return CountEvents(id, "start") == kTasksOfOneStep; }));
     TurnAway(served);
+    LONGS_EQUAL(0, CountEvents(id, "done"));
     CHECK_TRUE(harness::WaitFor(
-        [this] { return CountEvents("done") == kTasksOfOneStep; }));
+        [this, &id] { return CountEvents(id, "done") == kTasksOfOneStep; }));
     std::optional<std::chrono::steady_clock::time_point> shown_at;
     harness::WaitFor(
         [this, &id, &shown_at] {
@@ -179,9 +186,11 @@
   }
 
   void CheckNoStartAfter(
+      const std::string& job,
       const std::optional<std::chrono::steady_clock::time_point>& shown_at) {
     for (const standin::RunEvent& event : m_cluster->GetEvents()) {
-      CHECK_TEXT(event.what != "start" || !shown_at || event.at <= *shown_at,
+      CHECK_TEXT(event.task.rfind(job, 0) != 0 || event.what != "start" ||
+                     event.at <= *shown_at,
                  ("started after its job was shown as completed: " +
                   event.task + " run " + std::to_string(event.run))
                      .c_str());
@@ -336,29 +345,32 @@
 }
 
 TEST(Jobs, JobShownAsCompletedIsNotRunAgainByTheOnlyHostThatTheStoreServes) {
-  Start(3, 700);
+  Start(3, 1'200);
   const size_t owner = FindOwner();
   const size_t served = (owner + 1) % m_hosts.size();
   const std::string id = MakeId(1);
+  // The successor has to run the rest of this one.
+  const std::string unfinished = MakeId(2);
+  LONGS_EQUAL(200,
+              Call(owner, "POST", "/quote/" + unfinished, kFiveSteps).status);
   const auto shown_at = ShowEndWhileTurnedAway(id, owner, {served});
-  RestartExecutors();
-  CHECK_TRUE(harness::WaitFor([this, served] {
-    return !m_hosts[served]->FindEvents("pool-loaded").empty();
-  }));
-  CHECK_TRUE(WaitForState(served, id, "completed"));
   CHECK_TRUE(shown_at.has_value());
-  CheckNoStartAfter(shown_at);
+  RestartExecutors();
+  CHECK_TRUE(WaitForState(served, unfinished, "completed"));
+  CHECK_FALSE(m_hosts[served]->FindEvents("pool-loaded").empty());
+  STRCMP_EQUAL("completed", GetState(served, id).c_str());
+  CheckNoStartAfter(id, shown_at);
 }
 
-TEST(Jobs, JobShownAsCompletedWhileNoHostIsServedIsNotRunAgain) {
-  Start(3, 700);
+TEST(Jobs, EndThatNoHostCanStoreIsNotShown) {
+  Start(3, 1'200);
   const size_t owner = FindOwner();
   const size_t other = (owner + 1) % m_hosts.size();
   const std::string id = MakeId(1);
-  const auto shown_at = ShowEndWhileTurnedAway(id, owner, {});
+  CHECK_FALSE(ShowEndWhileTurnedAway(id, owner, {}).has_value());
   RestartExecutors();
   m_hosts[owner]->Kill();
   TurnAway({0, 1, 2});
   CHECK_TRUE(WaitForState(other, id, "completed"));
-  CheckNoStartAfter(shown_at);
+  LONGS_EQUAL(2 * kTasksOfOneStep, CountEvents(id, "start"));
 }
