Link test: let a call time out only after the server has received it

The test that throws is TimedOutCallIsUnreachableAndNextCallOpensNewConnection, by m_unanswered_replies.at(0).

Cause, in the test: it took a timeout of 50 ms as enough for the server to have received the call. Beside load the timeout can pass first; the client reports kUnreachable, as it should, and the late reply that the test then sends isn't there yet. No fault of the library.

Now the clock is paused, the test waits until the server holds the reply, checks that the call is still pending, and advances the clock by the same 50 ms. All former checks stay. The first call is sent once only, so one that doesn't reach the server fails.

--- a/libraries/link/tests/link_test.cc
+++ b/libraries/link/tests/link_test.cc
@@ -4,6 +4,7 @@
 #include <future>
 #include <thread>
 
+#include "base/runtime_clock.h"
 #include "link/client.h"
 #include "link/server.h"
 
@@ -32,6 +33,7 @@
   std::unique_ptr<wire::Server> m_server;
   std::unique_ptr<wire::Client> m_client;
   std::vector<wire::OnReply> m_unanswered_replies;
+  std::promise<void> m_first_call_received;
   std::thread m_server_thread;
   std::thread m_client_thread;
 
@@ -51,20 +53,27 @@
     });
   }
 
-  wire::Reply Call(const std::string& path, const wire::Bytes& body,
-                   milliseconds timeout = std::chrono::seconds(5),
-                   const wire::Identity& recipient = {}) {
-    std::promise<wire::Reply> reply;
-    asio::post(m_client_context, [&] {
+  std::future<wire::Reply> StartCall(
+      const std::string& path, const wire::Bytes& body, milliseconds timeout,
+      const wire::Identity& recipient = {}) {
+    const auto reply = std::make_shared<std::promise<wire::Reply>>();
+    asio::post(m_client_context, [=, this] {
       m_client->Send({path, body, recipient}, timeout,
-                     [&reply](wire::Reply received) {
-                       reply.set_value(std::move(received));
+                     [reply](wire::Reply received) {
+                       reply->set_value(std::move(received));
                      });
     });
-    return reply.get_future().get();
+    return reply->get_future();
+  }
+
+  wire::Reply Call(const std::string& path, const wire::Bytes& body,
+                   milliseconds timeout = std::chrono::seconds(5),
+                   const wire::Identity& recipient = {}) {
+    return StartCall(path, body, timeout, recipient).get();
   }
 
   void teardown() override {
+    base::RuntimeClock::Resume();
     asio::post(m_client_context, [this] {
       m_client.reset();
       m_client_context.stop();
@@ -133,18 +142,23 @@
 }
 
 TEST(Link, TimedOutCallIsUnreachableAndNextCallOpensNewConnection) {
-  std::atomic<int> calls{0};
-  Start([&](const wire::Call& call, wire::OnReply reply) {
-    if (++calls == 1) {
+  Start([this](const wire::Call& call, wire::OnReply reply) {
+    if (m_unanswered_replies.empty()) {
       m_unanswered_replies.push_back(std::move(reply));
+      m_first_call_received.set_value();
       return;
     }
     reply({ReplyStatus::kOk, call.body});
   });
-  CHECK_TRUE(Call("/silent", {1}, milliseconds(50)).status ==
-             ReplyStatus::kUnreachable);
-  // The late reply belongs to the closed connection and must not be delivered
-  // to the next call.
+  base::RuntimeClock::Pause();
+  std::future<wire::Reply> silent = StartCall("/silent", {1}, milliseconds(50));
+  CHECK_TRUE(m_first_call_received.get_future().wait_for(
+                 std::chrono::seconds(30)) == std::future_status::ready);
+  CHECK_TRUE(silent.wait_for(milliseconds(0)) == std::future_status::timeout);
+  base::RuntimeClock::Advance(milliseconds(50));
+  CHECK_TRUE(silent.get().status == ReplyStatus::kUnreachable);
+  base::RuntimeClock::Resume();
+  // A late reply on the closed connection must not reach the next call.
   asio::post(m_server_context, [this] {
     m_unanswered_replies.at(0)({ReplyStatus::kOk, {9}});
   });
