--- a/libraries/base/log_catalogue.h
+++ b/libraries/base/log_catalogue.h
@@ -124,6 +124,10 @@
 inline constexpr LogEvent kRoutePlaced{
     507, "route-placed", Severity::kInfo,
     "The store names the service that accepts the jobs of a route."};
+inline constexpr LogEvent kPoolLoadSlow{
+    508, "pool-load-slow", Severity::kWarning,
+    "A pool that this host owns is not loaded yet; the step, what was read and "
+    "the last error are named."};
 inline constexpr LogEvent kJobAccepted{510, "job-accepted", Severity::kInfo,
                                        "A job is stored and will run."};
 inline constexpr LogEvent kJobRefused{
@@ -202,6 +206,7 @@
                                     kSessionReplaced,
                                     kConfigInForce,
                                     kRoutePlaced,
+                                    kPoolLoadSlow,
                                     kJobAccepted,
                                     kJobRefused,
                                     kJobOutcomeUnknown,
--- a/services/shallotwick-scheduler/pool_runner.cc
+++ b/services/shallotwick-scheduler/pool_runner.cc
@@ -131,7 +131,8 @@
               {options.service},
               kJobBatchDelay,
               kJobIdleTimeout}),
-      m_took_over_at(base::RuntimeClock::now()) {
+      m_took_over_at(base::RuntimeClock::now()),
+      m_load(metrics, options.service, m_took_over_at) {
   m_scheduler.m_on_decision =
       [this](const scheduling::SchedulingDecision& note) { LogDecision(note); };
   m_scheduler.m_on_wrong_target_end =
@@ -144,11 +145,26 @@
   m_jobs.m_on_change = [this](const storage::VersionedRow& row) {
     OnJobChanged(row);
   };
+  m_jobs.m_on_page = [this](const storage::RowReadResult& page) {
+    if (!m_is_loaded) {
+      m_load.OnPage(page, base::RuntimeClock::now());
+    }
+  };
 }
 
 void PoolRunner::Start() {
   m_lease_limit = m_get_lease_limit();
   ReadRoster();
+  CheckLoadPeriodically();
+}
+
+void PoolRunner::CheckLoadPeriodically() {
+  if (m_is_loaded || m_is_lost) {
+    return;
+  }
+  m_load.Check(base::RuntimeClock::now());
+  m_loop.RunAfter(kTickPeriod,
+                  m_lifetime.Guard([this] { CheckLoadPeriodically(); }));
 }
 
 void PoolRunner::SetConfig(const scheduling::ServingConfig& config) {
@@ -160,29 +176,34 @@
   storage::RowRange range;
   range.table = kRosterTable;
   range.part = m_options.service;
-  m_store.Read(
-      range, m_lifetime.Guard([this](const storage::RowReadResult& result) {
-        if (!result.is_read) {
-          m_loop.RunAfter(kReadRetryDelay,
-                          m_lifetime.Guard([this] { ReadRoster(); }));
-          return;
-        }
-        const auto now = base::RuntimeClock::now();
-        for (const storage::VersionedRow& row : result.rows) {
-          m_roster_version = row.version;
-          for (const auto& [id, address] : DecodeRoster(row)) {
-            scheduling::TargetEntry entry;
-            entry.id = id;
-            entry.service = m_options.service;
-            entry.address = address;
-            m_scheduler.AddRosterTarget(entry, now, HasJustStarted(id));
-            m_stored_roster[id] = entry.address;
-          }
-        }
-        m_is_roster_read = true;
-        SetTargets(m_targets_at_start);
-        ReadProgress();
-      }));
+  m_store.Read(range,
+               m_lifetime.Guard([this](const storage::RowReadResult& result) {
+                 m_load.OnPage(result, base::RuntimeClock::now());
+                 if (result.is_read) {
+                   OnRosterRead(result);
+                   return;
+                 }
+                 m_loop.RunAfter(kReadRetryDelay,
+                                 m_lifetime.Guard([this] { ReadRoster(); }));
+               }));
+}
+
+void PoolRunner::OnRosterRead(const storage::RowReadResult& result) {
+  const auto now = base::RuntimeClock::now();
+  for (const storage::VersionedRow& row : result.rows) {
+    m_roster_version = row.version;
+    for (const auto& [id, address] : DecodeRoster(row)) {
+      scheduling::TargetEntry entry;
+      entry.id = id;
+      entry.service = m_options.service;
+      entry.address = address;
+      m_scheduler.AddRosterTarget(entry, now, HasJustStarted(id));
+      m_stored_roster[id] = entry.address;
+    }
+  }
+  m_is_roster_read = true;
+  SetTargets(m_targets_at_start);
+  ReadProgress();
 }
 
 bool PoolRunner::HasJustStarted(const std::string& target) const {
@@ -195,9 +216,11 @@
 // Progress is read before the jobs: a job added in between has no progress yet,
 // and one that ends in between no longer appears among the jobs.
 void PoolRunner::ReadProgress() {
+  m_load.SetStep("progress");
   storage::ReadPartition(
       m_store, GetProgressTable(m_options.service), m_options.service,
       m_lifetime.Guard([this](const storage::RowReadResult& result) {
+        m_load.OnPage(result, base::RuntimeClock::now());
         if (!result.is_read) {
           m_loop.RunAfter(kReadRetryDelay,
                           m_lifetime.Guard([this] { ReadProgress(); }));
@@ -207,6 +230,7 @@
           m_loaded_progress[row.key.key] = row;
           RecordJobIfEnded(row);
         }
+        m_load.SetStep("jobs");
         m_jobs.Start();
       }));
 }
--- a/services/shallotwick-scheduler/pool_runner.h
+++ b/services/shallotwick-scheduler/pool_runner.h
@@ -13,6 +13,7 @@
 #include "base/metrics.h"
 #include "host_listing.h"
 #include "hosts/arrival_forecast.h"
+#include "load_monitor.h"
 #include "scheduling/pool_scheduler.h"
 #include "scheduling/serving_config.h"
 #include "scheduling/target_orders.h"
@@ -91,6 +92,9 @@
 
  private:
   void ReadRoster();
+  void OnRosterRead(const storage::RowReadResult& result);
+  // Until the pool is loaded: reports a slow load.
+  void CheckLoadPeriodically();
   // Returns whether the registry showed at the takeover that the target has
   // started so recently that the previous owner may not know.
   bool HasJustStarted(const std::string& target) const;
@@ -149,6 +153,7 @@
   hosts::ArrivalForecast m_arrivals;
   TableFollower m_jobs;
   base::TimePoint m_took_over_at;
+  LoadMonitor m_load;
   // Versions of the progress rows of active jobs.
   std::map<std::string, uint64_t> m_progress_versions;
   // Progress rows read at the takeover, kept until the jobs have been loaded.
--- a/services/shallotwick-scheduler/table_follower.cc
+++ b/services/shallotwick-scheduler/table_follower.cc
@@ -50,6 +50,7 @@
         if (generation != m_generation) {
           return;
         }
+        m_on_page(result);
         if (!result.is_read) {
           RetryAfterDelay(&TableFollower::ReadNextPartition);
           return;
--- a/services/shallotwick-scheduler/table_follower.h
+++ b/services/shallotwick-scheduler/table_follower.h
@@ -47,6 +47,9 @@
   // point in time.
   std::function<void(const std::vector<storage::VersionedRow>&)> m_on_reset;
   std::function<void(const storage::VersionedRow&)> m_on_change;
+  // Called for each page of a partition that was read or could not be read.
+  std::function<void(const storage::RowReadResult&)> m_on_page =
+      [](const storage::RowReadResult&) {};
 
   void Start();
   void Stop();
