Don't abort a response of the store that makes progress

Callers saw jobs of a whole pool stand still: its owner could not read it. A page of the store has up to 1 MB, and a read was aborted as a whole after the store's time-out of 0.9 s, however many bytes had arrived. A host with a link of 10 Mbit/s needs 0.8 s for such a page if nothing else uses the link.

The deadline moves with what arrives, so a page that is on its way is not asked for again.

--- a/libraries/http/client_connection.cc
+++ b/libraries/http/client_connection.cc
@@ -115,6 +115,7 @@
     Fail("received data without a pending request");
     return;
   }
+  m_last_received = std::chrono::steady_clock::now();
   const bool had_first_byte = m_parser->HasStatusLine();
   switch (m_parser->Parse(bytes)) {
     case ResponseParser::Progress::kIncomplete:
--- a/libraries/http/client_connection.h
+++ b/libraries/http/client_connection.h
@@ -39,6 +39,10 @@
   bool IsConnected() const { return m_is_connected; }
   // Whether the status line of the response has been received.
   bool HasFirstByte() const;
+  // Returns when bytes were last received.
+  std::chrono::steady_clock::time_point GetLastReceived() const {
+    return m_last_received;
+  }
   std::chrono::steady_clock::time_point GetOpenedAt() const {
     return m_opened_at;
   }
@@ -56,6 +60,7 @@
   asio::ip::tcp::endpoint m_server;
   std::chrono::steady_clock::time_point m_opened_at;
   std::chrono::steady_clock::time_point m_send_by;
+  std::chrono::steady_clock::time_point m_last_received;
   std::string m_message;
   size_t m_written = 0;
   std::optional<ResponseParser> m_parser;
--- a/libraries/http/connection_pool.cc
+++ b/libraries/http/connection_pool.cc
@@ -126,8 +126,7 @@
   exchange.connection = connection;
   connection->m_on_first_byte = [this, id] {
     Exchange& responding = m_exchanges.at(id);
-    SetDeadline(id, responding,
-                responding.started + responding.options.total_timeout);
+    SetDeadline(id, responding, GetResponseDeadline(responding));
   };
   connection->m_on_done = [this, id](TransferResult result) {
     OnExchangeDone(id, std::move(result));
@@ -212,6 +211,15 @@
   }
 }
 
+ConnectionPool::Clock::time_point ConnectionPool::GetResponseDeadline(
+    const Exchange& exchange) {
+  const auto total = exchange.started + exchange.options.total_timeout;
+  const auto stall = exchange.options.stall_timeout;
+  return stall.count() == 0
+             ? total
+             : std::min(total, exchange.connection->GetLastReceived() + stall);
+}
+
 void ConnectionPool::SetDeadline(uint64_t id, Exchange& exchange,
                                  Clock::time_point at) {
   if (exchange.deadline != m_deadlines.end()) {
@@ -269,6 +277,12 @@
     SetDeadline(id, exchange, exchange.started + first_byte_limit);
     return;
   }
+  // The deadline is not moved for each part of a response.
+  if (connection->HasFirstByte() &&
+      Clock::now() < GetResponseDeadline(exchange)) {
+    SetDeadline(id, exchange, GetResponseDeadline(exchange));
+    return;
+  }
   const bool has_first_byte_timed_out =
       connection->IsConnected() && !connection->HasFirstByte();
   connection->Abort(has_first_byte_timed_out
--- a/libraries/http/connection_pool.h
+++ b/libraries/http/connection_pool.h
@@ -66,6 +66,9 @@
   void AssignWaitingExchanges(const std::string& name);
   void SetDeadline(uint64_t id, Exchange& exchange, Clock::time_point at);
   void ArmTimer();
+  // Returns until when an exchange whose response has begun may go on without
+  // further bytes.
+  static Clock::time_point GetResponseDeadline(const Exchange& exchange);
   // Handles all exchanges whose deadline has passed.
   void HandleExpiredDeadlines();
   // Aborts the exchange, or waits for the rest of the first byte timeout if the
--- a/libraries/http/tests/transfer_test.cc
+++ b/libraries/http/tests/transfer_test.cc
@@ -361,6 +361,34 @@
   }
 }
 
+// Returns the outcome of a response in ten parts that is due, as a whole, long
+// after the time-out for its first byte.
+TransferOutcome GetOutcomeOfSlowResponse(milliseconds pause) {
+  fakes::ScriptedServer server(
+      [pause](int, int, const std::string&) -> fakes::ScriptedResponse {
+        fakes::ScriptedResponse response{
+            fakes::MakeAnswer(std::string(1'000, 'x'))};
+        response.parts = 10;
+        response.pause = pause;
+        return response;
+      });
+  const auto sender = MakeSender(SenderKind::kPool);
+  return SendAndGetResult(*sender, server.GetUrl("/"), {"GET", "/", {}, ""},
+                          http::TransferOptions::WithStallTimeout(
+                              milliseconds(400), milliseconds(20'000)))
+      .outcome;
+}
+
+TEST(Transfer, LargeResponseOverSlowLinkIsNotAbortedWhileItMakesProgress) {
+  CHECK_TRUE(GetOutcomeOfSlowResponse(milliseconds(80)) ==
+             TransferOutcome::kComplete);
+}
+
+TEST(Transfer, ResponseThatStallsIsAborted) {
+  CHECK_TRUE(GetOutcomeOfSlowResponse(milliseconds(900)) ==
+             TransferOutcome::kUnknown);
+}
+
 // A process that was suspended must not carry out what it has given up.
 TEST_GROUP(SuspendedPool) {
   static constexpr auto kTimeout = milliseconds(50);
--- a/libraries/http/transfer.h
+++ b/libraries/http/transfer.h
@@ -44,9 +44,24 @@
     return options;
   }
 
+  // Returns options for a request whose response may be large: its transfer may
+  // take up to `max_time` if no two parts of it are further apart than
+  // `timeout`.
+  static TransferOptions WithStallTimeout(
+      std::chrono::milliseconds timeout, std::chrono::milliseconds max_time,
+      std::chrono::milliseconds wait = std::chrono::milliseconds(0)) {
+    TransferOptions options = WithTimeout(timeout, wait);
+    options.stall_timeout = timeout;
+    options.total_timeout += max_time;
+    return options;
+  }
+
   std::chrono::milliseconds connect_timeout{1'000};
   std::chrono::milliseconds first_byte_timeout{5'000};
   std::chrono::milliseconds total_timeout{10'000};
+  // The longest time between two parts of a response after its first byte. Zero
+  // means no limit. Only ConnectionPool applies it.
+  std::chrono::milliseconds stall_timeout{0};
   size_t largest_body_bytes = size_t{8} * 1024 * 1024;
   // Prevents every layer from sending the request again, and sends it on a new
   // connection: an idle connection may be dead, which is detected only after
--- a/tests/fakes/scripted_server.cc
+++ b/tests/fakes/scripted_server.cc
@@ -113,7 +113,15 @@
       continue;
     }
     std::error_code error;
-    asio::write(*shared, asio::buffer(answer.bytes), error);
+    const size_t size = answer.bytes.size();
+    for (size_t part = 0; part < answer.parts; ++part) {
+      const size_t begin = size * part / answer.parts;
+      const size_t end = size * (part + 1) / answer.parts;
+      asio::write(*shared,
+                  asio::buffer(answer.bytes.data() + begin, end - begin),
+                  error);
+      std::this_thread::sleep_for(answer.pause);
+    }
     if (answer.close) {
       break;
     }
--- a/tests/fakes/scripted_server.h
+++ b/tests/fakes/scripted_server.h
@@ -2,6 +2,7 @@
 
 #include <asio.hpp>
 #include <atomic>
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <mutex>
@@ -17,6 +18,9 @@
   bool close = false;
   // Neither answers nor closes.
   bool silent = false;
+  // The bytes are sent in this many parts, with a pause after each.
+  size_t parts = 1;
+  std::chrono::milliseconds pause{0};
 };
 
 // A TCP server that answers each request with bytes given by the test, however
