Read the pages of a pool one by one, as large as the link bears

Callers saw jobs of a whole pool stand still. A partition of several pages was read anew from its first page whenever one page failed, 200 ms later and with the same page size, so an owner on a slow or shared link, or beside a store that refuses calls, could read it over and over for good.

A reader of partitions keeps the pages that it has, repeats only the page that failed, and halves the pages that take long.

--- /dev/null
+++ b/libraries/storage/partition_reader.cc
@@ -0,0 +1,95 @@
+#include "storage/partition_reader.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+#include "base/backoff.h"
+#include "base/random_identifier.h"
+
+namespace shallotwick::storage {
+namespace {
+
+// Average delay before a failed page is read again; the actual delay varies by
+// 50 % in either direction.
+constexpr auto kRetryDelay = std::chrono::milliseconds(200);
+// A fraction of the time after which a store's answer is given up.
+constexpr auto kMaxPageTime = std::chrono::milliseconds(300);
+constexpr int kMaxPageRows = 500;
+// A row has at most 64 KB.
+constexpr int kMinPageRows = 8;
+
+}  // namespace
+
+PartitionReader::PartitionReader(base::EventLoop& loop, RowStore& store)
+    : m_loop(loop), m_store(store) {}
+
+void PartitionReader::Read(const std::string& table, const std::string& part,
+                           std::function<void(RowReadResult)> on_end) {
+  ++m_generation;
+  m_next = {};
+  m_next.table = table;
+  m_next.part = part;
+  m_next.limit = kMaxPageRows;
+  m_result = {};
+  m_on_end = std::move(on_end);
+  ReadPage();
+}
+
+void PartitionReader::Stop() {
+  ++m_generation;
+  m_on_end = nullptr;
+}
+
+void PartitionReader::ReadPage() {
+  m_store.Read(
+      m_next,
+      m_lifetime.Guard([this, generation = m_generation,
+                        sent = base::RuntimeClock::now()](RowReadResult page) {
+        if (generation == m_generation) {
+          OnPage(sent, std::move(page));
+        }
+      }));
+}
+
+void PartitionReader::OnPage(base::TimePoint sent, RowReadResult page) {
+  const int generation = m_generation;
+  m_on_page(page);
+  if (generation != m_generation) {
+    return;
+  }
+  AdaptPageSize(base::RuntimeClock::now() - sent);
+  if (!page.is_read) {
+    constexpr double kHalfEitherWay = 1.0;
+    m_loop.RunAfter(base::JitterPeriod(kRetryDelay, base::MakeRandomFraction(),
+                                       kHalfEitherWay),
+                    m_lifetime.Guard([this, generation] {
+                      if (generation == m_generation) {
+                        ReadPage();
+                      }
+                    }));
+    return;
+  }
+  if (!m_result.is_read) {
+    m_result.is_read = true;
+    m_result.version = page.version;
+  }
+  std::move(page.rows.begin(), page.rows.end(),
+            std::back_inserter(m_result.rows));
+  if (page.is_truncated && !m_result.rows.empty()) {
+    m_next.from = GetSuccessor(m_result.rows.back().key.key);
+    ReadPage();
+    return;
+  }
+  std::exchange(m_on_end, nullptr)(std::exchange(m_result, {}));
+}
+
+// A page that fails at once says nothing about the link.
+void PartitionReader::AdaptPageSize(base::Duration page_time) {
+  const int limit = page_time > kMaxPageTime       ? m_next.limit / 2
+                    : page_time < kMaxPageTime / 4 ? m_next.limit * 2
+                                                   : m_next.limit;
+  m_next.limit = std::clamp(limit, kMinPageRows, kMaxPageRows);
+}
+
+}  // namespace shallotwick::storage
--- a/libraries/storage/row_store.cc
+++ b/libraries/storage/row_store.cc
@@ -7,9 +7,6 @@
 namespace shallotwick::storage {
 namespace {
 
-// Returns the smallest key that sorts after `key`.
-std::string GetSuccessor(const std::string& key) { return key + '\0'; }
-
 void ReadPage(RowStore& store, const RowRange& range,
               std::shared_ptr<RowReadResult> result,
               std::function<void(RowReadResult)> on_end) {
@@ -36,6 +33,8 @@
 
 }  // namespace
 
+std::string GetSuccessor(const std::string& key) { return key + '\0'; }
+
 void ReadPartition(RowStore& store, const std::string& table,
                    const std::string& part,
                    std::function<void(RowReadResult)> on_end) {
--- a/libraries/storage/row_store.h
+++ b/libraries/storage/row_store.h
@@ -139,9 +139,12 @@
                            std::function<void(ChangeFeedResult)> on_end) = 0;
 };
 
-// Reads an entire partition page by page. The result has the version of the
-// first page, so that no change is missed when the change feed is read from
-// there.
+// Returns the smallest key that sorts after `key`.
+std::string GetSuccessor(const std::string& key);
+
+// Reads an entire partition page by page; fails if a page does. The result has
+// the version of the first page, so that no change is missed when the change
+// feed is read from there.
 void ReadPartition(RowStore& store, const std::string& table,
                    const std::string& part,
                    std::function<void(RowReadResult)> on_end);
--- a/services/shallotwick-scheduler/pool_runner.cc
+++ b/services/shallotwick-scheduler/pool_runner.cc
@@ -131,6 +131,7 @@
               {options.service},
               kJobBatchDelay,
               kJobIdleTimeout}),
+      m_progress_reader(loop, store),
       m_took_over_at(base::RuntimeClock::now()),
       m_load(metrics, options.service, m_took_over_at) {
   m_scheduler.m_on_decision =
@@ -145,11 +146,13 @@
   m_jobs.m_on_change = [this](const storage::VersionedRow& row) {
     OnJobChanged(row);
   };
-  m_jobs.m_on_page = [this](const storage::RowReadResult& page) {
+  const auto on_page = [this](const storage::RowReadResult& page) {
     if (!m_is_loaded) {
       m_load.OnPage(page, base::RuntimeClock::now());
     }
   };
+  m_jobs.m_on_page = on_page;
+  m_progress_reader.m_on_page = on_page;
 }
 
 void PoolRunner::Start() {
@@ -217,22 +220,16 @@
 // and one that ends in between no longer appears among the jobs.
 void PoolRunner::ReadProgress() {
   m_load.SetStep("progress");
-  storage::ReadPartition(
-      m_store, GetProgressTable(m_options.service), m_options.service,
-      m_lifetime.Guard([this](const storage::RowReadResult& result) {
-        m_load.OnPage(result, base::RuntimeClock::now());
-        if (!result.is_read) {
-          m_loop.RunAfter(kReadRetryDelay,
-                          m_lifetime.Guard([this] { ReadProgress(); }));
-          return;
-        }
+  m_progress_reader.Read(
+      GetProgressTable(m_options.service), m_options.service,
+      [this](const storage::RowReadResult& result) {
         for (const storage::VersionedRow& row : result.rows) {
           m_loaded_progress[row.key.key] = row;
           RecordJobIfEnded(row);
         }
         m_load.SetStep("jobs");
         m_jobs.Start();
-      }));
+      });
 }
 
 void PoolRunner::OnJobsReset(const std::vector<storage::VersionedRow>& rows) {
--- a/services/shallotwick-scheduler/pool_runner.h
+++ b/services/shallotwick-scheduler/pool_runner.h
@@ -17,6 +17,7 @@
 #include "scheduling/pool_scheduler.h"
 #include "scheduling/serving_config.h"
 #include "scheduling/target_orders.h"
+#include "storage/partition_reader.h"
 #include "storage/row_store.h"
 #include "table_follower.h"
 
@@ -152,6 +153,7 @@
   scheduling::PoolScheduler m_scheduler;
   hosts::ArrivalForecast m_arrivals;
   TableFollower m_jobs;
+  storage::PartitionReader m_progress_reader;
   base::TimePoint m_took_over_at;
   LoadMonitor m_load;
   // Versions of the progress rows of active jobs.
--- a/services/shallotwick-scheduler/table_follower.cc
+++ b/services/shallotwick-scheduler/table_follower.cc
@@ -7,10 +7,16 @@
 #include "base/random_identifier.h"
 
 namespace shallotwick::scheduler {
-
 TableFollower::TableFollower(base::EventLoop& loop, storage::RowStore& store,
                              TableFollowerOptions options)
-    : m_loop(loop), m_store(store), m_options(std::move(options)) {}
+    : m_loop(loop),
+      m_store(store),
+      m_options(std::move(options)),
+      m_reader(loop, store) {
+  m_reader.m_on_page = [this](const storage::RowReadResult& page) {
+    m_on_page(page);
+  };
+}
 
 void TableFollower::Start() {
   ++m_generation;
@@ -23,6 +29,7 @@
 void TableFollower::Stop() {
   ++m_generation;
   m_is_loaded = false;
+  m_reader.Stop();
 }
 
 void TableFollower::Restart(std::vector<std::string> partitions) {
@@ -43,25 +50,16 @@
     }
     return;
   }
-  storage::ReadPartition(
-      m_store, m_options.table, m_options.partitions[m_next_partition],
-      m_lifetime.Guard([this, generation = m_generation](
-                           const storage::RowReadResult& result) {
-        if (generation != m_generation) {
-          return;
-        }
-        m_on_page(result);
-        if (!result.is_read) {
-          RetryAfterDelay(&TableFollower::ReadNextPartition);
-          return;
-        }
-        m_version = m_next_partition == 0 ? result.version
-                                          : std::min(m_version, result.version);
-        m_loading.insert(m_loading.end(), result.rows.begin(),
-                         result.rows.end());
-        ++m_next_partition;
-        ReadNextPartition();
-      }));
+  m_reader.Read(m_options.table, m_options.partitions[m_next_partition],
+                [this](const storage::RowReadResult& result) {
+                  m_version = m_next_partition == 0
+                                  ? result.version
+                                  : std::min(m_version, result.version);
+                  m_loading.insert(m_loading.end(), result.rows.begin(),
+                                   result.rows.end());
+                  ++m_next_partition;
+                  ReadNextPartition();
+                });
 }
 
 void TableFollower::SetCurrentAsOf(base::TimePoint time) {
@@ -132,7 +130,7 @@
       Start();
       return;
     case storage::ChangeFeedStatus::kFailed:
-      RetryAfterDelay(&TableFollower::ReadChanges);
+      ReadChangesAfterDelay();
       return;
     case storage::ChangeFeedStatus::kRead:
       break;
@@ -169,16 +167,15 @@
                   }));
 }
 
-void TableFollower::RetryAfterDelay(void (TableFollower::*step)()) {
+void TableFollower::ReadChangesAfterDelay() {
   constexpr double kHalfEitherWay = 1.0;
   const auto delay = base::JitterPeriod(
       kFeedRetryDelay, base::MakeRandomFraction(), kHalfEitherWay);
-  m_loop.RunAfter(delay,
-                  m_lifetime.Guard([this, step, generation = m_generation] {
-                    if (generation == m_generation) {
-                      (this->*step)();
-                    }
-                  }));
+  m_loop.RunAfter(delay, m_lifetime.Guard([this, generation = m_generation] {
+    if (generation == m_generation) {
+      ReadChanges();
+    }
+  }));
 }
 
 }  // namespace shallotwick::scheduler
--- a/services/shallotwick-scheduler/table_follower.h
+++ b/services/shallotwick-scheduler/table_follower.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "base/event_loop.h"
+#include "storage/partition_reader.h"
 #include "storage/row_store.h"
 
 namespace shallotwick::scheduler {
@@ -63,7 +64,7 @@
   void ReadNextPartition();
   void SetCurrentAsOf(base::TimePoint time);
   void ReadChanges();
-  void RetryAfterDelay(void (TableFollower::*step)());
+  void ReadChangesAfterDelay();
   void ScheduleIdleCheck();
   void ReloadAfterIdle();
   void OnFeed(const storage::ChangeFeedResult& result);
@@ -71,6 +72,7 @@
   base::EventLoop& m_loop;
   storage::RowStore& m_store;
   TableFollowerOptions m_options;
+  storage::PartitionReader m_reader;
   std::vector<storage::VersionedRow> m_loading;
   size_t m_next_partition = 0;
   uint64_t m_version = 0;
--- /dev/null
+++ b/services/shallotwick-scheduler/tests/load_test.cc
@@ -0,0 +1,138 @@
+// How an owner reads its pool after a takeover.
+
+#include <CppUTest/TestHarness.h>
+
+#include <memory>
+#include <set>
+
+#include "../job_tables.h"
+#include "../ownership_manager.h"
+#include "../pool_runner.h"
+#include "../session_renewer.h"
+#include "fakes/fake_row_store.h"
+#include "fakes/paused_loop.h"
+#include "fakes/unresponsive_targets.h"
+#include "scheduling/job_record.h"
+
+namespace base = shallotwick::base;
+namespace fakes = shallotwick::fakes;
+namespace scheduler = shallotwick::scheduler;
+namespace scheduling = shallotwick::scheduling;
+namespace storage = shallotwick::storage;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr char kService[] = "quotes";
+// As the adapter gives up an answer of the store.
+constexpr auto kTimeout = milliseconds(900);
+
+// A store that is reached over a slow link: rows of jobs take their time, and a
+// page that takes too long is not received at all.
+class SlowLinkStore : public fakes::FakeRowStore {
+ public:
+  explicit SlowLinkStore(base::EventLoop& loop)
+      : FakeRowStore(loop), m_loop(loop) {}
+
+  void Read(const storage::RowRange& range,
+            std::function<void(storage::RowReadResult)> on_end) override {
+    ++m_reads[range.table];
+    if (m_is_away || (m_fail_nth > 0 && ++m_calls % m_fail_nth == 0)) {
+      storage::RowReadResult failed;
+      failed.error = "status 503";
+      m_loop.Post([failed, on_end = std::move(on_end)] { on_end(failed); });
+      return;
+    }
+    FakeRowStore::Read(range, [this, range, on_end = std::move(on_end)](
+                                  storage::RowReadResult result) {
+      const auto limit = static_cast<size_t>(range.limit);
+      if (result.rows.size() > limit) {
+        result.rows.resize(limit);
+        result.is_truncated = true;
+      }
+      m_rows_sent += result.rows.size();
+      const auto time = m_time_per_row * static_cast<int>(result.rows.size());
+      if (time > kTimeout) {
+        result = {};
+        result.error = "timeout";
+      }
+      m_loop.RunAfter(std::min<base::Duration>(time, kTimeout),
+                      [result, on_end] { on_end(result); });
+    });
+  }
+
+  milliseconds m_time_per_row{0};
+  bool m_is_away = false;
+  // Each n-th read fails; 0 for none.
+  int m_fail_nth = 0;
+  std::map<std::string, int> m_reads;
+  size_t m_rows_sent = 0;
+
+ private:
+  base::EventLoop& m_loop;
+  int m_calls = 0;
+};
+
+}  // namespace
+
+TEST_GROUP(Load) {
+  base::EventLoop m_loop;
+  SlowLinkStore m_store{m_loop};
+  base::MetricRegistry m_metrics;
+  fakes::UnresponsiveTargets m_targets;
+
+  void setup() override { base::RuntimeClock::Pause(); }
+  void teardown() override { base::RuntimeClock::Resume(); }
+
+  void Advance(base::Duration by) {
+    constexpr auto kStep = milliseconds(50);
+    for (auto left = by; left > base::Duration(0); left -= kStep) {
+      fakes::AdvanceTimers(m_loop, kStep);
+    }
+  }
+
+  void PutJobs(int count) {
+    for (int i = 0; i < count; ++i) {
+      scheduling::JobSpec job;
+      job.id = "job" + std::to_string(i);
+      job.route = "quote";
+      job.steps.resize(1);
+      job.steps[0].count = 1;
+      m_store.Put(scheduler::MakeJobKey(kService, job.id),
+                  scheduling::EncodeJobRecord(job));
+    }
+  }
+
+  std::unique_ptr<scheduler::PoolRunner> StartPool() {
+    scheduler::PoolRunnerOptions options;
+    options.service = kService;
+    options.owner_version =
+        m_store.Put(scheduler::MakeOwnerKey(kService), "{}");
+    auto pool = std::make_unique<scheduler::PoolRunner>(
+        m_loop, m_store, m_targets, m_metrics, options);
+    pool->m_on_lost = [] {};
+    pool->Start();
+    return pool;
+  }
+};
+
+TEST(Load, OwnerOnSlowLinkLoadsPoolWhosePageExceedsTheStoreTimeout) {
+  constexpr int kJobs = 1'400;
+  PutJobs(kJobs);
+  m_store.m_time_per_row = milliseconds(2);
+  const auto pool = StartPool();
+  Advance(std::chrono::seconds(6));
+  CHECK_TRUE(pool->IsLoaded());
+  LONGS_EQUAL(kJobs, pool->GetScheduler().GetJobCount());
+}
+
+TEST(Load, FailedPageDoesNotDiscardThePagesBeforeIt) {
+  PutJobs(3'000);
+  m_store.m_fail_nth = 3;
+  const auto pool = StartPool();
+  for (int i = 0; i < 100 && !pool->IsLoaded(); ++i) {
+    Advance(milliseconds(50));
+  }
+  CHECK_TRUE(pool->IsLoaded());
+  LONGS_EQUAL(3'000, m_store.m_rows_sent);
+}
