Bound the share of the time that checks of an idle feed take

Callers saw starts time out and jobs stand still while their owner had little else to do. A feed that delivered nothing for 0.3 s was checked by reading its whole partition, at once again after each check. With 1,400 waiting jobs these are 2 to 3 MB a check, which a link of 10 Mbit/s carries in 2 to 3 s: the owner's link was never free for its orders and their answers.

The next check waits eight times as long as the last one took. On a short feed nothing changes. The test failed before: the checks took the link all the time.

--- a/services/shallotwick-scheduler/table_follower.cc
+++ b/services/shallotwick-scheduler/table_follower.cc
@@ -7,6 +7,14 @@
 #include "base/random_identifier.h"
 
 namespace shallotwick::scheduler {
+namespace {
+
+// Checks of an idle feed read whole partitions. Their share of the time, and so
+// of the host's link and processor, is bounded by one part in this many.
+constexpr int kIdleCheckFactor = 8;
+
+}  // namespace
+
 TableFollower::TableFollower(base::EventLoop& loop, storage::RowStore& store,
                              TableFollowerOptions options)
     : m_loop(loop),
@@ -92,7 +100,9 @@
     if (!m_is_loaded) {
       return;
     }
-    if (base::RuntimeClock::now() >= m_last_update + m_options.idle_timeout) {
+    const auto now = base::RuntimeClock::now();
+    if (now >= m_last_update + m_options.idle_timeout &&
+        now >= m_next_idle_check) {
       ReloadAfterIdle();
     } else {
       ScheduleIdleCheck();
@@ -120,6 +130,8 @@
               m_on_reset(result.rows);
             }
             m_last_update = base::RuntimeClock::now();
+            m_next_idle_check =
+                m_last_update + kIdleCheckFactor * (m_last_update - sent);
             ScheduleIdleCheck();
           }));
 }
--- a/services/shallotwick-scheduler/table_follower.h
+++ b/services/shallotwick-scheduler/table_follower.h
@@ -82,6 +82,8 @@
   bool m_is_loaded = false;
   bool m_is_idle_check_scheduled = false;
   base::TimePoint m_last_update;
+  // No idle check is due before this time.
+  base::TimePoint m_next_idle_check;
   base::TimePoint m_current_as_of;
   base::TimePoint m_load_started;
   base::Lifetime m_lifetime;
--- a/services/shallotwick-scheduler/tests/load_test.cc
+++ b/services/shallotwick-scheduler/tests/load_test.cc
@@ -136,3 +136,18 @@
   CHECK_TRUE(pool->IsLoaded());
   LONGS_EQUAL(3'000, m_store.m_rows_sent);
 }
+
+TEST(Load, ChecksOfIdleFeedTakeSmallShareOfSlowLink) {
+  PutJobs(400);
+  m_store.m_time_per_row = milliseconds(2);
+  const auto pool = StartPool();
+  Advance(std::chrono::seconds(3));
+  CHECK_TRUE(pool->IsLoaded());
+  m_store.m_rows_sent = 0;
+  constexpr int kSeconds = 24;
+  Advance(std::chrono::seconds(kSeconds));
+  const auto busy = m_store.m_time_per_row * m_store.m_rows_sent;
+  CHECK_TRUE(m_store.m_rows_sent > 0);
+  CHECK_TRUE(busy <= std::chrono::seconds(kSeconds) / 6);
+}
+
