Give up a pool that can't be loaded

Callers saw jobs of a whole pool stand still. An owner that renews its session but reads nothing of its pool, such as one whose reads the store turns away, kept the pool for good, and no other host was to run it.

A host that has read no page of a pool for 6 s now releases it, logs 509, and lets all other live hosts claim it first for 30 s. It has sent no order by then, so the next owner meets the state of the one before. If the release is not carried out, the host loads the pool anew. Three tests, all of behaviour that did not exist before.

--- a/libraries/base/log_catalogue.h
+++ b/libraries/base/log_catalogue.h
@@ -128,6 +128,10 @@
     508, "pool-load-slow", Severity::kWarning,
     "A pool that this host owns is not loaded yet; the step, what was read and "
     "the last error are named."};
+inline constexpr LogEvent kPoolGivenUp{
+    509, "pool-given-up", Severity::kWarning,
+    "A pool could not be loaded and is released, so that another host owns "
+    "it."};
 inline constexpr LogEvent kJobAccepted{510, "job-accepted", Severity::kInfo,
                                        "A job is stored and will run."};
 inline constexpr LogEvent kJobRefused{
@@ -207,6 +211,7 @@
                                     kConfigInForce,
                                     kRoutePlaced,
                                     kPoolLoadSlow,
+                                    kPoolGivenUp,
                                     kJobAccepted,
                                     kJobRefused,
                                     kJobOutcomeUnknown,
--- a/services/shallotwick-scheduler/load_monitor.cc
+++ b/services/shallotwick-scheduler/load_monitor.cc
@@ -10,6 +10,8 @@
 
 // A load that takes longer is logged, and again at this interval.
 constexpr auto kSlowLoadTime = std::chrono::milliseconds(2'000);
+// A host whose session lapses loses its pools after a similar time.
+constexpr auto kMaxStallTime = std::chrono::milliseconds(6'000);
 
 std::string GetMilliseconds(base::Duration time) {
   return std::to_string(
@@ -59,4 +61,8 @@
              {"error", m_last_error}});
 }
 
+bool LoadMonitor::IsStalled(base::TimePoint now) const {
+  return now >= m_last_page + kMaxStallTime;
+}
+
 }  // namespace shallotwick::scheduler
--- a/services/shallotwick-scheduler/load_monitor.h
+++ b/services/shallotwick-scheduler/load_monitor.h
@@ -21,6 +21,9 @@
   void OnPage(const storage::RowReadResult& page, base::TimePoint now);
   // Logs a load that takes long, at intervals.
   void Check(base::TimePoint now);
+  // Returns whether no page has been read for so long that another host may do
+  // better.
+  bool IsStalled(base::TimePoint now) const;
 
  private:
   base::MetricRegistry& m_metrics;
--- a/services/shallotwick-scheduler/ownership_manager.cc
+++ b/services/shallotwick-scheduler/ownership_manager.cc
@@ -16,6 +16,9 @@
 // The first-ranked host claims a pool immediately; each further host waits this
 // long for every host ranked before it.
 constexpr auto kRankDelay = std::chrono::milliseconds(1'000);
+// A host that could not load a pool lets all others claim it first for this
+// long.
+constexpr auto kGivenUpTime = std::chrono::seconds(30);
 
 // Run numbers are multiples of the term.
 constexpr platform::WireRange kTermRange{0, platform::kMaxExactInteger / 1'000};
@@ -119,12 +122,8 @@
       m_pools, records, m_session.GetMonitor().GetLiveHosts());
   for (const auto& [pool, hosts] : ranks) {
     const auto since = m_orphaned_since.try_emplace(pool, now).first->second;
-    const auto own = std::find(hosts.begin(), hosts.end(), m_session.GetSelf());
-    if (own == hosts.end()) {
-      continue;
-    }
-    const auto rank = std::distance(hosts.begin(), own);
-    if (now >= since + kRankDelay * rank) {
+    const auto rank = GetRank(pool, hosts);
+    if (rank && now >= since + kRankDelay * *rank) {
       Claim(pool);
     }
   }
@@ -133,6 +132,20 @@
   });
 }
 
+std::optional<ptrdiff_t> OwnershipManager::GetRank(
+    const std::string& pool,
+    const std::vector<ownership::Incarnation>& hosts) const {
+  const auto own = std::find(hosts.begin(), hosts.end(), m_session.GetSelf());
+  if (own == hosts.end()) {
+    return std::nullopt;
+  }
+  const auto given_up = m_given_up_at.find(pool);
+  const bool goes_last =
+      given_up != m_given_up_at.end() &&
+      base::RuntimeClock::now() < given_up->second + kGivenUpTime;
+  return goes_last ? std::ssize(hosts) : std::distance(hosts.begin(), own);
+}
+
 std::optional<ownership::Incarnation> OwnershipManager::FindOwner(
     const std::string& pool) const {
   const auto found = m_owners.find(pool);
@@ -239,6 +252,30 @@
 
 void OwnershipManager::Release(const std::string& pool,
                                std::function<void()> on_done) {
+  WriteRelease(pool, [on_done = std::move(on_done)](
+                         const storage::RowCommitResult&) { on_done(); });
+}
+
+void OwnershipManager::GiveUp(const std::string& pool) {
+  m_given_up_at[pool] = base::RuntimeClock::now();
+  WriteRelease(pool, [this, pool](const storage::RowCommitResult& result) {
+    if (result.status == storage::RowCommitStatus::kCommitted) {
+      return;
+    }
+    for (const storage::VersionedRow& row : result.current) {
+      OnOwnerRow(row);
+    }
+    const Owner& owner = m_owners[pool];
+    if (owner.record.holder == m_session.GetSelf() && m_is_claiming &&
+        m_owned.count(pool) == 0) {
+      RecordGainedPool(pool, owner);
+    }
+  });
+}
+
+void OwnershipManager::WriteRelease(
+    const std::string& pool,
+    std::function<void(const storage::RowCommitResult&)> on_end) {
   m_owned.erase(pool);
   const Owner& owner = m_owners[pool];
   ownership::OwnerRecord record;
@@ -246,10 +283,7 @@
   storage::RowTransaction transaction;
   transaction.expected = {{MakeOwnerKey(pool), owner.version}};
   transaction.writes = {{MakeOwnerKey(pool), EncodeOwner(record)}};
-  m_store.Commit(
-      std::move(transaction),
-      m_lifetime.Guard([on_done = std::move(on_done)](
-                           const storage::RowCommitResult&) { on_done(); }));
+  m_store.Commit(std::move(transaction), m_lifetime.Guard(std::move(on_end)));
 }
 
 }  // namespace shallotwick::scheduler
--- a/services/shallotwick-scheduler/ownership_manager.h
+++ b/services/shallotwick-scheduler/ownership_manager.h
@@ -42,6 +42,9 @@
   void StopClaiming() { m_is_claiming = false; }
   // Releases the ownership of a pool.
   void Release(const std::string& pool, std::function<void()> on_done);
+  // Releases a pool that this host cannot load. Other hosts claim it first. If
+  // the release fails, the host has gained the pool anew.
+  void GiveUp(const std::string& pool);
 
  private:
   struct Owner {
@@ -52,6 +55,13 @@
   void OnReset(const std::vector<storage::VersionedRow>& rows);
   void OnOwnerRow(const storage::VersionedRow& row);
   void ReclaimOwnPools();
+  // Returns how many hosts go before this one to claim a pool, if it may.
+  std::optional<ptrdiff_t> GetRank(
+      const std::string& pool,
+      const std::vector<ownership::Incarnation>& hosts) const;
+  void WriteRelease(
+      const std::string& pool,
+      std::function<void(const storage::RowCommitResult&)> on_end);
   void Claim(const std::string& pool);
   void OnClaimed(const std::string& pool, const ownership::OwnerRecord& record,
                  const storage::RowCommitResult& result);
@@ -64,6 +74,8 @@
   std::map<std::string, Owner> m_owners;
   std::map<std::string, base::TimePoint> m_orphaned_since;
   std::set<std::string> m_owned;
+  // When this host gave up pools that it could not load.
+  std::map<std::string, base::TimePoint> m_given_up_at;
   std::set<std::string> m_pending_claims;
   bool m_is_claiming = true;
   base::Lifetime m_lifetime;
--- a/services/shallotwick-scheduler/pool_runner.cc
+++ b/services/shallotwick-scheduler/pool_runner.cc
@@ -165,7 +165,16 @@
   if (m_is_loaded || m_is_lost) {
     return;
   }
-  m_load.Check(base::RuntimeClock::now());
+  const auto now = base::RuntimeClock::now();
+  m_load.Check(now);
+  if (m_load.IsStalled(now)) {
+    m_is_lost = true;
+    base::Log(base::events::kPoolGivenUp,
+              {{"pool", m_options.service},
+               {"term", std::to_string(m_options.term)}});
+    m_loop.Post(m_lifetime.Guard([this] { m_on_load_failed(); }));
+    return;
+  }
   m_loop.RunAfter(kTickPeriod,
                   m_lifetime.Guard([this] { CheckLoadPeriodically(); }));
 }
--- a/services/shallotwick-scheduler/pool_runner.h
+++ b/services/shallotwick-scheduler/pool_runner.h
@@ -62,6 +62,8 @@
   };
   // Called when another host has become the owner of the pool.
   std::function<void()> m_on_lost;
+  // Called when the pool cannot be loaded. No orders have been sent by then.
+  std::function<void()> m_on_load_failed = [] {};
   // Registered targets at the time of the takeover; later changes arrive
   // through SetTargets, OnTargetChanged and OnTargetRemoved.
   std::map<std::string, scheduling::TargetEntry> m_targets_at_start;
@@ -94,7 +96,7 @@
  private:
   void ReadRoster();
   void OnRosterRead(const storage::RowReadResult& result);
-  // Until the pool is loaded: reports a slow load.
+  // Until the pool is loaded: reports a slow load and gives up a stalled one.
   void CheckLoadPeriodically();
   // Returns whether the registry showed at the takeover that the target has
   // started so recently that the previous owner may not know.
--- a/services/shallotwick-scheduler/scheduler_process.cc
+++ b/services/shallotwick-scheduler/scheduler_process.cc
@@ -588,6 +588,10 @@
   runner->m_get_unix_ms = m_api.m_get_unix_ms;
   runner->m_get_store_ms = m_host_ledger.m_get_store_ms;
   runner->m_on_lost = [this, pool] { RemovePool(pool); };
+  runner->m_on_load_failed = [this, pool] {
+    RemovePool(pool);
+    m_ownership.GiveUp(pool);
+  };
   runner->SetConfig(*m_config);
   runner->m_targets_at_start = m_targets.ListTargets(pool);
   runner->Start();
--- a/services/shallotwick-scheduler/tests/load_test.cc
+++ b/services/shallotwick-scheduler/tests/load_test.cc
@@ -80,6 +80,7 @@
   SlowLinkStore m_store{m_loop};
   base::MetricRegistry m_metrics;
   fakes::UnresponsiveTargets m_targets;
+  int m_load_failures = 0;
 
   void setup() override { base::RuntimeClock::Pause(); }
   void teardown() override { base::RuntimeClock::Resume(); }
@@ -111,6 +112,7 @@
     auto pool = std::make_unique<scheduler::PoolRunner>(
         m_loop, m_store, m_targets, m_metrics, options);
     pool->m_on_lost = [] {};
+    pool->m_on_load_failed = [this] { ++m_load_failures; };
     pool->Start();
     return pool;
   }
@@ -137,6 +139,19 @@
   LONGS_EQUAL(3'000, m_store.m_rows_sent);
 }
 
+TEST(Load, OwnerThatCannotReadItsPoolGivesItUpInsteadOfHoldingItSilently) {
+  m_store.m_is_away = true;
+  const auto pool = StartPool();
+  Advance(std::chrono::seconds(5));
+  LONGS_EQUAL(0, m_load_failures);
+  Advance(std::chrono::seconds(2));
+  LONGS_EQUAL(1, m_load_failures);
+  CHECK_FALSE(pool->IsLoaded());
+  const std::string metrics = m_metrics.FormatExposition();
+  STRCMP_CONTAINS("shallotwick_pool_load_pages_total", metrics.c_str());
+  STRCMP_CONTAINS("roster", metrics.c_str());
+}
+
 TEST(Load, ChecksOfIdleFeedTakeSmallShareOfSlowLink) {
   PutJobs(400);
   m_store.m_time_per_row = milliseconds(2);
@@ -151,3 +166,51 @@
   CHECK_TRUE(busy <= std::chrono::seconds(kSeconds) / 6);
 }
 
+TEST(Load, PoolThatWasGivenUpIsClaimedByAnotherHostFirst) {
+  scheduler::SessionRenewer session(m_loop, m_store, {"edge-1", "b"}, 4);
+  scheduler::SessionRenewer other_session(m_loop, m_store, {"edge-2", "b"}, 1);
+  scheduler::OwnershipManager owners(m_loop, m_store, session);
+  scheduler::OwnershipManager others(m_loop, m_store, other_session);
+  int gained = 0;
+  int gained_by_other = 0;
+  const auto connect = [](scheduler::SessionRenewer& renewer,
+                          scheduler::OwnershipManager& manager, int& count) {
+    renewer.m_on_sessions_read = [&manager] { manager.ClaimOrphanedPools(); };
+    renewer.m_on_replaced = [] {};
+    manager.m_on_gained = [&count](const std::string&, uint64_t, int64_t) {
+      ++count;
+    };
+    manager.m_on_lost = [](const std::string&) {};
+    manager.SetPools({kService});
+    renewer.Start();
+  };
+  connect(session, owners, gained);
+  connect(other_session, others, gained_by_other);
+  Advance(std::chrono::seconds(6));
+  LONGS_EQUAL(1, gained + gained_by_other);
+  auto& holder = gained == 1 ? owners : others;
+  holder.GiveUp(kService);
+  Advance(std::chrono::seconds(6));
+  LONGS_EQUAL(1, gained);
+  LONGS_EQUAL(1, gained_by_other);
+}
+
+TEST(Load, PoolWhoseReleaseIsRefusedIsLoadedAnew) {
+  scheduler::SessionRenewer session(m_loop, m_store, {"edge-1", "b"}, 4);
+  scheduler::OwnershipManager owners(m_loop, m_store, session);
+  int gained = 0;
+  session.m_on_sessions_read = [&owners] { owners.ClaimOrphanedPools(); };
+  session.m_on_replaced = [] {};
+  owners.m_on_gained = [&gained](const std::string&, uint64_t, int64_t) {
+    ++gained;
+  };
+  owners.m_on_lost = [](const std::string&) {};
+  owners.SetPools({kService});
+  session.Start();
+  Advance(std::chrono::seconds(6));
+  LONGS_EQUAL(1, gained);
+  m_store.m_faults = {{storage::RowCommitStatus::kRefused, false}};
+  owners.GiveUp(kService);
+  fakes::ProcessDueEvents(m_loop);
+  LONGS_EQUAL(2, gained);
+}
