Limit the starts of an owner that are in flight

Callers saw jobs stand still for 20 to 30 s after a disturbance had ended, although there was room, and tasks ran twice. An owner with a backlog decided as many starts as its targets had room for, in one pass. Its link carries a few hundred a second (1.2 to 4.8 KB each, 10 Mbit/s), so most timed out after 400 ms; that closed connections, held the tasks back until each target had reported, and starved the reports that renew leases, while the next pass sent as many again.

The window widens by a constant while answers come within 60 ms and halves, at most once for each window of results, once an eighth are missing; late answers shrink it before orders time out (additive increase, multiplicative decrease). A fixed limit can't fit links from 2 to 1,000 Mbit/s. Refused connections don't count, nor do a few silent targets. Starts that don't fit stay in the queue, in its order, instead of waiting for a connection with a lease that runs. At most eight starts are in flight to one target. Both Backlog tests failed before.

--- a/libraries/scheduling/placement.cc
+++ b/libraries/scheduling/placement.cc
@@ -9,7 +9,7 @@
 bool IsAllowed(const PlacementRequest& request, const Candidate& candidate) {
   const StepSpec& step = *request.step;
   const Resources demand = GetReservedResources(step.demand, step.best_effort);
-  if (!demand.Fits(candidate.room) ||
+  if (!demand.Fits(candidate.room) || candidate.starts_left <= 0 ||
       (candidate.is_quarantined && !step.long_running) ||
       request.excluded.count(candidate.id) > 0) {
     return false;
--- a/libraries/scheduling/pool_decisions.cc
+++ b/libraries/scheduling/pool_decisions.cc
@@ -19,6 +19,9 @@
 // target with runs reports as soon as one ends.
 constexpr auto kMaxLapsedReportAge = std::chrono::milliseconds(300);
 constexpr auto kPlacementPeriod = std::chrono::milliseconds(50);
+// More starts would wait for a connection to the target, and their answers for
+// each other. Gangs start as a whole.
+constexpr int kMaxStartsPerTarget = 8;
 // Occurrences start no earlier than this long after their due time on the
 // host's clock.
 constexpr int64_t kClockMarginMs = 20;
@@ -117,8 +120,10 @@
     candidate.room = target.GetFreeCapacity();
     candidate.failure_streak = target.m_failure_streak;
     candidate.is_quarantined = now < target.m_quarantined_until;
+    candidate.starts_left = kMaxStartsPerTarget;
     for (const auto& [name, run] : target.GetRuns()) {
       candidate.latency_bound_runs += run.latency_target_ms > 0 ? 1 : 0;
+      candidate.starts_left -= run.state == RunState::kStarting ? 1 : 0;
     }
     candidates.push_back(std::move(candidate));
   }
@@ -173,6 +178,11 @@
 
 void PoolScheduler::StartWaitingTasks(base::TimePoint now, int64_t wall_ms,
                                       PoolOrders& orders) {
+  m_start_window.OnPass();
+  if (m_start_window.GetRoom() == 0) {
+    m_start_window.OnLimited();
+    return;
+  }
   std::vector<Candidate> candidates = MakeCandidates(now);
   if (candidates.empty() || m_jobs.empty()) {
     return;
@@ -193,7 +203,7 @@
           continue;
         }
         failed.Add(step, candidates);
-        if (failed.IsPoolFull()) {
+        if (failed.IsPoolFull() || m_start_window.GetRoom() == 0) {
           return;
         }
       }
@@ -243,10 +253,23 @@
   if (step.gang && waiting.size() < tasks.size()) {
     return true;
   }
+  // A gang waits for room for all of its starts, or for all orders in flight.
+  const size_t start_room = m_start_window.GetRoom();
+  const bool must_wait =
+      start_room == 0 || (step.gang && start_room < waiting.size() &&
+                          m_start_window.GetInFlight() > 0);
+  if (must_wait) {
+    m_start_window.OnLimited();
+    return false;
+  }
   PlacementRequest request = MakePlacementRequest(job, position);
   const Resources demand = GetReservedResources(step.demand, step.best_effort);
   std::vector<std::pair<int, size_t>> placements;
   for (int i : waiting) {
+    if (!step.gang && placements.size() == start_room) {
+      m_start_window.OnLimited();
+      break;
+    }
     const ActiveTask& task = tasks[static_cast<size_t>(i)];
     const TaskName name{job.GetSpec().id, occurrence, step_index, i};
     request.avoided = {task.avoided_target};
@@ -262,6 +285,7 @@
     }
     Candidate& chosen = candidates[*candidate_index];
     chosen.room = chosen.room - demand;
+    chosen.starts_left -= step.gang ? 0 : 1;
     chosen.latency_bound_runs += step.latency_target_ms > 0 ? 1 : 0;
     ++request.sibling_counts[chosen.id];
     if (step.same_rack && request.preferred_rack.empty()) {
@@ -325,12 +349,16 @@
   order.checkpoint = task.progress.checkpoint;
   order.fence = target.m_fence;
   order.lease_until_ms = GrantLease(target, now);
+  order.decided = now;
+  m_start_window.OnSent();
   return order;
 }
 
 void PoolScheduler::OnStartResult(const StartOrder& order,
                                   const OrderResult& result,
                                   base::TimePoint now) {
+  m_start_window.OnResult(result.outcome, now - order.decided);
+  m_may_start_more = m_may_start_more || m_start_window.HasRoomForNextPass();
   if (result.outcome == OrderOutcome::kFenced) {
     OnFenced(order.target, order.fence);
   }
--- a/libraries/scheduling/pool_scheduler.h
+++ b/libraries/scheduling/pool_scheduler.h
@@ -14,6 +14,7 @@
 #include "scheduling/change_queue.h"
 #include "scheduling/ended_targets.h"
 #include "scheduling/placement.h"
+#include "scheduling/start_window.h"
 #include "scheduling/target_ledger.h"
 #include "scheduling/target_messages.h"
 #include "scheduling/wait_log.h"
@@ -186,6 +187,7 @@
   const std::map<std::string, TargetLedger>& GetTargets() const {
     return m_targets;
   }
+  const StartWindow& GetStartWindow() const { return m_start_window; }
   // Estimates the load that the jobs put on the pool. The caller adds the
   // forecast and the cores per host.
   hosts::PoolLoad EstimateLoad(base::TimePoint now, int64_t wall_ms) const;
@@ -314,6 +316,7 @@
   // The token of targets that are not known yet. At least as high as that of
   // any target that was erased, which may return under its id.
   uint64_t m_first_fence = 0;
+  StartWindow m_start_window;
   RunTimeModel m_run_times;
   base::TimePoint m_last_stall_check;
   // An event has occurred that may allow a task to start.
--- a/libraries/scheduling/target_messages.h
+++ b/libraries/scheduling/target_messages.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "base/runtime_clock.h"
 #include "scheduling/job.h"
 
 namespace shallotwick::scheduling {
@@ -81,6 +82,8 @@
   // On the target's clock; applies to all runs on the target.
   int64_t lease_until_ms = 0;
   uint64_t fence = 0;
+  // When the order was decided, on the owner's clock; not sent.
+  base::TimePoint decided;
 
   auto operator<=>(const StartOrder&) const = default;
 };
