--- a/libraries/http/connection_pool.cc
+++ b/libraries/http/connection_pool.cc
@@ -82,11 +82,32 @@
       std::min({options.connect_timeout, options.first_byte_timeout,
                 options.total_timeout});
   SetDeadline(id, exchange, exchange.started + connection_limit);
-  if (!server->waiting.empty() || !AssignConnection(*server, id, exchange)) {
+  if (server->waiting.empty() && AssignConnection(*server, id, exchange)) {
+    return;
+  }
+  if (options.is_urgent) {
+    server->waiting.push_front(id);
+  } else {
     server->waiting.push_back(id);
   }
 }
 
+size_t ConnectionPool::CountOpenConnections() const {
+  size_t count = 0;
+  for (const auto& [name, server] : m_servers) {
+    count += static_cast<size_t>(server.open_connections);
+  }
+  return count;
+}
+
+size_t ConnectionPool::CountWaitingRequests() const {
+  size_t count = 0;
+  for (const auto& [name, server] : m_servers) {
+    count += server.waiting.size();
+  }
+  return count;
+}
+
 // Returns the server of that address, adding it if necessary, or nullptr if
 // `name` is not an IP address and port.
 ConnectionPool::Server* ConnectionPool::FindServer(const std::string& name) {
--- a/libraries/http/connection_pool.h
+++ b/libraries/http/connection_pool.h
@@ -33,6 +33,11 @@
   void Send(const std::string& url, Request request,
             const TransferOptions& options, OnTransferEnd on_done) override;
 
+  // Open connections to all servers, those being established included.
+  size_t CountOpenConnections() const;
+  // Requests that wait for a connection.
+  size_t CountWaitingRequests() const;
+
  private:
   using Clock = std::chrono::steady_clock;
   using Deadlines = std::multimap<Clock::time_point, uint64_t>;
@@ -53,7 +58,7 @@
     asio::ip::tcp::endpoint endpoint;
     int open_connections = 0;
     std::vector<std::shared_ptr<ClientConnection>> idle;
-    // IDs of the exchanges that wait for a connection, in order of arrival.
+    // IDs of the exchanges that wait for a connection, urgent ones first.
     std::deque<uint64_t> waiting;
   };
 
--- a/libraries/http/tests/transfer_test.cc
+++ b/libraries/http/tests/transfer_test.cc
@@ -1,6 +1,7 @@
 #include <CppUTest/TestHarness.h>
 
 #include <asio.hpp>
+#include <atomic>
 #include <future>
 #include <memory>
 #include <thread>
@@ -361,6 +362,30 @@
   }
 }
 
+TEST(Transfer, UrgentRequestIsSentBeforeOthersThatWaitForConnection) {
+  fakes::ScriptedServer server(
+      [](int, int, const std::string&) -> fakes::ScriptedResponse {
+        std::this_thread::sleep_for(milliseconds(20));
+        return {fakes::MakeAnswer("")};
+      });
+  PoolWithThread sender(1);
+  std::promise<void> done;
+  std::atomic<int> left{4};
+  for (const char* path : {"/1", "/2", "/3", "/urgent"}) {
+    http::TransferOptions options;
+    options.is_urgent = std::string(path) == "/urgent";
+    sender.Send(server.GetUrl(path), {"GET", path, {}, ""}, options,
+                [&done, &left](const http::TransferResult&) {
+                  if (--left == 0) {
+                    done.set_value();
+                  }
+                });
+  }
+  done.get_future().wait();
+  STRCMP_CONTAINS("GET /1 ", server.GetRequests()[0].c_str());
+  STRCMP_CONTAINS("GET /urgent ", server.GetRequests()[1].c_str());
+}
+
 // Returns the outcome of a response in ten parts that is due, as a whole, long
 // after the time-out for its first byte.
 TransferOutcome GetOutcomeOfSlowResponse(milliseconds pause) {
--- a/libraries/http/transfer.h
+++ b/libraries/http/transfer.h
@@ -67,6 +67,9 @@
   // connection: an idle connection may be dead, which is detected only after
   // the request has been written.
   bool send_once = false;
+  // Sent before other requests that wait for a connection to the server. Only
+  // ConnectionPool applies it.
+  bool is_urgent = false;
   // Connections older than this are not reused. Zero means that only a new
   // connection is used; a negative value means no limit.
   std::chrono::seconds oldest_connection{-1};
