Show when an owner limits its starts, and what its orders wait for

Event 534 says when late or missing answers begin and cease to shrink the window of starts. Gauges count orders in flight, open connections to targets and orders without a connection; a summary has the time to an answer by order and outcome.

--- a/libraries/base/log_catalogue.h
+++ b/libraries/base/log_catalogue.h
@@ -166,6 +166,10 @@
 inline constexpr LogEvent kPoolCapacity{
     532, "pool-capacity", Severity::kInfo,
     "A pool wants or has another number of hosts."};
+inline constexpr LogEvent kStartsLimited{
+    534, "starts-limited", Severity::kWarning,
+    "Late or missing answers made the owner of a pool send fewer starts at a "
+    "time, or no longer do so."};
 inline constexpr LogEvent kProgressBacklog{
     533, "progress-backlog", Severity::kWarning,
     "More progress waits for the store than it takes at a time."};
@@ -224,6 +228,7 @@
                                     kRegistryEntryRefused,
                                     kHostOperation,
                                     kPoolCapacity,
+                                    kStartsLimited,
                                     kProgressBacklog,
                                     kWaveProgress};
 
--- a/services/shallotwick-scheduler/pool_runner.cc
+++ b/services/shallotwick-scheduler/pool_runner.cc
@@ -455,6 +455,7 @@
 
 void PoolRunner::RunPeriodically() {
   RunSchedulingPass();
+  LogStartLimit();
   if (!m_is_lost && m_is_session_valid()) {
     RemoveExpiredProgress();
     ReportQueues();
@@ -525,10 +526,16 @@
     const char* order,
     std::function<void(const scheduling::OrderResult&)> on_result) {
   ++m_orders_in_flight;
-  return m_lifetime.Guard([this, order, on_result = std::move(on_result)](
+  return m_lifetime.Guard([this, order, sent = base::RuntimeClock::now(),
+                           on_result = std::move(on_result)](
                               const scheduling::OrderResult& result) {
     --m_orders_in_flight;
     CountOutcome(order, result.outcome);
+    m_metrics
+        .GetSummary("shallotwick_order_seconds",
+                    {{"order", order}, {"outcome", NameOf(result.outcome)}})
+        .Record(std::chrono::duration<double>(base::RuntimeClock::now() - sent)
+                    .count());
     on_result(result);
     Wake();
   });
@@ -611,6 +618,19 @@
       .Increment();
 }
 
+void PoolRunner::LogStartLimit() {
+  const scheduling::StartWindow& window = m_scheduler.GetStartWindow();
+  if (window.IsReduced() == m_are_starts_limited) {
+    return;
+  }
+  m_are_starts_limited = window.IsReduced();
+  base::Log(base::events::kStartsLimited,
+            {{"pool", m_options.service},
+             {"limited", m_are_starts_limited ? "true" : "false"},
+             {"window", std::to_string(window.GetSize())},
+             {"in_flight", std::to_string(window.GetInFlight())}});
+}
+
 void PoolRunner::LogWrongTargetEnd(const scheduling::WrongTargetEnd& wrong) {
   base::Log(
       base::events::kTargetAlive,
--- a/services/shallotwick-scheduler/pool_runner.h
+++ b/services/shallotwick-scheduler/pool_runner.h
@@ -84,6 +84,7 @@
   scheduling::PoolScheduler& GetScheduler() { return m_scheduler; }
   const scheduling::PoolScheduler& GetScheduler() const { return m_scheduler; }
   bool IsLoaded() const { return m_is_loaded; }
+  int GetOrdersInFlight() const { return m_orders_in_flight; }
   // Returns the state of a job, if this owner is certain of it. A job has ended
   // once that is stored.
   std::optional<scheduling::JobState> FindState(const std::string& job) const;
@@ -144,6 +145,8 @@
   bool IsStillOwner(const storage::RowCommitResult& result) const;
   void AbandonPool(const char* reason);
   void CountOutcome(const char* order, scheduling::OrderOutcome outcome);
+  // Logs when the owner begins and ends to limit its starts.
+  void LogStartLimit();
   void LogDecision(const scheduling::SchedulingDecision& note) const;
   void LogWrongTargetEnd(const scheduling::WrongTargetEnd& wrong);
 
@@ -200,6 +203,7 @@
   base::TimePoint m_commit_not_before;
   base::TimePoint m_backlog_logged_at;
   int m_orders_in_flight = 0;
+  bool m_are_starts_limited = false;
   std::function<void()> m_on_quiesced;
   base::Lifetime m_lifetime;
 };
--- a/services/shallotwick-scheduler/scheduler_process.cc
+++ b/services/shallotwick-scheduler/scheduler_process.cc
@@ -220,6 +220,7 @@
   m_operator_table.m_on_change = [this](const storage::VersionedRow& row) {
     OnOperatorRow(row);
   };
+  RegisterGauges();
   FollowRegistry();
   m_api.m_get_config = [this] { return m_config ? &*m_config : nullptr; };
   m_store.m_on_return = [this] { m_session.RenewNow(); };
@@ -266,6 +267,22 @@
   m_readiness_endpoint.port = m_readiness_server->GetPort();
 }
 
+void SchedulerProcess::RegisterGauges() {
+  m_metrics.SetGauge("shallotwick_orders_in_flight", [this] {
+    double orders = 0;
+    for (const auto& [pool, runner] : m_pools) {
+      orders += runner->GetOrdersInFlight();
+    }
+    return orders;
+  });
+  m_metrics.SetGauge("shallotwick_target_connections", [this] {
+    return static_cast<double>(m_target_client.CountOpenConnections());
+  });
+  m_metrics.SetGauge("shallotwick_orders_without_connection", [this] {
+    return static_cast<double>(m_target_client.CountWaitingRequests());
+  });
+}
+
 // Joins what hosts do for each other: the owner of a pool tells states of its
 // jobs and stores jobs for callers of other hosts.
 void SchedulerProcess::ConnectToPeers(const base::Settings& settings) {
--- a/services/shallotwick-scheduler/scheduler_process.h
+++ b/services/shallotwick-scheduler/scheduler_process.h
@@ -48,6 +48,7 @@
 
  private:
   void ConnectToPeers(const base::Settings& settings);
+  void RegisterGauges();
   // Lets this host reach the store through its peers, and peers through it.
   void ConnectStoreRelays(const base::Settings& settings);
   // Returns the addresses of the other hosts that were live when the sessions
