Hand a pool over that overloads its owner, if a stronger host is there

Callers saw jobs stand still in a pool that had twice the hosts it used: its owner, on a link of 10 Mbit/s since the strong hosts had been turned away, could start no more than its link carries, and kept the pool after they were back.

An owner whose every placement pass has held starts back for 3 s sends no more orders, stores what it knows and releases the pool, if the first host to claim it would have at least twice the processor time. If that takes over 1.5 s, it goes on.

Class: the owner of a pool was chosen once, by who was there at that moment.

--- a/libraries/base/log_catalogue.h
+++ b/libraries/base/log_catalogue.h
@@ -132,6 +132,9 @@
     509, "pool-given-up", Severity::kWarning,
     "A pool could not be loaded and is released, so that another host owns "
     "it."};
+inline constexpr LogEvent kPoolHandedOver{
+    516, "pool-handed-over", Severity::kInfo,
+    "A pool overloads this host; it is released for a stronger one."};
 inline constexpr LogEvent kJobAccepted{510, "job-accepted", Severity::kInfo,
                                        "A job is stored and will run."};
 inline constexpr LogEvent kJobRefused{
@@ -216,6 +219,7 @@
                                     kRoutePlaced,
                                     kPoolLoadSlow,
                                     kPoolGivenUp,
+                                    kPoolHandedOver,
                                     kJobAccepted,
                                     kJobRefused,
                                     kJobOutcomeUnknown,
--- a/libraries/scheduling/pool_decisions.cc
+++ b/libraries/scheduling/pool_decisions.cc
@@ -178,7 +178,7 @@
 
 void PoolScheduler::StartWaitingTasks(base::TimePoint now, int64_t wall_ms,
                                       PoolOrders& orders) {
-  m_start_window.OnPass();
+  m_start_window.OnPass(now);
   if (m_start_window.GetRoom() == 0) {
     m_start_window.OnLimited();
     return;
--- a/libraries/scheduling/start_window.cc
+++ b/libraries/scheduling/start_window.cc
@@ -29,6 +29,17 @@
   return m_holds_back && GetRoom() * 4 >= m_size;
 }
 
+base::Duration StartWindow::GetLimitedTime(base::TimePoint now) const {
+  return m_holds_back ? now - m_limited_since : base::Duration(0);
+}
+
+void StartWindow::OnPass(base::TimePoint now) {
+  if (!m_holds_back) {
+    m_limited_since = now;
+  }
+  m_holds_back = false;
+}
+
 void StartWindow::OnSent() { ++m_in_flight; }
 
 void StartWindow::OnLimited() {
--- a/libraries/scheduling/start_window.h
+++ b/libraries/scheduling/start_window.h
@@ -23,8 +23,11 @@
   // Returns whether late or missing answers have shrunk the window.
   bool IsReduced() const { return m_is_reduced; }
 
+  // Returns for how long every pass has held starts back.
+  base::Duration GetLimitedTime(base::TimePoint now) const;
+
   // A placement pass begins.
-  void OnPass() { m_holds_back = false; }
+  void OnPass(base::TimePoint now);
   void OnSent();
   // A start was held back.
   void OnLimited();
@@ -38,6 +41,8 @@
   size_t m_in_flight = 0;
   bool m_is_reduced = false;
   bool m_holds_back = false;
+  // When the first of the passes began that have all held starts back.
+  base::TimePoint m_limited_since;
   // Of the results since the last adaptation.
   size_t m_results = 0;
   size_t m_missing = 0;
--- a/libraries/scheduling/tests/start_window_test.cc
+++ b/libraries/scheduling/tests/start_window_test.cc
@@ -13,7 +13,7 @@
 void PassWindow(StartWindow& window, OrderOutcome outcome,
                 base::Duration answer_time) {
   const size_t count = window.GetRoom();
-  window.OnPass();
+  window.OnPass(base::TimePoint());
   for (size_t i = 0; i < count; ++i) {
     window.OnSent();
   }
@@ -73,7 +73,7 @@
 }
 
 TEST(StartWindow, HeldBackStartsGetAnotherPassOnceThereIsRoom) {
-  m_window.OnPass();
+  m_window.OnPass(base::TimePoint());
   while (m_window.GetRoom() > 0) {
     m_window.OnSent();
   }
@@ -83,6 +83,20 @@
     m_window.OnResult(OrderOutcome::kAccepted, milliseconds(10));
   }
   CHECK_TRUE(m_window.HasRoomForNextPass());
-  m_window.OnPass();
+  m_window.OnPass(base::TimePoint());
   CHECK_FALSE(m_window.HasRoomForNextPass());
 }
+
+TEST(StartWindow, LimitedTimeEndsWithFirstPassThatHoldsNothingBack) {
+  const auto at = [](int ms) { return base::TimePoint(milliseconds(ms)); };
+  for (int ms = 0; ms <= 1'000; ms += 50) {
+    m_window.OnPass(at(ms));
+    m_window.OnLimited();
+  }
+  CHECK_TRUE(m_window.GetLimitedTime(at(1'000)) == milliseconds(1'000));
+  m_window.OnPass(at(1'050));
+  CHECK_TRUE(m_window.GetLimitedTime(at(1'050)) == base::Duration(0));
+  m_window.OnPass(at(1'100));
+  m_window.OnLimited();
+  CHECK_TRUE(m_window.GetLimitedTime(at(1'150)) == milliseconds(50));
+}
--- a/services/shallotwick-scheduler/ownership_manager.cc
+++ b/services/shallotwick-scheduler/ownership_manager.cc
@@ -16,7 +16,9 @@
 // The first-ranked host claims a pool immediately; each further host waits this
 // long for every host ranked before it.
 constexpr auto kRankDelay = std::chrono::milliseconds(1'000);
-// A host that could not load a pool lets all others claim it first for this
+// A change of owner costs seconds, and must be worth that.
+constexpr double kMinStrengthFactor = 2;
+// A host that has given a pool up lets all others claim it first for this
 // long.
 constexpr auto kGivenUpTime = std::chrono::seconds(30);
 
@@ -256,7 +258,30 @@
                          const storage::RowCommitResult&) { on_done(); });
 }
 
+bool OwnershipManager::HasStrongerCandidate(const std::string& pool) const {
+  const auto live = m_session.GetMonitor().GetLiveHosts();
+  const auto self = live.find(m_session.GetSelf());
+  if (self == live.end()) {
+    return false;
+  }
+  std::map<std::string, ownership::OwnerRecord> records;
+  for (const auto& [name, owner] : m_owners) {
+    if (name != pool) {
+      records[name] = owner.record;
+    }
+  }
+  auto others = live;
+  others.erase(m_session.GetSelf());
+  const auto ranks = ownership::RankCandidates(m_pools, records, others);
+  const auto hosts = ranks.find(pool);
+  return hosts != ranks.end() && !hosts->second.empty() &&
+         live.at(hosts->second.front()) >= kMinStrengthFactor * self->second;
+}
+
 void OwnershipManager::GiveUp(const std::string& pool) {
+  if (m_owned.count(pool) == 0) {
+    return;
+  }
   m_given_up_at[pool] = base::RuntimeClock::now();
   WriteRelease(pool, [this, pool](const storage::RowCommitResult& result) {
     if (result.status == storage::RowCommitStatus::kCommitted) {
--- a/services/shallotwick-scheduler/ownership_manager.h
+++ b/services/shallotwick-scheduler/ownership_manager.h
@@ -42,8 +42,12 @@
   void StopClaiming() { m_is_claiming = false; }
   // Releases the ownership of a pool.
   void Release(const std::string& pool, std::function<void()> on_done);
-  // Releases a pool that this host cannot load. Other hosts claim it first. If
-  // the release fails, the host has gained the pool anew.
+  // Returns whether a host with far more processor time than this one would be
+  // the first to claim the pool if this host released it.
+  bool HasStrongerCandidate(const std::string& pool) const;
+  // Releases a pool that this host owns and cannot load or run well. Other
+  // hosts claim it first. If the release fails, the host has gained the pool
+  // anew.
   void GiveUp(const std::string& pool);
 
  private:
@@ -74,7 +78,7 @@
   std::map<std::string, Owner> m_owners;
   std::map<std::string, base::TimePoint> m_orphaned_since;
   std::set<std::string> m_owned;
-  // When this host gave up pools that it could not load.
+  // When this host gave up pools.
   std::map<std::string, base::TimePoint> m_given_up_at;
   std::set<std::string> m_pending_claims;
   bool m_is_claiming = true;
--- a/services/shallotwick-scheduler/pool_runner.cc
+++ b/services/shallotwick-scheduler/pool_runner.cc
@@ -25,6 +25,9 @@
 constexpr auto kReadRetryDelay = std::chrono::milliseconds(200);
 // A started target appears in the platform's host list within this time.
 constexpr auto kMaxListingDelay = std::chrono::milliseconds(3'000);
+// Longer than the bursts of a recovery, and short against a change of owner
+// that is worth its cost.
+constexpr auto kOverloadTime = std::chrono::milliseconds(3'000);
 constexpr size_t kMaxAddressBytes = 200;
 // Run numbers reserved per term; the next term starts above them.
 constexpr int64_t kRunsPerTerm = 1'000;
@@ -589,6 +592,12 @@
              : state;
 }
 
+bool PoolRunner::IsOverloaded() const {
+  return m_is_loaded && !m_is_lost &&
+         m_scheduler.GetStartWindow().GetLimitedTime(
+             base::RuntimeClock::now()) >= kOverloadTime;
+}
+
 void PoolRunner::Quiesce(std::function<void()> on_quiesced) {
   m_on_quiesced = std::move(on_quiesced);
   if (!m_is_loaded) {
--- a/services/shallotwick-scheduler/pool_runner.h
+++ b/services/shallotwick-scheduler/pool_runner.h
@@ -80,6 +80,11 @@
   // Stops sending orders. Calls back once all orders in flight have been
   // answered and all progress is stored.
   void Quiesce(std::function<void()> on_quiesced);
+  // Sends orders again; the callback is not called any more.
+  void Resume() { m_on_quiesced = nullptr; }
+  // Returns whether the owner has held starts back for so long that its link or
+  // processor is too weak for the pool.
+  bool IsOverloaded() const;
 
   scheduling::PoolScheduler& GetScheduler() { return m_scheduler; }
   const scheduling::PoolScheduler& GetScheduler() const { return m_scheduler; }
--- a/services/shallotwick-scheduler/scheduler_process.cc
+++ b/services/shallotwick-scheduler/scheduler_process.cc
@@ -42,6 +42,8 @@
 // Job states are retained longer than required, since clocks may be off and
 // requests may be delayed.
 constexpr auto kRetentionMargin = std::chrono::seconds(60);
+// An order is answered or given up by then, and a commit carried out.
+constexpr auto kMaxHandoverTime = std::chrono::milliseconds(1'500);
 constexpr auto kStopCheckPeriod = std::chrono::milliseconds(50);
 // Reserved from the platform's stop grace period, so that the process exits
 // before it is killed.
@@ -551,6 +553,7 @@
     EndUnlistedTargets();
     m_waves.ProcessWaves(now);
     m_capacity.RebalanceHosts(now);
+    HandOverPools();
   }
 }
 
@@ -605,10 +608,7 @@
   runner->m_get_unix_ms = m_api.m_get_unix_ms;
   runner->m_get_store_ms = m_host_ledger.m_get_store_ms;
   runner->m_on_lost = [this, pool] { RemovePool(pool); };
-  runner->m_on_load_failed = [this, pool] {
-    RemovePool(pool);
-    m_ownership.GiveUp(pool);
-  };
+  runner->m_on_load_failed = [this, pool] { GiveUpPool(pool); };
   runner->SetConfig(*m_config);
   runner->m_targets_at_start = m_targets.ListTargets(pool);
   runner->Start();
@@ -619,8 +619,59 @@
   m_pools[pool] = std::move(runner);
 }
 
+void SchedulerProcess::GiveUpPool(const std::string& pool) {
+  RemovePool(pool);
+  m_ownership.GiveUp(pool);
+}
+
+void SchedulerProcess::HandOverPools() {
+  if (!IsStoreReachable() || m_store.GetHealth().IsSlow() ||
+      m_pool_being_handed_over) {
+    return;
+  }
+  for (const auto& [pool, runner] : m_pools) {
+    if (runner->IsOverloaded() && m_ownership.HasStrongerCandidate(pool)) {
+      HandOverPool(pool, *runner);
+      return;
+    }
+  }
+}
+
+void SchedulerProcess::HandOverPool(const std::string& pool,
+                                    PoolRunner& runner) {
+  base::Log(base::events::kPoolHandedOver, {{"pool", pool}});
+  m_pool_being_handed_over = pool;
+  runner.Quiesce([this, pool] {
+    m_loop.Post([this, pool] {
+      if (m_pool_being_handed_over != pool) {
+        return;
+      }
+      m_pool_being_handed_over.reset();
+      if (m_is_stopping) {
+        m_ownership.Release(pool, [this] { OnPoolReleased(); });
+      } else {
+        GiveUpPool(pool);
+      }
+    });
+  });
+  // Without orders, leases end.
+  m_loop.RunAfter(kMaxHandoverTime, [this, pool] {
+    if (m_pool_being_handed_over != pool || m_is_stopping) {
+      return;
+    }
+    m_pool_being_handed_over.reset();
+    const auto found = m_pools.find(pool);
+    if (found != m_pools.end()) {
+      found->second->Resume();
+    }
+  });
+}
+
 // Only hosts that own pools need the registry and the host list.
 void SchedulerProcess::RemovePool(const std::string& pool) {
+  if (m_pool_being_handed_over == pool) {
+    m_pool_being_handed_over.reset();
+  }
   m_pools.erase(pool);
   m_waves.ForgetPool(pool);
   if (m_pools.empty()) {
--- a/services/shallotwick-scheduler/scheduler_process.h
+++ b/services/shallotwick-scheduler/scheduler_process.h
@@ -49,6 +49,11 @@
  private:
   void ConnectToPeers(const base::Settings& settings);
   void RegisterGauges();
+  // Hands pools over that overload this host, if a stronger one would claim
+  // them.
+  void HandOverPools();
+  void HandOverPool(const std::string& pool, PoolRunner& runner);
+  void GiveUpPool(const std::string& pool);
   // Lets this host reach the store through its peers, and peers through it.
   void ConnectStoreRelays(const base::Settings& settings);
   // Returns the addresses of the other hosts that were live when the sessions
@@ -123,6 +128,7 @@
   std::optional<scheduling::ServingConfig> m_config;
   std::map<std::string, std::unique_ptr<PoolRunner>> m_pools;
   size_t m_pools_to_release = 0;
+  std::optional<std::string> m_pool_being_handed_over;
   // Request time of the host list that was last used to end unresponsive
   // targets.
   base::TimePoint m_applied_list_time;
--- a/services/shallotwick-scheduler/tests/backlog_test.cc
+++ b/services/shallotwick-scheduler/tests/backlog_test.cc
@@ -251,3 +251,31 @@
   Advance(std::chrono::seconds(3));
   CHECK_TRUE(CountStarts(std::chrono::seconds(3)) >= kSteadyStarts);
 }
+
+TEST(Backlog, OwnerWhoseLinkIsTooNarrowForItsPoolSaysSo) {
+  const auto pool = StartPoolWithBacklog(4'000);
+  Advance(std::chrono::seconds(2));
+  CHECK_FALSE(pool->IsOverloaded());
+  Advance(std::chrono::seconds(4));
+  CHECK_TRUE(pool->IsOverloaded());
+}
+
+TEST(Backlog, OwnerWithWideLinkIsNotOverloaded) {
+  m_targets.m_start_time = microseconds(10);
+  m_targets.m_other_time = microseconds(10);
+  const auto pool = StartPoolWithBacklog(4'000);
+  for (int i = 0; i < 60; ++i) {
+    Advance(milliseconds(100));
+    CHECK_FALSE(pool->IsOverloaded());
+  }
+}
+
+TEST(Backlog, OwnerThatCannotHandItsPoolOverSendsOrdersAgain) {
+  const auto pool = StartPoolWithBacklog(1'500);
+  Advance(std::chrono::seconds(3));
+  bool is_quiesced = false;
+  pool->Quiesce([&is_quiesced] { is_quiesced = true; });
+  pool->Resume();
+  CHECK_TRUE(CountStarts(std::chrono::seconds(3)) >= kSteadyStarts);
+  CHECK_FALSE(is_quiesced);
+}
--- a/services/shallotwick-scheduler/tests/load_test.cc
+++ b/services/shallotwick-scheduler/tests/load_test.cc
@@ -214,3 +214,45 @@
   fakes::ProcessDueEvents(m_loop);
   LONGS_EQUAL(2, gained);
 }
+
+TEST(Load, OnlyFarStrongerHostIsCandidateForOverloadedPool) {
+  scheduler::SessionRenewer session(m_loop, m_store, {"edge-1", "b"}, 1);
+  scheduler::OwnershipManager owners(m_loop, m_store, session);
+  session.m_on_sessions_read = [&owners] { owners.ClaimOrphanedPools(); };
+  session.m_on_replaced = [] {};
+  owners.m_on_gained = [](const std::string&, uint64_t, int64_t) {};
+  owners.m_on_lost = [](const std::string&) {};
+  owners.SetPools({kService});
+  session.Start();
+  const auto join = [this](const char* host, double cores) {
+    auto renewer = std::make_unique<scheduler::SessionRenewer>(
+        m_loop, m_store, shallotwick::ownership::Incarnation{host, "b"}, cores);
+    renewer->m_on_sessions_read = [] {};
+    renewer->m_on_replaced = [] {};
+    renewer->Start();
+    Advance(std::chrono::seconds(5));
+    return renewer;
+  };
+  const auto alike = join("edge-2", 1.5);
+  CHECK_FALSE(owners.HasStrongerCandidate(kService));
+  const auto stronger = join("edge-3", 4);
+  CHECK_TRUE(owners.HasStrongerCandidate(kService));
+}
+
+TEST(Load, PoolOfAnotherOwnerIsNotGivenUp) {
+  const uint64_t version =
+      m_store.Put(scheduler::MakeOwnerKey(kService),
+                  R"({"host":"edge-2","boot":"b","term":1})");
+  scheduler::SessionRenewer session(m_loop, m_store, {"edge-1", "b"}, 1);
+  scheduler::OwnershipManager owners(m_loop, m_store, session);
+  session.m_on_sessions_read = [] {};
+  session.m_on_replaced = [] {};
+  owners.m_on_gained = [](const std::string&, uint64_t, int64_t) {};
+  owners.m_on_lost = [](const std::string&) {};
+  owners.SetPools({kService});
+  session.Start();
+  Advance(std::chrono::seconds(1));
+  owners.GiveUp(kService);
+  Advance(std::chrono::seconds(1));
+  LONGS_EQUAL(version, m_store.Get(scheduler::MakeOwnerKey(kService)).version);
+}
