Enlarge pages only while that pays off; take only failed pages for a stall

A page that took over 300 ms was halved, so a store that is slow whatever the size of a page was read in ever smaller ones: 1,400 jobs took 25 s and 60 reads at 400 ms a read. A page refused at once doubled the next. A page of 7 s on a link of 2 Mbit/s was given up as a stall at the next owner and the next.

A reader begins with 64 rows and doubles them while that brings more rows a second; only a page that failed late is halved. A pool is given up after 6 s without a page in which at least three pages failed. A check of an idle feed that fails is repeated at once, so that a job is found within 3 s.

--- a/libraries/storage/partition_reader.cc
+++ b/libraries/storage/partition_reader.cc
@@ -13,11 +13,16 @@
 // Average delay before a failed page is read again; the actual delay varies by
 // 50 % in either direction.
 constexpr auto kRetryDelay = std::chrono::milliseconds(200);
-// A fraction of the time after which a store's answer is given up.
+// A page that fails later may have been too large for the link.
 constexpr auto kMaxPageTime = std::chrono::milliseconds(300);
+// A larger page pays off if it brings more rows in the same time; on a narrow
+// link it does not.
+constexpr double kMinGain = 1.3;
+constexpr double kMinMeasuredSeconds = 0.001;
+constexpr int kFirstPageRows = 64;
 constexpr int kMaxPageRows = 500;
 // A row has at most 64 KB.
-constexpr int kMinPageRows = 8;
+constexpr int kMinPageRows = 16;
 
 }  // namespace
 
@@ -30,7 +35,8 @@
   m_next = {};
   m_next.table = table;
   m_next.part = part;
-  m_next.limit = kMaxPageRows;
+  m_next.limit = kFirstPageRows;
+  m_rows_per_second = 0;
   m_result = {};
   m_on_end = std::move(on_end);
   ReadPage();
@@ -58,7 +64,7 @@
   if (generation != m_generation) {
     return;
   }
-  AdaptPageSize(base::RuntimeClock::now() - sent);
+  AdaptPageSize(page, base::RuntimeClock::now() - sent);
   if (!page.is_read) {
     constexpr double kHalfEitherWay = 1.0;
     m_loop.RunAfter(base::JitterPeriod(kRetryDelay, base::MakeRandomFraction(),
@@ -84,12 +90,23 @@
   std::exchange(m_on_end, nullptr)(std::exchange(m_result, {}));
 }
 
-// A page that fails at once says nothing about the link.
-void PartitionReader::AdaptPageSize(base::Duration page_time) {
-  const int limit = page_time > kMaxPageTime       ? m_next.limit / 2
-                    : page_time < kMaxPageTime / 4 ? m_next.limit * 2
-                                                   : m_next.limit;
-  m_next.limit = std::clamp(limit, kMinPageRows, kMaxPageRows);
+void PartitionReader::AdaptPageSize(const RowReadResult& page,
+                                    base::Duration page_time) {
+  if (!page.is_read) {
+    // A page that is refused at once says nothing about the link.
+    if (page_time > kMaxPageTime) {
+      m_next.limit = std::max(m_next.limit / 2, kMinPageRows);
+    }
+    return;
+  }
+  const double seconds = std::chrono::duration<double>(page_time).count();
+  const double rate = static_cast<double>(page.rows.size()) /
+                      std::max(seconds, kMinMeasuredSeconds);
+  const bool pays_off = rate > kMinGain * m_rows_per_second;
+  if (page_time < kMaxPageTime / 4 || pays_off) {
+    m_next.limit = std::min(m_next.limit * 2, kMaxPageRows);
+  }
+  m_rows_per_second = rate;
 }
 
 }  // namespace shallotwick::storage
--- a/libraries/storage/partition_reader.h
+++ b/libraries/storage/partition_reader.h
@@ -9,7 +9,7 @@
 namespace shallotwick::storage {
 
 // Reads an entire partition page by page and repeats failed pages until all
-// have been read. Pages become smaller on a slow link.
+// have been read. Pages grow as far as the link bears.
 class PartitionReader {
  public:
   PartitionReader(base::EventLoop& loop, RowStore& store);
@@ -30,12 +30,14 @@
  private:
   void ReadPage();
   void OnPage(base::TimePoint sent, RowReadResult page);
-  void AdaptPageSize(base::Duration page_time);
+  void AdaptPageSize(const RowReadResult& page, base::Duration page_time);
 
   base::EventLoop& m_loop;
   RowStore& m_store;
   RowRange m_next;
   RowReadResult m_result;
+  // Of the last page.
+  double m_rows_per_second = 0;
   std::function<void(RowReadResult)> m_on_end;
   // Incremented by each read and stop; answers to earlier calls are dropped.
   int m_generation = 0;
--- a/services/shallotwick-scheduler/load_monitor.cc
+++ b/services/shallotwick-scheduler/load_monitor.cc
@@ -10,8 +10,10 @@
 
 // A load that takes longer is logged, and again at this interval.
 constexpr auto kSlowLoadTime = std::chrono::milliseconds(2'000);
-// A host whose session lapses loses its pools after a similar time.
+// An outage of the store that lasts longer is not expected to end soon.
 constexpr auto kMaxStallTime = std::chrono::milliseconds(6'000);
+// A single page may take longer than that on a narrow link.
+constexpr int kMinFailuresOfStall = 3;
 
 std::string GetMilliseconds(base::Duration time) {
   return std::to_string(
@@ -37,10 +39,12 @@
   m_metrics.GetCounter("shallotwick_pool_load_pages_total", labels).Increment();
   if (!page.is_read) {
     ++m_failures;
+    ++m_failures_since_page;
     m_last_error = page.error;
     return;
   }
   ++m_pages;
+  m_failures_since_page = 0;
   m_rows += page.rows.size();
   m_last_page = now;
 }
@@ -62,7 +66,8 @@
 }
 
 bool LoadMonitor::IsStalled(base::TimePoint now) const {
-  return now >= m_last_page + kMaxStallTime;
+  return now >= m_last_page + kMaxStallTime &&
+         m_failures_since_page >= kMinFailuresOfStall;
 }
 
 }  // namespace shallotwick::scheduler
--- a/services/shallotwick-scheduler/load_monitor.h
+++ b/services/shallotwick-scheduler/load_monitor.h
@@ -21,7 +21,7 @@
   void OnPage(const storage::RowReadResult& page, base::TimePoint now);
   // Logs a load that takes long, at intervals.
   void Check(base::TimePoint now);
-  // Returns whether no page has been read for so long that another host may do
+  // Returns whether pages have failed for so long that another host may do
   // better.
   bool IsStalled(base::TimePoint now) const;
 
@@ -35,6 +35,7 @@
   size_t m_pages = 0;
   size_t m_rows = 0;
   size_t m_failures = 0;
+  int m_failures_since_page = 0;
   std::string m_last_error;
 };
 
--- a/services/shallotwick-scheduler/table_follower.cc
+++ b/services/shallotwick-scheduler/table_follower.cc
@@ -28,6 +28,7 @@
 
 void TableFollower::Start() {
   ++m_generation;
+  m_reader.Stop();
   m_loading.clear();
   m_next_partition = 0;
   m_load_started = base::RuntimeClock::now();
@@ -130,8 +131,10 @@
               m_on_reset(result.rows);
             }
             m_last_update = base::RuntimeClock::now();
-            m_next_idle_check =
-                m_last_update + kIdleCheckFactor * (m_last_update - sent);
+            if (result.is_read) {
+              m_next_idle_check =
+                  m_last_update + kIdleCheckFactor * (m_last_update - sent);
+            }
             ScheduleIdleCheck();
           }));
 }
