Let a gang have its turn behind the window of starts

A pass now ends at a gang that the window holds back, so that the orders in flight run out. The window also widens again up to its first size with answers that are not late, and one silent start alone no longer shrinks it.

--- a/libraries/scheduling/pool_decisions.cc
+++ b/libraries/scheduling/pool_decisions.cc
@@ -203,7 +203,11 @@
           continue;
         }
         failed.Add(step, candidates);
-        if (failed.IsPoolFull() || m_start_window.GetRoom() == 0) {
+        // The steps behind a gang that waits for room in the window would take
+        // it for good.
+        const bool is_gang_held_back = step.gang && m_start_window.HoldsBack();
+        if (failed.IsPoolFull() || is_gang_held_back ||
+            m_start_window.GetRoom() == 0) {
           return;
         }
       }
--- a/libraries/scheduling/start_window.cc
+++ b/libraries/scheduling/start_window.cc
@@ -10,14 +10,14 @@
 constexpr size_t kMaxSize = 1'024;
 constexpr size_t kIncrease = 16;
 // A result that comes sooner without an answer is a refused connection, which
-// says nothing of the load.
+// says nothing of the load. An order is given up after 400 ms.
 constexpr auto kMinTimeoutTime = std::chrono::milliseconds(200);
-// Fractions of the time after which an order is given up.
 constexpr auto kQuickAnswer = std::chrono::milliseconds(60);
 constexpr auto kLateAnswer = std::chrono::milliseconds(130);
 // A few silent targets are no sign of overload: one missing result in this
 // many.
 constexpr size_t kMissingShare = 8;
+constexpr size_t kMinMissing = 2;
 
 }  // namespace
 
@@ -57,21 +57,27 @@
     return;
   }
   ++m_results;
-  m_missing += has_answer ? 0 : 1;
-  m_answer_time += answer_time;
+  if (has_answer) {
+    m_answer_time += answer_time;
+  } else {
+    ++m_missing;
+  }
   if (m_results >= m_size) {
     Adapt();
   }
 }
 
 void StartWindow::Adapt() {
+  const size_t answers = std::max<size_t>(m_results - m_missing, 1);
   const base::Duration mean =
-      m_answer_time / static_cast<base::Duration::rep>(m_results);
-  if (m_missing * kMissingShare >= m_results) {
+      m_answer_time / static_cast<base::Duration::rep>(answers);
+  const base::Duration mean_limit =
+      m_size < kInitialSize ? kLateAnswer : kQuickAnswer;
+  if (m_missing >= kMinMissing && m_missing * kMissingShare >= m_results) {
     Shrink(1, 2);
   } else if (mean > kLateAnswer) {
     Shrink(3, 4);
-  } else if (mean < kQuickAnswer && m_was_limited) {
+  } else if (mean < mean_limit && m_was_limited) {
     m_size = std::min(m_size + kIncrease, kMaxSize);
     m_is_reduced = m_is_reduced && m_size < kInitialSize;
   }
--- a/libraries/scheduling/start_window.h
+++ b/libraries/scheduling/start_window.h
@@ -23,6 +23,8 @@
   // Returns whether late or missing answers have shrunk the window.
   bool IsReduced() const { return m_is_reduced; }
 
+  // Returns whether the current pass has held starts back.
+  bool HoldsBack() const { return m_holds_back; }
   // Returns for how long every pass has held starts back.
   base::Duration GetLimitedTime(base::TimePoint now) const;
 
--- a/libraries/scheduling/tests/start_window_test.cc
+++ b/libraries/scheduling/tests/start_window_test.cc
@@ -100,3 +100,14 @@
   m_window.OnLimited();
   CHECK_TRUE(m_window.GetLimitedTime(at(1'150)) == milliseconds(50));
 }
+
+TEST(StartWindow, WidensAgainWithAnswersThatAreNotLate) {
+  for (int i = 0; i < 4; ++i) {
+    PassWindow(m_window, OrderOutcome::kUnknown, milliseconds(400));
+  }
+  const size_t smallest = m_window.GetSize();
+  for (int i = 0; i < 200; ++i) {
+    PassWindow(m_window, OrderOutcome::kAccepted, milliseconds(70));
+  }
+  CHECK_TRUE(m_window.GetSize() > smallest);
+}
