Leave large answers out of the store's answer time

Answers of over 50 rows now show only that the store is there. The test is of a call that did not exist.

--- a/libraries/storage/observed_store.cc
+++ b/libraries/storage/observed_store.cc
@@ -3,6 +3,21 @@
 #include <utility>
 
 namespace shallotwick::storage {
+namespace {
+
+// The time of larger answers says more about the link than about the store.
+constexpr size_t kMaxTimedRows = 50;
+
+}  // namespace
+
+void ObservedStore::OnLargeAnswer() {
+  const auto now = base::RuntimeClock::now();
+  const bool was_away = m_health.IsAway(now);
+  m_health.OnLargeAnswer(now);
+  if (was_away) {
+    m_on_return();
+  }
+}
 
 void ObservedStore::OnAnswer(base::TimePoint sent) {
   const auto now = base::RuntimeClock::now();
@@ -36,8 +51,10 @@
   m_health.OnSent(sent);
   m_store.Read(range,
                [this, sent, on_end = std::move(on_end)](RowReadResult result) {
-                 if (result.is_read) {
+                 if (result.is_read && result.rows.size() <= kMaxTimedRows) {
                    OnAnswer(sent);
+                 } else if (result.is_read) {
+                   OnLargeAnswer();
                  }
                  on_end(std::move(result));
                });
--- a/libraries/storage/observed_store.h
+++ b/libraries/storage/observed_store.h
@@ -28,6 +28,7 @@
 
  private:
   void OnAnswer(base::TimePoint sent);
+  void OnLargeAnswer();
 
   RowStore& m_store;
   StoreHealth m_health;
--- a/libraries/storage/store_health.cc
+++ b/libraries/storage/store_health.cc
@@ -48,6 +48,12 @@
   m_has_answered = true;
 }
 
+void StoreHealth::OnLargeAnswer(base::TimePoint now) {
+  m_last_answer = now;
+  m_is_waiting = false;
+  m_has_answered = true;
+}
+
 bool StoreHealth::IsAway(base::TimePoint now) const {
   const base::Duration max_silence =
       std::max<base::Duration>(kMinSilence, kMaxAnswerFactor * m_answer_time);
--- a/libraries/storage/store_health.h
+++ b/libraries/storage/store_health.h
@@ -15,6 +15,9 @@
   // A call sent at `sent` was carried out. `answer_time` excludes the time for
   // which the store was asked to wait.
   void OnAnswer(base::TimePoint now, base::Duration answer_time);
+  // A call was carried out whose answer is so large that its time depends on
+  // the link.
+  void OnLargeAnswer(base::TimePoint now);
   // A transaction was answered after `time`. Lost answers say nothing about the
   // time that transactions take.
   void OnTransaction(base::Duration time);
--- a/services/shallotwick-scheduler/tests/outage_test.cc
+++ b/services/shallotwick-scheduler/tests/outage_test.cc
@@ -842,6 +842,19 @@
   LONGS_EQUAL(2, returns);
 }
 
+TEST(Outage, LargeAnswersOverSlowLinkDoNotDelayDetectionOfOutage) {
+  storage::StoreHealth health;
+  const base::TimePoint begin{std::chrono::seconds(100)};
+  health.OnAnswer(begin, std::chrono::milliseconds(5));
+  for (int i = 1; i <= 20; ++i) {
+    health.OnSent(begin + std::chrono::seconds(4 * i));
+    health.OnLargeAnswer(begin + std::chrono::seconds(4 * i + 4));
+  }
+  const auto last = begin + std::chrono::seconds(84);
+  health.OnSent(last);
+  CHECK_TRUE(health.IsAway(last + std::chrono::seconds(1)));
+}
+
 TEST(Outage, SlowStoreIsNotAway) {
   storage::StoreHealth health;
   auto now = base::RuntimeClock::now();
