Log why a job waits of which nothing has run for 3 s

A job without any run for 3 s is now logged with the reason, unless no target has room for it; "starts are limited" tells the window of starts from a pass that ended. At most 20 jobs are explained in a check.

--- a/libraries/scheduling/pool_scheduler.h
+++ b/libraries/scheduling/pool_scheduler.h
@@ -296,6 +296,9 @@
   void AddStopOrders(base::TimePoint now, PoolOrders& orders);
   void PaceBestEffortRuns(base::TimePoint now, PoolOrders& orders);
   void LogWaitingTasks(base::TimePoint now, int64_t wall_ms);
+  // Adds jobs of which nothing has run for long although there is room.
+  void AddIdleJobs(const std::vector<Candidate>& candidates,
+                   base::TimePoint now, std::map<TaskName, TaskWait>& waits);
   TaskWait ExplainWait(ActiveJob& job, const TaskName& name,
                        const std::vector<Candidate>& candidates,
                        base::TimePoint now) const;
@@ -323,6 +326,8 @@
   bool m_may_start_more = true;
   base::TimePoint m_last_placement;
   WaitLog m_wait_log;
+  // Since when nothing of a job is assigned.
+  std::map<std::string, base::TimePoint> m_idle_since;
   base::TimePoint m_last_wait_check;
   bool m_has_urgent_change = false;
   bool m_is_superseded = false;
--- a/libraries/scheduling/pool_waits.cc
+++ b/libraries/scheduling/pool_waits.cc
@@ -1,4 +1,4 @@
-// Logging of why long-running tasks wait.
+// Logging of why tasks wait.
 
 #include <algorithm>
 #include <utility>
@@ -9,6 +9,21 @@
 namespace {
 
 constexpr auto kWaitCheckPeriod = std::chrono::milliseconds(200);
+// A job of which nothing runs for longer is logged, unless the targets are
+// full.
+constexpr auto kMaxIdleTime = std::chrono::milliseconds(3'000);
+// Bounds the time of a check.
+constexpr size_t kMaxIdleJobs = 20;
+constexpr const char* kNoRoom = "no room on the targets that can be used";
+
+bool HasAssignedTask(const ActiveJob& job) {
+  int unfinished = 0;
+  for (int step = 0; step < static_cast<int>(job.GetSpec().steps.size());
+       ++step) {
+    unfinished += job.CountUnfinished(0, step);
+  }
+  return job.CountUnassigned() < unfinished;
+}
 
 }  // namespace
 
@@ -39,11 +54,48 @@
       }
     }
   }
+  AddIdleJobs(candidates, now, waits);
   for (const TaskWait& wait : m_wait_log.Update(waits, now)) {
     LogDecision("task-waits", wait.task, 0, wait.target, wait.reason);
   }
 }
 
+void PoolScheduler::AddIdleJobs(const std::vector<Candidate>& candidates,
+                                base::TimePoint now,
+                                std::map<TaskName, TaskWait>& waits) {
+  std::map<std::string, base::TimePoint> idle_since;
+  size_t explained = 0;
+  for (auto& [id, job] : m_jobs) {
+    const bool may_run = !IsTerminal(job.m_state) &&
+                         !job.HasLongRunningStep() &&
+                         job.GetSpec().occurrences == 0;
+    if (!may_run || HasAssignedTask(job)) {
+      continue;
+    }
+    const auto known = m_idle_since.find(id);
+    const auto since = known == m_idle_since.end() ? now : known->second;
+    idle_since[id] = since;
+    if (now < since + kMaxIdleTime || explained == kMaxIdleJobs) {
+      continue;
+    }
+    for (int step = 0; step < static_cast<int>(job.GetSpec().steps.size());
+         ++step) {
+      const std::vector<int> waiting = ListWaitingTasks(job, {0, step});
+      if (waiting.empty() || !job.IsStepReady(0, step)) {
+        continue;
+      }
+      ++explained;
+      const TaskWait wait =
+          ExplainWait(job, {id, 0, step, waiting.front()}, candidates, now);
+      if (wait.reason != kNoRoom) {
+        waits[{id, 0, step, 0}] = wait;
+      }
+      break;
+    }
+  }
+  m_idle_since = std::move(idle_since);
+}
+
 TaskWait PoolScheduler::ExplainWait(ActiveJob& job, const TaskName& name,
                                     const std::vector<Candidate>& candidates,
                                     base::TimePoint now) const {
@@ -65,7 +117,7 @@
   const StepPosition position{name.occurrence, name.step};
   PlacementRequest request = MakePlacementRequest(job, position);
   if (!PlaceTask(request, candidates)) {
-    return {name, "", "no room on the targets that can be used"};
+    return {name, "", kNoRoom};
   }
   request.excluded = FindStoppingTargets(name);
   if (!PlaceTask(request, candidates)) {
@@ -76,6 +128,9 @@
       ListWaitingTasks(job, position).size() < step_size) {
     return {name, "", "runs of its gang have not ended"};
   }
+  if (m_start_window.HoldsBack()) {
+    return {name, "", "starts are limited"};
+  }
   return {name, "", "the pass ended before its turn"};
 }
 
--- a/libraries/scheduling/tests/room_behind_full_label_test.cc
+++ b/libraries/scheduling/tests/room_behind_full_label_test.cc
@@ -31,6 +31,7 @@
   base::TimePoint m_now{std::chrono::seconds(1'000)};
   scheduling::PoolScheduler m_pool{MakeOptions()};
   bool m_has_started = false;
+  std::vector<scheduling::SchedulingDecision> m_waits;
 
   static scheduling::PoolSchedulerOptions MakeOptions() {
     scheduling::PoolSchedulerOptions options;
@@ -84,3 +85,24 @@
   }
   CHECK_TRUE(m_has_started);
 }
+
+TEST(RoomBehindFullLabel, WaitOfJobWithRoomIsLoggedAfter3Seconds) {
+  m_pool.m_on_decision = [this](const scheduling::SchedulingDecision& note) {
+    if (note.what == "task-waits") {
+      m_waits.push_back(note);
+    }
+  };
+  AddTarget("t1", 16'000, {"plain"});
+  AddJob(MakeJob("unlabelled", ""));
+  AddJob(MakeJob("labelled", "gpu"));
+  m_pool.SetCordoned("t1", true);
+  for (int i = 0; i < 45; ++i) {
+    Pass();
+  }
+  LONGS_EQUAL(0, m_waits.size());
+  for (int i = 0; i < 10; ++i) {
+    Pass();
+  }
+  LONGS_EQUAL(2, m_waits.size());
+  STRCMP_EQUAL("no target can be used", m_waits[0].reason.c_str());
+}
