Check ends in the pool model that are acknowledged after a later start

It now records the last start of each task and compares it when a target discards an end that it listed under an unbroken lease.

--- a/libraries/scheduling/tests/incarnations/lease_test.cc
+++ b/libraries/scheduling/tests/incarnations/lease_test.cc
@@ -14,3 +14,9 @@
   options.calm_time = std::chrono::seconds(120);
   CheckSeeds(options, 3);
 }
+
+TEST(Lease, TaskStartsElsewhereOnlyAfterLeaseOfCutOffTargetHasEnded) {
+  PoolModelOptions options;
+  options.partition_chance = 0.2;
+  CheckSeeds(options, 10);
+}
--- a/libraries/scheduling/tests/pool_model.cc
+++ b/libraries/scheduling/tests/pool_model.cc
@@ -453,6 +453,7 @@
   target.highest_ended[name] = std::max(target.highest_ended[name], number);
   if (how == RunOutcome::kDone) {
     m_ever_done.insert(name);
+    m_done_at[{name, number}] = m_now;
   }
   target.ended.push_back({target.next_end++, name, number, how, ""});
 }
@@ -643,6 +644,7 @@
   CheckStart(target, order);
   Trace("target starts", order.task, order.run, order.target);
   ++m_starts;
+  m_last_start[order.task] = m_now;
   const StepSpec& step = m_store.at(order.task.job)
                              .spec.steps[static_cast<size_t>(order.task.step)];
   ModelRun run;
@@ -702,6 +704,18 @@
   }
 }
 
+void PoolModel::CheckNotStartedAgain(const ReportedCompletion& end) {
+  const auto done_at = m_done_at.find({end.task, end.run});
+  const auto last_start = m_last_start.find(end.task);
+  const bool is_started_again = done_at != m_done_at.end() &&
+                                last_start != m_last_start.end() &&
+                                last_start->second > done_at->second;
+  if (is_started_again) {
+    RecordViolation("started after an end that was acknowledged later: " +
+                    Describe(end.task));
+  }
+}
+
 OrderResult PoolModel::ApplyStop(const StopOrder& order) {
   Target& target = *Find(order.target);
   const int64_t clock = GetClockMs(target);
@@ -775,6 +789,7 @@
               if (end.how == RunOutcome::kDone &&
                   end.number > target.expired_end) {
                 m_stored_done.insert(end.task);
+                CheckNotStartedAgain(end);
               }
               m_stored_failures[end.task] +=
                   end.how == RunOutcome::kFailed ? 1 : 0;
--- a/libraries/scheduling/tests/pool_model.h
+++ b/libraries/scheduling/tests/pool_model.h
@@ -189,6 +189,9 @@
   OrderResult ApplyStart(const StartOrder& order);
   OrderResult ApplyStop(const StopOrder& order);
   void CheckStart(const Target& target, const StartOrder& order);
+  // Checks that a task has not started again after the completion that is being
+  // acknowledged.
+  void CheckNotStartedAgain(const ReportedCompletion& end);
   void Trace(const std::string& what, const TaskName& task, int64_t run,
              const std::string& where);
   void RecordViolation(const std::string& what);
@@ -221,6 +224,8 @@
   std::set<TaskName> m_ever_done;
   // Completions that the store has recorded.
   std::set<TaskName> m_stored_done;
+  std::map<std::pair<TaskName, int64_t>, base::TimePoint> m_done_at;
+  std::map<TaskName, base::TimePoint> m_last_start;
   std::map<TaskName, int> m_stored_failures;
   int m_commits_in_flight = 0;
   int64_t m_steps = 0;
