Don't let a late first status replace that of a completed wave

Operators saw a completed wave as "running" for good: the status row was written without a condition, so a first status that the store carried out late, after its sender had given up on it, replaced "completed", and no process that had written "completed" looked again. A process whose copy of the wave's record was old, after a takeover, could do the same.

"running" is now written only if the wave has no status yet. A row that exists is either "running" already or final, so a conflict settles the write, also one whose outcome was unknown. "completed" stays without a condition: it is final and repeated until the store confirms it.

The fake store can carry out a commit late.

--- a/services/shallotwick-scheduler/tests/wave_coordinator_test.cc
+++ b/services/shallotwick-scheduler/tests/wave_coordinator_test.cc
@@ -152,11 +152,15 @@
     }
   }
 
-  bool IsSaidToBeCompleted(int64_t wave) const {
+  std::string GetStatus(int64_t wave) const {
     return m_store
-               .Get({platform::kStatusTable, platform::kSharedPartition,
-                     platform::kWaveKeyPrefix + std::to_string(wave)})
-               .value == platform::EncodeWaveStatus(wave, true);
+        .Get({platform::kStatusTable, platform::kSharedPartition,
+              platform::kWaveKeyPrefix + std::to_string(wave)})
+        .value;
+  }
+
+  bool IsSaidToBeCompleted(int64_t wave) const {
+    return GetStatus(wave) == platform::EncodeWaveStatus(wave, true);
   }
 
   void CompleteWave(const hosts::MaintenanceWave& wave) {
@@ -243,3 +247,30 @@
   Advance(std::chrono::seconds(2));
   STRCMP_EQUAL(record, m_store.Get(other).value.c_str());
 }
+
+TEST(Waves, LateFirstStatusDoesNotReplaceThatOfACompletedWave) {
+  m_store.m_faults = {{storage::RowCommitStatus::kUnknown, false, true}};
+  CompleteWave({1, {"m-1"}, 1});
+  m_store.CarryOutLate();
+  Advance(std::chrono::seconds(8));
+  CHECK_TRUE(IsSaidToBeCompleted(1));
+}
+
+TEST(Waves, FirstStatusWithLostAnswerIsReported) {
+  m_store.m_faults = {{storage::RowCommitStatus::kUnknown, true}};
+  m_waves->SetWave({1, {"m-1"}, 1});
+  Advance(kStep);
+  STRCMP_EQUAL(platform::EncodeWaveStatus(1, false).c_str(),
+               GetStatus(1).c_str());
+  Advance(std::chrono::seconds(8));
+  CHECK_TRUE(IsSaidToBeCompleted(1));
+}
+
+TEST(Waves, SuccessorThatLagsDoesNotReplaceTheStatusOfACompletedWave) {
+  m_store.Put({platform::kStatusTable, platform::kSharedPartition,
+               std::string(platform::kWaveKeyPrefix) + "1"},
+              platform::EncodeWaveStatus(1, true));
+  m_waves->SetWave({1, {"m-1"}, 1});
+  Advance(std::chrono::milliseconds(500));
+  CHECK_TRUE(IsSaidToBeCompleted(1));
+}
--- a/services/shallotwick-scheduler/wave_coordinator.cc
+++ b/services/shallotwick-scheduler/wave_coordinator.cc
@@ -506,16 +506,21 @@
       platform::kWaveKeyPrefix + std::to_string(wave.number)};
   transaction.writes = {
       {key, platform::EncodeWaveStatus(wave.number, is_completed)}};
-  m_store.Commit(
-      std::move(transaction),
-      m_lifetime.Guard([this, number = wave.number,
-                        is_completed](const storage::RowCommitResult& result) {
-        const bool is_written =
-            result.status == storage::RowCommitStatus::kCommitted;
-        if (!is_written && m_reported_status[number] == is_completed) {
-          m_reported_status.erase(number);
-        }
-      }));
+  // A first status that is carried out late, or by a holder whose record is
+  // old, must not replace the final one.
+  if (!is_completed) {
+    transaction.expected = {{key, storage::kNoVersion}};
+  }
+  m_store.Commit(std::move(transaction),
+                 m_lifetime.Guard([this, number = wave.number, is_completed](
+                                      const storage::RowCommitResult& result) {
+                   const bool is_known =
+                       result.status == storage::RowCommitStatus::kCommitted ||
+                       result.status == storage::RowCommitStatus::kConflict;
+                   if (!is_known && m_reported_status[number] == is_completed) {
+                     m_reported_status.erase(number);
+                   }
+                 }));
 }
 
 }  // namespace shallotwick::scheduler
--- a/services/shallotwick-scheduler/wave_coordinator.h
+++ b/services/shallotwick-scheduler/wave_coordinator.h
@@ -111,8 +111,8 @@
   HostLedger& m_ledger;
   WaveCoordinatorOptions m_options;
   std::map<int64_t, hosts::MaintenanceWave> m_waves;
-  // Waves whose status this host has written; the value is whether it was
-  // written as completed.
+  // Waves whose status this host has written, or found written by another one;
+  // the value is whether this host has written it as completed.
   std::map<int64_t, bool> m_reported_status;
   // Hosts cordoned for maintenance.
   std::map<std::string, Preparation> m_preparing;
--- a/tests/fakes/fake_row_store.cc
+++ b/tests/fakes/fake_row_store.cc
@@ -46,6 +46,9 @@
     if (fault.takes_effect) {
       Apply(transaction);
     }
+    if (fault.is_late) {
+      m_late.push_back(transaction);
+    }
     result.status = fault.status;
   } else if (Apply(transaction)) {
     result.status = storage::RowCommitStatus::kCommitted;
@@ -62,6 +65,12 @@
   m_loop.Post([result, on_end = std::move(on_end)] { on_end(result); });
 }
 
+void FakeRowStore::CarryOutLate() {
+  for (const storage::RowTransaction& transaction : std::exchange(m_late, {})) {
+    Apply(transaction);
+  }
+}
+
 void FakeRowStore::Read(const storage::RowRange& range,
                         std::function<void(storage::RowReadResult)> on_end) {
   storage::RowReadResult result;
--- a/tests/fakes/fake_row_store.h
+++ b/tests/fakes/fake_row_store.h
@@ -28,8 +28,12 @@
   struct Fault {
     storage::RowCommitStatus status = storage::RowCommitStatus::kUnknown;
     bool takes_effect = false;
+    // Kept until CarryOutLate().
+    bool is_late = false;
   };
   std::vector<Fault> m_faults;
+  // Carries out the late commits whose conditions still hold.
+  void CarryOutLate();
 
   uint64_t Put(const storage::RowKey& key, const std::string& value);
   // The row, without a version if there is none.
@@ -50,6 +54,7 @@
   base::EventLoop& m_loop;
   std::map<storage::RowKey, storage::VersionedRow> m_rows;
   std::vector<Waiting> m_waiting;
+  std::vector<storage::RowTransaction> m_late;
   uint64_t m_version = 0;
 };
 
