Show that an end is acknowledged after its run was given up (known red)

If a lease that ends on a target without runs counted as a lapse, the end would not count. The model has it as an option, with leases that don't expire on idle targets.

Not mended: an end can be passed over only together with all later ones of its target, up to the next run that a lapse ends.

--- a/libraries/scheduling/tests/pool_model.cc
+++ b/libraries/scheduling/tests/pool_model.cc
@@ -427,7 +427,7 @@
     return;
   }
   const bool has_expired = GetClockMs(target) > target.lease_until_ms;
-  if (has_expired) {
+  if (has_expired && (m_options.idle_leases_expire || !target.runs.empty())) {
     target.expired_end = target.next_end - 1;
   }
   std::vector<std::pair<TaskName, RunOutcome>> completed;
--- a/libraries/scheduling/tests/pool_model.h
+++ b/libraries/scheduling/tests/pool_model.h
@@ -23,6 +23,9 @@
   // are executed late.
   double lost_share = 0;
   double late_share = 0;
+  // Whether a lease also expires on a target that runs nothing. If not, such a
+  // target's completions count as stored once they are acknowledged.
+  bool idle_leases_expire = true;
   // The fraction by which the targets' clocks are slow.
   double clock_slowness = 0;
   // Faults are injected only after this time.
