Bound the connections of a client below the number of open files

An owner opens up to four connections to each of its targets, whatever number of files the process may open. With more targets than that, connects fail for want of descriptors, and so do the calls of callers and the store.

A ConnectionPool now has a limit on its connections to all servers. At the limit the connection that has been idle longest is closed for a new one. If none is idle, a server that ends an exchange gives its connection to the waiting server with the fewest connections, if that one has none or at least two fewer; so each server is served, and two don't take a connection from each other for nothing.

The five ConnectionLimit tests have no counterpart before, as there was no limit.

--- a/libraries/http/connection_pool.cc
+++ b/libraries/http/connection_pool.cc
@@ -48,10 +48,8 @@
       exchange.connection->Close();
     }
   }
-  for (auto& [name, server] : m_servers) {
-    for (const auto& connection : server.idle) {
-      connection->Close();
-    }
+  for (auto& [key, idle] : m_idle) {
+    idle.connection->Close();
   }
 }
 
@@ -92,12 +90,12 @@
   }
 }
 
+void ConnectionPool::SetConnectionLimit(size_t max_connections) {
+  m_max_connections = std::max<size_t>(max_connections, 1);
+}
+
 size_t ConnectionPool::CountOpenConnections() const {
-  size_t count = 0;
-  for (const auto& [name, server] : m_servers) {
-    count += static_cast<size_t>(server.open_connections);
-  }
-  return count;
+  return m_open_connections;
 }
 
 size_t ConnectionPool::CountWaitingRequests() const {
@@ -134,7 +132,10 @@
 bool ConnectionPool::AssignConnection(Server& server, uint64_t id,
                                       Exchange& exchange) {
   auto connection = AcquireIdleConnection(server, exchange.options);
-  if (!connection && server.open_connections >= m_connections_per_server) {
+  if (!connection && !MakeRoom(server)) {
+    if (server.open_connections < m_connections_per_server) {
+      AddServerWithoutRoom(exchange.server);
+    }
     return false;
   }
   if (!connection) {
@@ -163,8 +164,7 @@
   const bool requires_new_connection =
       options.send_once || options.oldest_connection.count() == 0;
   while (!server.idle.empty()) {
-    auto connection = server.idle.back();
-    server.idle.pop_back();
+    const auto connection = RemoveIdle(server.idle.back());
     const bool is_too_old =
         options.oldest_connection.count() > 0 &&
         Clock::now() > connection->GetOpenedAt() + options.oldest_connection;
@@ -172,18 +172,111 @@
       return connection;
     }
     connection->Close();
-    --server.open_connections;
+    OnClosed(server);
   }
   return nullptr;
 }
 
+bool ConnectionPool::MakeRoom(const Server& server) {
+  if (server.open_connections >= m_connections_per_server) {
+    return false;
+  }
+  if (m_open_connections < m_max_connections) {
+    return true;
+  }
+  if (m_idle.empty()) {
+    return false;
+  }
+  const std::string name = m_idle.begin()->second.server;
+  RemoveIdle(m_idle.begin()->first)->Close();
+  const auto other = m_servers.find(name);
+  OnClosed(other->second);
+  if (other->second.open_connections == 0 && other->second.waiting.empty()) {
+    m_servers.erase(other);
+  }
+  return true;
+}
+
 std::shared_ptr<ClientConnection> ConnectionPool::Open(Server& server) {
   auto connection =
       std::make_shared<ClientConnection>(m_context, server.endpoint);
   ++server.open_connections;
+  ++m_open_connections;
   return connection;
 }
 
+void ConnectionPool::AddIdle(
+    const std::string& name,
+    const std::shared_ptr<ClientConnection>& connection) {
+  const uint64_t key = m_next_idle_key++;
+  m_idle[key] = {name, connection};
+  m_servers.at(name).idle.push_back(key);
+  connection->m_on_idle_close = [this, name, key] {
+    RemoveIdle(key);
+    OnClosed(m_servers.at(name));
+    AssignWaitingExchanges(name);
+  };
+}
+
+std::shared_ptr<ClientConnection> ConnectionPool::RemoveIdle(uint64_t key) {
+  const IdleConnection idle = std::move(m_idle.extract(key).mapped());
+  std::erase(m_servers.at(idle.server).idle, key);
+  return idle.connection;
+}
+
+void ConnectionPool::OnClosed(Server& server) {
+  --server.open_connections;
+  --m_open_connections;
+}
+
+void ConnectionPool::AddServerWithoutRoom(const std::string& name) {
+  if (std::find(m_servers_without_room.begin(), m_servers_without_room.end(),
+                name) == m_servers_without_room.end()) {
+    m_servers_without_room.push_back(name);
+  }
+}
+
+ConnectionPool::Servers::iterator ConnectionPool::FindNextServer() {
+  auto next = m_servers.end();
+  std::erase_if(m_servers_without_room, [this, &next](const std::string& name) {
+    const auto server = m_servers.find(name);
+    const bool is_served =
+        server == m_servers.end() || server->second.waiting.empty() ||
+        server->second.open_connections >= m_connections_per_server;
+    if (!is_served &&
+        (next == m_servers.end() ||
+         server->second.open_connections < next->second.open_connections)) {
+      next = server;
+    }
+    return is_served;
+  });
+  return next;
+}
+
+// A server with a single connection gives it up only to one that has none, as
+// the two would otherwise go on to take it from each other.
+bool ConnectionPool::MustYield(const Server& server) {
+  if (m_open_connections < m_max_connections) {
+    return false;
+  }
+  const auto next = FindNextServer();
+  return next != m_servers.end() && &next->second != &server &&
+         (next->second.open_connections == 0 ||
+          next->second.open_connections + 1 < server.open_connections);
+}
+
+void ConnectionPool::ServeOtherServers() {
+  while (m_open_connections < m_max_connections || !m_idle.empty()) {
+    const auto next = FindNextServer();
+    if (next == m_servers.end()) {
+      return;
+    }
+    const std::string name = next->first;
+    std::erase(m_servers_without_room, name);
+    AssignToServer(name, 1);
+  }
+}
+
 void ConnectionPool::OnExchangeDone(uint64_t id, TransferResult result) {
   const auto found = m_exchanges.find(id);
   Exchange exchange = std::move(found->second);
@@ -192,26 +285,36 @@
   const std::string name = exchange.server;
   Server& server = m_servers.at(name);
   const auto connection = exchange.connection;
+  const bool must_yield = MustYield(server);
+  if (must_yield) {
+    connection->Close();
+  }
   if (connection->IsOpen()) {
-    connection->m_on_idle_close =
-        [this, name, weak_connection = std::weak_ptr(connection)] {
-          Server& pool_server = m_servers.at(name);
-          std::erase(pool_server.idle, weak_connection.lock());
-          --pool_server.open_connections;
-          AssignWaitingExchanges(name);
-        };
-    server.idle.push_back(connection);
+    AddIdle(name, connection);
   } else {
-    --server.open_connections;
+    OnClosed(server);
+  }
+  if (must_yield) {
+    ServeOtherServers();
   }
   AssignWaitingExchanges(name);
   exchange.on_done(std::move(result));
 }
 
 void ConnectionPool::AssignWaitingExchanges(const std::string& name) {
-  Server& server = m_servers.at(name);
+  AssignToServer(name, std::numeric_limits<size_t>::max());
+  ServeOtherServers();
+}
+
+void ConnectionPool::AssignToServer(const std::string& name, size_t max_count) {
+  const auto found = m_servers.find(name);
+  if (found == m_servers.end()) {
+    return;
+  }
+  Server& server = found->second;
   const auto now = Clock::now();
   auto next = server.waiting.begin();
+  size_t count = 0;
   while (next != server.waiting.end()) {
     const auto exchange = m_exchanges.find(*next);
     // After a suspension of the process, the timer may not have ended it yet.
@@ -221,9 +324,15 @@
       ++next;
       continue;
     }
-    if (exchange != m_exchanges.end() &&
-        !AssignConnection(server, *next, exchange->second)) {
-      return;
+    if (exchange != m_exchanges.end()) {
+      if (count == max_count) {
+        AddServerWithoutRoom(name);
+        return;
+      }
+      if (!AssignConnection(server, *next, exchange->second)) {
+        return;
+      }
+      ++count;
     }
     next = server.waiting.erase(next);
   }
--- a/libraries/http/connection_pool.h
+++ b/libraries/http/connection_pool.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstdint>
 #include <deque>
+#include <limits>
 #include <map>
 #include <memory>
 #include <string>
@@ -33,6 +34,12 @@
   void Send(const std::string& url, Request request,
             const TransferOptions& options, OnTransferEnd on_done) override;
 
+  // Sets the maximum number of open connections to all servers, at least 1. At
+  // the maximum, the connection that has been idle longest is closed for a new
+  // one. If none is idle, requests wait until a server with more connections
+  // than theirs has ended an exchange.
+  void SetConnectionLimit(size_t max_connections);
+
   // Open connections to all servers, those being established included.
   size_t CountOpenConnections() const;
   // Requests that wait for a connection.
@@ -54,21 +61,49 @@
     std::shared_ptr<ClientConnection> connection;
   };
 
+  struct IdleConnection {
+    std::string server;
+    std::shared_ptr<ClientConnection> connection;
+  };
+
   struct Server {
     asio::ip::tcp::endpoint endpoint;
     int open_connections = 0;
-    std::vector<std::shared_ptr<ClientConnection>> idle;
+    // Keys of m_idle, the longest idle first.
+    std::vector<uint64_t> idle;
     // IDs of the exchanges that wait for a connection, urgent ones first.
     std::deque<uint64_t> waiting;
   };
 
+  using Servers = std::map<std::string, Server>;
+
   Server* FindServer(const std::string& name);
   bool AssignConnection(Server& server, uint64_t id, Exchange& exchange);
   std::shared_ptr<ClientConnection> AcquireIdleConnection(
       Server& server, const TransferOptions& options);
+  // Whether a connection to the server may be opened. Closes an idle connection
+  // to another server if necessary.
+  bool MakeRoom(const Server& server);
   std::shared_ptr<ClientConnection> Open(Server& server);
+  void AddIdle(const std::string& name,
+               const std::shared_ptr<ClientConnection>& connection);
+  std::shared_ptr<ClientConnection> RemoveIdle(uint64_t key);
+  void OnClosed(Server& server);
+  void AddServerWithoutRoom(const std::string& name);
+  // Returns the server that is first to get a connection that another one gives
+  // up: of those that wait because of m_max_connections, the one with the
+  // fewest connections.
+  Servers::iterator FindNextServer();
+  // Whether another server is to get a connection of this one.
+  bool MustYield(const Server& server);
+  // Gives free connections to the servers that wait because of
+  // m_max_connections.
+  void ServeOtherServers();
   void OnExchangeDone(uint64_t id, TransferResult result);
+  // Gives connections to requests that wait, those of the named server first.
   void AssignWaitingExchanges(const std::string& name);
+  // Gives connections to at most `max_count` requests that wait for the server.
+  void AssignToServer(const std::string& name, size_t max_count);
   void SetDeadline(uint64_t id, Exchange& exchange, Clock::time_point at);
   void ArmTimer();
   // Returns until when an exchange whose response has begun may go on without
@@ -82,9 +117,17 @@
 
   asio::io_context& m_context;
   int m_connections_per_server;
+  size_t m_max_connections = std::numeric_limits<size_t>::max();
+  size_t m_open_connections = 0;
   uint64_t m_next_exchange_id = 1;
   std::map<uint64_t, Exchange> m_exchanges;
-  std::map<std::string, Server> m_servers;
+  Servers m_servers;
+  uint64_t m_next_idle_key = 1;
+  // In the order in which they became idle.
+  std::map<uint64_t, IdleConnection> m_idle;
+  // Servers whose requests wait because of m_max_connections, in the order in
+  // which they began to.
+  std::vector<std::string> m_servers_without_room;
   Deadlines m_deadlines;
   asio::steady_timer m_timer;
   Clock::time_point m_timer_expiry = Clock::time_point::max();
--- a/libraries/http/tests/transfer_test.cc
+++ b/libraries/http/tests/transfer_test.cc
@@ -3,6 +3,8 @@
 #include <asio.hpp>
 #include <atomic>
 #include <future>
+#include <limits>
+#include <map>
 #include <memory>
 #include <thread>
 
@@ -34,9 +36,13 @@
 // A connection pool whose event loop runs on its own thread.
 class PoolWithThread : public http::RequestSender {
  public:
-  explicit PoolWithThread(int connections)
-      : m_pool(std::make_unique<http::ConnectionPool>(m_context, connections)),
-        m_thread([this] { m_context.run(); }) {}
+  explicit PoolWithThread(
+      int connections,
+      size_t max_connections = std::numeric_limits<size_t>::max())
+      : m_pool(std::make_unique<http::ConnectionPool>(m_context, connections)) {
+    m_pool->SetConnectionLimit(max_connections);
+    m_thread = std::thread([this] { m_context.run(); });
+  }
   ~PoolWithThread() override {
     asio::post(m_context, [this] {
       m_pool.reset();
@@ -468,3 +474,129 @@
   RunUntil([this] { return m_outcomes.size() == 3; });
   CHECK_TRUE(m_outcomes[2] == TransferOutcome::kComplete);
 }
+
+// Many servers share few connections, as targets share the open files of a
+// process.
+TEST_GROUP(ConnectionLimit) {
+  static constexpr auto kAnswerTime = milliseconds(20);
+  asio::io_context m_context{1};
+  std::vector<std::unique_ptr<fakes::ScriptedServer>> m_servers;
+  std::vector<TransferOutcome> m_outcomes;
+  // Answers by server.
+  std::map<size_t, int> m_answers;
+
+  void StartServers(size_t count) {
+    for (size_t i = 0; i < count; ++i) {
+      m_servers.push_back(std::make_unique<fakes::ScriptedServer>(
+          [](int, int, const std::string&) -> fakes::ScriptedResponse {
+            std::this_thread::sleep_for(kAnswerTime);
+            return {fakes::MakeAnswer("")};
+          }));
+    }
+  }
+
+  void Send(http::ConnectionPool & pool, size_t server,
+            const http::TransferOptions& options = {}) {
+    pool.Send(m_servers[server]->GetUrl("/"), {"GET", "/", {}, ""}, options,
+              [this, server](const http::TransferResult& result) {
+                m_outcomes.push_back(result.outcome);
+                if (result.outcome == TransferOutcome::kComplete) {
+                  ++m_answers[server];
+                }
+              });
+  }
+
+  // Returns the largest number of open connections meanwhile.
+  size_t RunUntilEnded(const http::ConnectionPool& pool, size_t requests) {
+    size_t most = 0;
+    while (m_outcomes.size() < requests) {
+      m_context.restart();
+      m_context.run_one_for(milliseconds(5));
+      most = std::max(most, pool.CountOpenConnections());
+    }
+    return most;
+  }
+};
+
+TEST(ConnectionLimit, MoreTargetsThanFilesAreServedWithinLimit) {
+  constexpr size_t kServers = 8;
+  StartServers(kServers);
+  http::ConnectionPool pool(m_context, 4);
+  pool.SetConnectionLimit(3);
+  for (size_t i = 0; i < kServers; ++i) {
+    Send(pool, i);
+    Send(pool, i);
+  }
+  CHECK(RunUntilEnded(pool, 2 * kServers) <= 3);
+  for (size_t i = 0; i < kServers; ++i) {
+    LONGS_EQUAL(2, m_answers[i]);
+  }
+  LONGS_EQUAL(0, pool.CountWaitingRequests());
+}
+
+TEST(ConnectionLimit, IdleConnectionDoesNotKeepAnotherTargetWaiting) {
+  StartServers(3);
+  http::ConnectionPool pool(m_context, 4);
+  pool.SetConnectionLimit(2);
+  Send(pool, 0);
+  RunUntilEnded(pool, 1);
+  Send(pool, 1);
+  RunUntilEnded(pool, 2);
+  Send(pool, 2);
+  LONGS_EQUAL(0, pool.CountWaitingRequests());
+  RunUntilEnded(pool, 3);
+  // The connection to the first server was closed, as it was idle longest.
+  Send(pool, 1);
+  RunUntilEnded(pool, 4);
+  LONGS_EQUAL(1, m_servers[1]->CountConnections());
+  Send(pool, 0);
+  RunUntilEnded(pool, 5);
+  LONGS_EQUAL(2, m_servers[0]->CountConnections());
+  LONGS_EQUAL(5, m_answers[0] + m_answers[1] + m_answers[2]);
+}
+
+TEST(ConnectionLimit, BusyTargetDoesNotStarveOthers) {
+  StartServers(3);
+  http::ConnectionPool pool(m_context, 4);
+  pool.SetConnectionLimit(4);
+  constexpr size_t kBacklog = 100;
+  for (size_t i = 0; i < kBacklog; ++i) {
+    Send(pool, 0);
+  }
+  const auto options = http::TransferOptions::WithTimeout(10 * kAnswerTime);
+  Send(pool, 1, options);
+  Send(pool, 2, options);
+  RunUntilEnded(pool, kBacklog + 2);
+  LONGS_EQUAL(1, m_answers[1]);
+  LONGS_EQUAL(1, m_answers[2]);
+  LONGS_EQUAL(kBacklog, m_answers[0]);
+}
+
+TEST(ConnectionLimit, BusyTargetsTakeTurnsForOneConnection) {
+  StartServers(2);
+  http::ConnectionPool pool(m_context, 4);
+  pool.SetConnectionLimit(1);
+  for (int i = 0; i < 10; ++i) {
+    Send(pool, 0);
+    Send(pool, 1);
+  }
+  CHECK(RunUntilEnded(pool, 10) <= 1);
+  LONGS_EQUAL(5, m_answers[0]);
+  LONGS_EQUAL(5, m_answers[1]);
+  RunUntilEnded(pool, 20);
+  LONGS_EQUAL(10, m_answers[1]);
+}
+
+TEST(ConnectionLimit, RequestWaitsNoLongerForRoomThanItsTimeout) {
+  StartServers(2);
+  http::ConnectionPool pool(m_context, 4);
+  pool.SetConnectionLimit(1);
+  Send(pool, 0);
+  Send(pool, 1, http::TransferOptions::WithTimeout(kAnswerTime / 4));
+  RunUntilEnded(pool, 1);
+  CHECK_TRUE(m_outcomes[0] == TransferOutcome::kNotSent);
+  RunUntilEnded(pool, 2);
+  Send(pool, 1);
+  RunUntilEnded(pool, 3);
+  LONGS_EQUAL(1, m_answers[1]);
+}
