Bound connections to targets by the limit on open files

A scheduler process opens up to four connections to each target of its pools and never looks at the limit on open files. Where that is too low, store, callers and peers lose to the targets, and nothing says so.

The process reads the limit (RLIMIT_NOFILE) at start, keeps a share for itself, the store, callers and peers, and bounds the connections to targets by the rest. Event 535 warns when the pools of a host have more targets than that, and says when it ends. Gauges show open files, the limit, and the connections to targets.

--- a/libraries/base/log_catalogue.h
+++ b/libraries/base/log_catalogue.h
@@ -170,6 +170,10 @@
     534, "starts-limited", Severity::kWarning,
     "Late or missing answers made the owner of a pool send fewer starts at a "
     "time, or no longer do so."};
+inline constexpr LogEvent kConnectionsShort{
+    535, "connections-short", Severity::kWarning,
+    "The limit on open files began or ceased to allow fewer connections than "
+    "the pools of a host have targets."};
 inline constexpr LogEvent kProgressBacklog{
     533, "progress-backlog", Severity::kWarning,
     "More progress waits for the store than it takes at a time."};
@@ -229,6 +233,7 @@
                                     kHostOperation,
                                     kPoolCapacity,
                                     kStartsLimited,
+                                    kConnectionsShort,
                                     kProgressBacklog,
                                     kWaveProgress};
 
--- a/services/shallotwick-scheduler/scheduler_process.cc
+++ b/services/shallotwick-scheduler/scheduler_process.cc
@@ -75,7 +75,8 @@
 }  // namespace
 
 SchedulerProcess::SchedulerProcess(const base::Settings& settings)
-    : m_store_client(m_loop.GetContext(), kStoreConnections),
+    : m_connection_budget(ConnectionBudget::ReadMaxOpenFiles()),
+      m_store_client(m_loop.GetContext(), kStoreConnections),
       m_target_client(m_loop.GetContext(), kConnectionsPerTarget),
       m_row_store(m_store_client, settings.GetString("platform"),
                   GetTimeout(settings, "platform-timeout-ms")),
@@ -220,6 +221,8 @@
   m_operator_table.m_on_change = [this](const storage::VersionedRow& row) {
     OnOperatorRow(row);
   };
+  m_target_client.SetConnectionLimit(
+      m_connection_budget.GetTargetConnections());
   RegisterGauges();
   FollowRegistry();
   m_api.m_get_config = [this] { return m_config ? &*m_config : nullptr; };
@@ -281,6 +284,32 @@
   m_metrics.SetGauge("shallotwick_orders_without_connection", [this] {
     return static_cast<double>(m_target_client.CountWaitingRequests());
   });
+  m_metrics.SetGauge("shallotwick_target_connection_limit", [this] {
+    return static_cast<double>(m_connection_budget.GetTargetConnections());
+  });
+  m_metrics.SetGauge("shallotwick_open_file_limit", [this] {
+    return static_cast<double>(m_connection_budget.GetMaxOpenFiles());
+  });
+  m_metrics.SetGauge("shallotwick_open_files", [] {
+    return static_cast<double>(ConnectionBudget::CountOpenFiles());
+  });
+}
+
+void SchedulerProcess::LogConnectionShortage() {
+  size_t targets = 0;
+  for (const auto& [pool, runner] : m_pools) {
+    targets += m_targets.CountTargets(pool);
+  }
+  if (!m_connection_budget.UpdateTargets(targets)) {
+    return;
+  }
+  base::Log(base::events::kConnectionsShort,
+            {{"short", m_connection_budget.IsShort() ? "true" : "false"},
+             {"targets", std::to_string(targets)},
+             {"connections",
+              std::to_string(m_connection_budget.GetTargetConnections())},
+             {"open_file_limit",
+              std::to_string(m_connection_budget.GetMaxOpenFiles())}});
 }
 
 // Joins what hosts do for each other: the owner of a pool tells states of its
@@ -515,6 +544,7 @@
 }
 
 void SchedulerProcess::RunHostManagementPeriodically() {
+  LogConnectionShortage();
   RunHostManagementPass();
   m_loop.RunAfter(kHostManagementPeriod,
                   [this] { RunHostManagementPeriodically(); });
--- a/services/shallotwick-scheduler/scheduler_process.h
+++ b/services/shallotwick-scheduler/scheduler_process.h
@@ -10,6 +10,7 @@
 #include "base/metrics.h"
 #include "base/settings.h"
 #include "capacity_broker.h"
+#include "connection_budget.h"
 #include "host_ledger.h"
 #include "http/connection_pool.h"
 #include "http/server.h"
@@ -49,6 +50,9 @@
  private:
   void ConnectToPeers(const base::Settings& settings);
   void RegisterGauges();
+  // Logs when the targets of this host's pools begin and cease to need more
+  // connections than there are.
+  void LogConnectionShortage();
   // Lets this host reach the store through its peers, and peers through it.
   void ConnectStoreRelays(const base::Settings& settings);
   // Returns the addresses of the other hosts that were live when the sessions
@@ -88,6 +92,7 @@
 
   base::EventLoop m_loop;
   base::MetricRegistry m_metrics;
+  ConnectionBudget m_connection_budget;
   http::ConnectionPool m_store_client;
   http::ConnectionPool m_target_client;
   platform::RowStoreClient m_row_store;
