Give the tests' relay a rate limit

A soak on narrow links to the store needs a link that carries a bounded number of bytes a second. All connections of a relay share the limit, each way for itself, in the order in which their parts arrive; without a rate nothing waits.

--- a/tests/harness/relay.cc
+++ b/tests/harness/relay.cc
@@ -1,5 +1,6 @@
 #include "harness/relay.h"
 
+#include <algorithm>
 #include <array>
 #include <future>
 #include <utility>
@@ -8,10 +9,24 @@
 
 namespace shallotwick::harness {
 
+struct Relay::Flow {
+  Flow(Socket& source, Socket& sink, Lane& shared, asio::io_context& context)
+      : from(source), to(sink), lane(shared), timer(context) {}
+
+  Socket& from;
+  Socket& to;
+  Lane& lane;
+  asio::steady_timer timer;
+  std::array<char, 8192> buffer{};
+};
+
 // Both ends of one relayed connection.
 struct Relay::Pair {
-  Pair(Socket from, asio::io_context& context)
-      : caller(std::move(from)), target(context) {}
+  Pair(Socket from, Relay& relay)
+      : caller(std::move(from)),
+        target(relay.m_context),
+        to_target(caller, target, relay.m_to_target, relay.m_context),
+        to_caller(target, caller, relay.m_to_caller, relay.m_context) {}
 
   void Close() {
     std::error_code ignored;
@@ -21,8 +36,8 @@
 
   Socket caller;
   Socket target;
-  std::array<char, 8192> to_target{};
-  std::array<char, 8192> to_caller{};
+  Flow to_target;
+  Flow to_caller;
 };
 
 Relay::Relay(const std::string& target)
@@ -61,43 +76,67 @@
   asio::post(m_context, [this] { m_cut = false; });
 }
 
+void Relay::SetRate(int64_t bytes_per_second) {
+  asio::post(m_context, [this, bytes_per_second] {
+    m_bytes_per_second = bytes_per_second;
+  });
+}
+
+Relay::Clock::time_point Relay::Pass(Lane& lane, size_t bytes) const {
+  const auto now = Clock::now();
+  if (m_bytes_per_second == 0) {
+    return now;
+  }
+  const std::chrono::microseconds time(static_cast<int64_t>(bytes) * 1'000'000 /
+                                       m_bytes_per_second);
+  lane.free_at = std::max(lane.free_at, now) + time;
+  return lane.free_at;
+}
+
 void Relay::Accept() {
   m_acceptor.async_accept([this](const std::error_code& error, Socket socket) {
     if (!error && !m_cut) {
-      auto pair = std::make_shared<Pair>(std::move(socket), m_context);
+      auto pair = std::make_shared<Pair>(std::move(socket), *this);
       m_pairs.insert(pair);
-      pair->target.async_connect(
-          m_target, [pair](const std::error_code& failed) {
-            if (failed) {
-              pair->Close();
-              return;
-            }
-            Pump(pair, pair->caller, pair->target, pair->to_target);
-            Pump(pair, pair->target, pair->caller, pair->to_caller);
-          });
+      pair->target.async_connect(m_target,
+                                 [this, pair](const std::error_code& failed) {
+                                   if (failed) {
+                                     pair->Close();
+                                     return;
+                                   }
+                                   Pump(pair, pair->to_target);
+                                   Pump(pair, pair->to_caller);
+                                 });
     }
     Accept();
   });
 }
 
-void Relay::Pump(const std::shared_ptr<Pair>& pair, Socket& from, Socket& to,
-                 std::array<char, 8192>& buffer) {
-  from.async_read_some(
-      asio::buffer(buffer),
-      [pair, &from, &to, &buffer](const std::error_code& error, size_t bytes) {
+void Relay::Pump(const std::shared_ptr<Pair>& pair, Flow& flow) {
+  flow.from.async_read_some(
+      asio::buffer(flow.buffer),
+      [this, pair, &flow](const std::error_code& error, size_t bytes) {
         if (error) {
           pair->Close();
           return;
         }
-        asio::async_write(
-            to, asio::buffer(buffer, bytes),
-            [pair, &from, &to, &buffer](const std::error_code& failed, size_t) {
-              if (failed) {
-                pair->Close();
-                return;
-              }
-              Pump(pair, from, to, buffer);
-            });
+        const auto write = [this, pair, &flow, bytes](const std::error_code&) {
+          asio::async_write(
+              flow.to, asio::buffer(flow.buffer, bytes),
+              [this, pair, &flow](const std::error_code& failed, size_t) {
+                if (failed) {
+                  pair->Close();
+                  return;
+                }
+                Pump(pair, flow);
+              });
+        };
+        if (m_bytes_per_second == 0) {
+          write({});
+          return;
+        }
+        flow.timer.expires_at(Pass(flow.lane, bytes));
+        flow.timer.async_wait(write);
       });
 }
 
