--- a/tests/soak/fault_play.cc
+++ b/tests/soak/fault_play.cc
@@ -31,6 +31,8 @@
 constexpr auto kQuietCallPeriod = std::chrono::milliseconds(500);
 constexpr auto kSecondFaultTime = std::chrono::milliseconds(3'000);
 constexpr auto kCallPeriod = std::chrono::milliseconds(60);
+// Many jobs are also larger, so that a link needs seconds to carry them.
+constexpr size_t kManyJobsFactor = 4;
 constexpr auto kTick = std::chrono::milliseconds(5);
 // Leases, sessions and late orders end within this time. So do jobs after it,
 // besides the time that their tasks take in the executors' room.
@@ -584,6 +586,9 @@
   m_link_rate = DrawSite(100'000, 400'000);
   m_spec_bytes = static_cast<size_t>(DrawSite(200, 2'000));
   m_has_many_jobs = DrawSite(0, 1) == 0;
+  if (m_has_many_jobs) {
+    m_spec_bytes *= kManyJobsFactor;
+  }
   if (DrawSite(0, 1) == 0) {
     m_quiet_time = kQuietTime;
   }
