--- a/libraries/base/log_catalogue.h
+++ b/libraries/base/log_catalogue.h
@@ -169,6 +169,9 @@
 inline constexpr LogEvent kPoolCapacity{
     532, "pool-capacity", Severity::kInfo,
     "A pool wants or has another number of hosts."};
+inline constexpr LogEvent kProgressBacklog{
+    533, "progress-backlog", Severity::kWarning,
+    "More progress waits for the store than it takes at a time."};
 inline constexpr LogEvent kStartsLimited{
     534, "starts-limited", Severity::kWarning,
     "Late or missing answers made the owner of a pool send fewer starts at a "
@@ -177,9 +180,6 @@
     535, "connections-short", Severity::kWarning,
     "The limit on open files began or ceased to allow fewer connections than "
     "the pools of a host have targets."};
-inline constexpr LogEvent kProgressBacklog{
-    533, "progress-backlog", Severity::kWarning,
-    "More progress waits for the store than it takes at a time."};
 inline constexpr LogEvent kWaveProgress{
     531, "wave-progress", Severity::kInfo,
     "A maintenance wave has begun, gone on or ended."};
--- a/libraries/scheduling/start_window.cc
+++ b/libraries/scheduling/start_window.cc
@@ -11,7 +11,7 @@
 constexpr size_t kIncrease = 16;
 // A result that comes sooner without an answer is a refused connection, which
 // says nothing of the load. An order is given up after 400 ms.
-constexpr auto kMinTimeoutTime = std::chrono::milliseconds(200);
+constexpr auto kMaxRefusalTime = std::chrono::milliseconds(200);
 constexpr auto kQuickAnswer = std::chrono::milliseconds(60);
 constexpr auto kLateAnswer = std::chrono::milliseconds(130);
 // A few silent targets are no sign of overload: one missing result in this
@@ -44,7 +44,7 @@
 
 void StartWindow::OnLimited() {
   m_holds_back = true;
-  m_was_limited = true;
+  m_was_used_up = true;
 }
 
 void StartWindow::OnResult(OrderOutcome outcome, base::Duration answer_time) {
@@ -53,7 +53,7 @@
   }
   const bool has_answer =
       outcome != OrderOutcome::kUnknown && outcome != OrderOutcome::kNotSent;
-  if (!has_answer && answer_time < kMinTimeoutTime) {
+  if (!has_answer && answer_time < kMaxRefusalTime) {
     return;
   }
   ++m_results;
@@ -77,14 +77,14 @@
     Shrink(1, 2);
   } else if (mean > kLateAnswer) {
     Shrink(3, 4);
-  } else if (mean < mean_limit && m_was_limited) {
+  } else if (mean < mean_limit && m_was_used_up) {
     m_size = std::min(m_size + kIncrease, kMaxSize);
     m_is_reduced = m_is_reduced && m_size < kInitialSize;
   }
   m_results = 0;
   m_missing = 0;
   m_answer_time = base::Duration(0);
-  m_was_limited = false;
+  m_was_used_up = false;
 }
 
 void StartWindow::Shrink(size_t numerator, size_t denominator) {
--- a/libraries/scheduling/start_window.h
+++ b/libraries/scheduling/start_window.h
@@ -41,15 +41,18 @@
 
   size_t m_size = kInitialSize;
   size_t m_in_flight = 0;
+  // Since the window last shrank, it has not widened to its initial size.
   bool m_is_reduced = false;
+  // The current placement pass has held a start back.
   bool m_holds_back = false;
   // When the first of the passes began that have all held starts back.
   base::TimePoint m_limited_since;
   // Of the results since the last adaptation.
   size_t m_results = 0;
   size_t m_missing = 0;
+  // The sum over the answers.
   base::Duration m_answer_time{0};
-  bool m_was_limited = false;
+  bool m_was_used_up = false;
 
   static constexpr size_t kInitialSize = 64;
 };
--- a/services/shallotwick-scheduler/load_monitor.cc
+++ b/services/shallotwick-scheduler/load_monitor.cc
@@ -10,7 +10,7 @@
 
 // A load that takes longer is logged, and again at this interval.
 constexpr auto kSlowLoadTime = std::chrono::milliseconds(2'000);
-// An outage of the store that lasts longer is not expected to end soon.
+// Another host may be served although this one is not.
 constexpr auto kMaxStallTime = std::chrono::milliseconds(6'000);
 // A single page may take longer than that on a narrow link.
 constexpr int kMinFailuresOfStall = 3;
--- a/services/shallotwick-scheduler/ownership_manager.cc
+++ b/services/shallotwick-scheduler/ownership_manager.cc
@@ -124,8 +124,8 @@
       m_pools, records, m_session.GetMonitor().GetLiveHosts());
   for (const auto& [pool, hosts] : ranks) {
     const auto since = m_orphaned_since.try_emplace(pool, now).first->second;
-    const auto rank = GetRank(pool, hosts);
-    if (rank && now >= since + kRankDelay * *rank) {
+    const auto turns = CountTurnsBeforeClaim(pool, hosts);
+    if (turns && now >= since + kRankDelay * *turns) {
       Claim(pool);
     }
   }
@@ -134,7 +134,7 @@
   });
 }
 
-std::optional<ptrdiff_t> OwnershipManager::GetRank(
+std::optional<ptrdiff_t> OwnershipManager::CountTurnsBeforeClaim(
     const std::string& pool,
     const std::vector<ownership::Incarnation>& hosts) const {
   const auto own = std::find(hosts.begin(), hosts.end(), m_session.GetSelf());
--- a/services/shallotwick-scheduler/ownership_manager.h
+++ b/services/shallotwick-scheduler/ownership_manager.h
@@ -59,8 +59,8 @@
   void OnReset(const std::vector<storage::VersionedRow>& rows);
   void OnOwnerRow(const storage::VersionedRow& row);
   void ReclaimOwnPools();
-  // Returns how many hosts go before this one to claim a pool, if it may.
-  std::optional<ptrdiff_t> GetRank(
+  // Returns how many turns this host waits before it claims a pool, if it may.
+  std::optional<ptrdiff_t> CountTurnsBeforeClaim(
       const std::string& pool,
       const std::vector<ownership::Incarnation>& hosts) const;
   void WriteRelease(
--- a/services/shallotwick-scheduler/pool_runner.cc
+++ b/services/shallotwick-scheduler/pool_runner.cc
@@ -171,6 +171,7 @@
   const auto now = base::RuntimeClock::now();
   m_load.Check(now);
   if (m_load.IsStalled(now)) {
+    // Nothing may be done for the pool from here on.
     m_is_lost = true;
     base::Log(base::events::kPoolGivenUp,
               {{"pool", m_options.service},
--- a/services/shallotwick-scheduler/table_follower.h
+++ b/services/shallotwick-scheduler/table_follower.h
@@ -44,8 +44,8 @@
   TableFollower(base::EventLoop& loop, storage::RowStore& store,
                 TableFollowerOptions options);
 
-  // Called with all rows of the partitions. Each partition is read as of one
-  // point in time.
+  // Called with all rows of the partitions, each page read as of one point in
+  // time. Changes made meanwhile are delivered after it.
   std::function<void(const std::vector<storage::VersionedRow>&)> m_on_reset;
   std::function<void(const storage::VersionedRow&)> m_on_change;
   // Called for each page of a partition that was read or could not be read.
