Don't use a pool's runner after it is removed; bound slow pages

The callback that removes the runner belongs to it and went on with its own freed captures, the pool's name among them; RemovePool did the same for a pool that was lost, also on.

--- a/libraries/storage/partition_reader.cc
+++ b/libraries/storage/partition_reader.cc
@@ -19,7 +19,11 @@
 // link it does not.
 constexpr double kMinGain = 1.3;
 constexpr double kMinMeasuredSeconds = 0.001;
-constexpr int kFirstPageRows = 64;
+// The first page is small, as a narrow link may need longer for a large one
+// than the store's adapter waits.
+constexpr int kFirstPageRows = 32;
+// A page that takes longer is large enough, whatever the gain.
+constexpr auto kLongPageTime = std::chrono::milliseconds(1'000);
 constexpr int kMaxPageRows = 500;
 // A row has at most 64 KB.
 constexpr int kMinPageRows = 16;
@@ -103,7 +107,7 @@
   const double rate = static_cast<double>(page.rows.size()) /
                       std::max(seconds, kMinMeasuredSeconds);
   const bool pays_off = rate > kMinGain * m_rows_per_second;
-  if (page_time < kMaxPageTime / 4 || pays_off) {
+  if (page_time < kMaxPageTime / 4 || (pays_off && page_time < kLongPageTime)) {
     m_next.limit = std::min(m_next.limit * 2, kMaxPageRows);
   }
   m_rows_per_second = rate;
--- a/services/shallotwick-scheduler/pool_runner.cc
+++ b/services/shallotwick-scheduler/pool_runner.cc
@@ -176,7 +176,9 @@
     base::Log(base::events::kPoolGivenUp,
               {{"pool", m_options.service},
                {"term", std::to_string(m_options.term)}});
-    m_loop.Post(m_lifetime.Guard([this] { m_on_load_failed(); }));
+    // The callback may remove this runner.
+    m_loop.Post(
+        m_lifetime.Guard([on_failed = m_on_load_failed] { on_failed(); }));
     return;
   }
   m_loop.RunAfter(kTickPeriod,
@@ -617,7 +619,8 @@
   base::Log(base::events::kPoolLost, {{"pool", m_options.service},
                                       {"term", std::to_string(m_options.term)},
                                       {"reason", reason}});
-  m_loop.Post(m_lifetime.Guard([this] { m_on_lost(); }));
+  // The callback may remove this runner.
+  m_loop.Post(m_lifetime.Guard([on_lost = m_on_lost] { on_lost(); }));
 }
 
 void PoolRunner::CountOutcome(const char* order,
--- a/services/shallotwick-scheduler/tests/load_test.cc
+++ b/services/shallotwick-scheduler/tests/load_test.cc
@@ -158,6 +158,29 @@
   LONGS_EQUAL(kJobs, pool->GetScheduler().GetJobCount());
 }
 
+TEST(Load, OwnerOnNarrowLinkLoadsPoolWhoseWholePageTakesLongerThanItMayWait) {
+  PutJobs(200);
+  // As long as the adapter waits for an answer that makes progress.
+  m_store.m_timeout = std::chrono::seconds(10);
+  m_store.m_time_per_row = milliseconds(60);
+  const auto pool = StartPool();
+  Advance(std::chrono::seconds(14));
+  LONGS_EQUAL(0, m_load_failures);
+  CHECK_TRUE(pool->IsLoaded());
+}
+
+TEST(Load, RunnerMayBeRemovedByTheCallbackThatGivesItsPoolUp) {
+  m_store.m_is_away = true;
+  auto pool = StartPool();
+  std::string given_up;
+  pool->m_on_load_failed = [&pool, &given_up, name = std::string(100, 'p')] {
+    pool.reset();
+    given_up = name;
+  };
+  Advance(std::chrono::seconds(8));
+  STRCMP_EQUAL(std::string(100, 'p').c_str(), given_up.c_str());
+}
+
 TEST(Load, FailedPageDoesNotDiscardThePagesBeforeIt) {
   PutJobs(3'000);
   m_store.m_fail_nth = 3;
