Pass names of pools by reference again

The linter refuses the copies, and they are not needed: since the runner calls a copy of its callback, the name that the callback holds outlives the runner.

--- a/services/shallotwick-scheduler/scheduler_process.cc
+++ b/services/shallotwick-scheduler/scheduler_process.cc
@@ -649,7 +649,7 @@
   m_pools[pool] = std::move(runner);
 }
 
-void SchedulerProcess::GiveUpPool(std::string pool) {
+void SchedulerProcess::GiveUpPool(const std::string& pool) {
   RemovePool(pool);
   m_ownership.GiveUp(pool);
 }
@@ -697,9 +697,8 @@
   });
 }
 
-// Only hosts that own pools need the registry and the host list. The name is a
-// copy, as the runner that is removed may own the original.
-void SchedulerProcess::RemovePool(std::string pool) {
+// Only hosts that own pools need the registry and the host list.
+void SchedulerProcess::RemovePool(const std::string& pool) {
   if (m_pool_being_handed_over == pool) {
     m_pool_being_handed_over.reset();
   }
--- a/services/shallotwick-scheduler/scheduler_process.h
+++ b/services/shallotwick-scheduler/scheduler_process.h
@@ -54,7 +54,7 @@
   // them.
   void HandOverPools();
   void HandOverPool(const std::string& pool, PoolRunner& runner);
-  void GiveUpPool(std::string pool);
+  void GiveUpPool(const std::string& pool);
   // Logs when the targets of this host's pools begin and cease to need more
   // connections than there are.
   void LogConnectionShortage();
@@ -75,7 +75,7 @@
   void RunHostManagementPass();
   void ScheduleHostManagementPass();
   PoolRunner* FindPool(const std::string& pool) const;
-  void RemovePool(std::string pool);
+  void RemovePool(const std::string& pool);
   bool IsHolderLive(const std::string& holder) const;
   // Returns the state of a job of a pool that this host owns.
   std::optional<scheduling::JobState> FindOwnState(
