--- a/services/shallotwick-scheduler/pool_runner.cc
+++ b/services/shallotwick-scheduler/pool_runner.cc
@@ -28,6 +28,8 @@
 // Longer than the bursts of a recovery, and short against a change of owner
 // that is worth its cost.
 constexpr auto kOverloadTime = std::chrono::milliseconds(3'000);
+// An owner that could not hand its pool over tries again after this time.
+constexpr auto kHandoverRetryTime = std::chrono::seconds(15);
 constexpr size_t kMaxAddressBytes = 200;
 // Run numbers reserved per term; the next term starts above them.
 constexpr int64_t kRunsPerTerm = 1'000;
@@ -596,9 +598,17 @@
 }
 
 bool PoolRunner::IsOverloaded() const {
-  return m_is_loaded && !m_is_lost &&
-         m_scheduler.GetStartWindow().GetLimitedTime(
-             base::RuntimeClock::now()) >= kOverloadTime;
+  const auto now = base::RuntimeClock::now();
+  const bool may_be_handed_over =
+      m_is_loaded && !m_is_lost &&
+      (!m_resumed_at || now >= *m_resumed_at + kHandoverRetryTime);
+  return may_be_handed_over &&
+         m_scheduler.GetStartWindow().GetLimitedTime(now) >= kOverloadTime;
+}
+
+void PoolRunner::Resume() {
+  m_on_quiesced = nullptr;
+  m_resumed_at = base::RuntimeClock::now();
 }
 
 void PoolRunner::Quiesce(std::function<void()> on_quiesced) {
--- a/services/shallotwick-scheduler/pool_runner.h
+++ b/services/shallotwick-scheduler/pool_runner.h
@@ -80,8 +80,9 @@
   // Stops sending orders. Calls back once all orders in flight have been
   // answered and all progress is stored.
   void Quiesce(std::function<void()> on_quiesced);
-  // Sends orders again; the callback is not called any more.
-  void Resume() { m_on_quiesced = nullptr; }
+  // Sends orders again; the callback is not called any more. The owner does not
+  // count as overloaded for a while, so that it gets something done.
+  void Resume();
   // Returns whether the owner has held starts back for so long that its link or
   // processor is too weak for the pool.
   bool IsOverloaded() const;
@@ -210,6 +211,7 @@
   int m_orders_in_flight = 0;
   bool m_are_starts_limited = false;
   std::function<void()> m_on_quiesced;
+  std::optional<base::TimePoint> m_resumed_at;
   base::Lifetime m_lifetime;
 };
 
--- a/services/shallotwick-scheduler/tests/backlog_test.cc
+++ b/services/shallotwick-scheduler/tests/backlog_test.cc
@@ -279,3 +279,15 @@
   CHECK_TRUE(CountStarts(std::chrono::seconds(3)) >= kSteadyStarts);
   CHECK_FALSE(is_quiesced);
 }
+
+TEST(Backlog, OwnerThatCannotHandItsPoolOverDoesNotStopAgainAtOnce) {
+  const auto pool = StartPoolWithBacklog(4'000);
+  Advance(std::chrono::seconds(5));
+  CHECK_TRUE(pool->IsOverloaded());
+  pool->Quiesce([] {});
+  pool->Resume();
+  for (int i = 0; i < 50; ++i) {
+    CHECK_FALSE(pool->IsOverloaded());
+    Advance(milliseconds(100));
+  }
+}
