Share the spread of retry delays

The reader of partitions and the follower of tables each computed a delay of half either way; base::SpreadDelay does it for both. No change of behaviour.

--- a/libraries/base/backoff.cc
+++ b/libraries/base/backoff.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "base/random_identifier.h"
+
 namespace shallotwick::base {
 
 Backoff::Backoff(Duration initial_delay, Duration max_delay)
@@ -24,4 +26,9 @@
   return std::chrono::duration_cast<Duration>(period * factor);
 }
 
+Duration SpreadDelay(Duration average) {
+  constexpr double kHalfEitherWay = 1.0;
+  return JitterPeriod(average, MakeRandomFraction(), kHalfEitherWay);
+}
+
 }  // namespace shallotwick::base
--- a/libraries/base/backoff.h
+++ b/libraries/base/backoff.h
@@ -27,4 +27,7 @@
 // `jitter` is a random number in [0, 1).
 Duration JitterPeriod(Duration period, double jitter, double spread = 0.2);
 
+// Returns a random delay of up to half more or less than `average`.
+Duration SpreadDelay(Duration average);
+
 }  // namespace shallotwick::base
--- a/libraries/storage/partition_reader.cc
+++ b/libraries/storage/partition_reader.cc
@@ -5,13 +5,11 @@
 #include <utility>
 
 #include "base/backoff.h"
-#include "base/random_identifier.h"
 
 namespace shallotwick::storage {
 namespace {
 
-// Average delay before a failed page is read again; the actual delay varies by
-// 50 % in either direction.
+// Average delay before a failed page is read again.
 constexpr auto kRetryDelay = std::chrono::milliseconds(200);
 // A page that fails later may have been too large for the link.
 constexpr auto kMaxPageTime = std::chrono::milliseconds(300);
@@ -70,9 +68,7 @@
   }
   AdaptPageSize(page, base::RuntimeClock::now() - sent);
   if (!page.is_read) {
-    constexpr double kHalfEitherWay = 1.0;
-    m_loop.RunAfter(base::JitterPeriod(kRetryDelay, base::MakeRandomFraction(),
-                                       kHalfEitherWay),
+    m_loop.RunAfter(base::SpreadDelay(kRetryDelay),
                     m_lifetime.Guard([this, generation] {
                       if (generation == m_generation) {
                         ReadPage();
--- a/services/shallotwick-scheduler/table_follower.cc
+++ b/services/shallotwick-scheduler/table_follower.cc
@@ -5,7 +5,6 @@
 #include <utility>
 
 #include "base/backoff.h"
-#include "base/random_identifier.h"
 
 namespace shallotwick::scheduler {
 namespace {
@@ -254,14 +253,12 @@
 }
 
 void TableFollower::ReadChangesAfterDelay() {
-  constexpr double kHalfEitherWay = 1.0;
-  const auto delay = base::JitterPeriod(
-      kFeedRetryDelay, base::MakeRandomFraction(), kHalfEitherWay);
-  m_loop.RunAfter(delay, m_lifetime.Guard([this, generation = m_generation] {
-    if (generation == m_generation) {
-      ReadChanges();
-    }
-  }));
+  m_loop.RunAfter(base::SpreadDelay(kFeedRetryDelay),
+                  m_lifetime.Guard([this, generation = m_generation] {
+                    if (generation == m_generation) {
+                      ReadChanges();
+                    }
+                  }));
 }
 
 }  // namespace shallotwick::scheduler
