Join what the change wrote twice: owners' records, answers of the store, unused servers

The records of all owners were listed in two loops, a large answer of the store went through a copy of OnAnswer, and a server without connections or requests was erased in two places. No change of behaviour.

--- a/libraries/http/connection_pool.cc
+++ b/libraries/http/connection_pool.cc
@@ -191,9 +191,7 @@
   RemoveIdle(m_idle.begin()->first)->Close();
   const auto other = m_servers.find(name);
   OnClosed(other->second);
-  if (other->second.open_connections == 0 && other->second.waiting.empty()) {
-    m_servers.erase(other);
-  }
+  EraseIfUnused(other);
   return true;
 }
 
@@ -336,8 +334,12 @@
     }
     next = server.waiting.erase(next);
   }
-  if (server.open_connections == 0 && server.waiting.empty()) {
-    m_servers.erase(name);
+  EraseIfUnused(found);
+}
+
+void ConnectionPool::EraseIfUnused(Servers::iterator server) {
+  if (server->second.open_connections == 0 && server->second.waiting.empty()) {
+    m_servers.erase(server);
   }
 }
 
--- a/libraries/http/connection_pool.h
+++ b/libraries/http/connection_pool.h
@@ -89,6 +89,7 @@
                const std::shared_ptr<ClientConnection>& connection);
   std::shared_ptr<ClientConnection> RemoveIdle(uint64_t key);
   void OnClosed(Server& server);
+  void EraseIfUnused(Servers::iterator server);
   void AddServerWithoutRoom(const std::string& name);
   // Returns the server that is first to get a connection that another one gives
   // up: of those that wait because of m_max_connections, the one with the
--- a/libraries/storage/observed_store.cc
+++ b/libraries/storage/observed_store.cc
@@ -10,19 +10,14 @@
 
 }  // namespace
 
-void ObservedStore::OnLargeAnswer() {
+void ObservedStore::OnAnswer(base::TimePoint sent, bool is_large) {
   const auto now = base::RuntimeClock::now();
   const bool was_away = m_health.IsAway(now);
-  m_health.OnLargeAnswer(now);
-  if (was_away) {
-    m_on_return();
+  if (is_large) {
+    m_health.OnLargeAnswer(now);
+  } else {
+    m_health.OnAnswer(now, now - sent);
   }
-}
-
-void ObservedStore::OnAnswer(base::TimePoint sent) {
-  const auto now = base::RuntimeClock::now();
-  const bool was_away = m_health.IsAway(now);
-  m_health.OnAnswer(now, now - sent);
   if (was_away) {
     m_on_return();
   }
@@ -51,10 +46,8 @@
   m_health.OnSent(sent);
   m_store.Read(range,
                [this, sent, on_end = std::move(on_end)](RowReadResult result) {
-                 if (result.is_read && result.rows.size() <= kMaxTimedRows) {
-                   OnAnswer(sent);
-                 } else if (result.is_read) {
-                   OnLargeAnswer();
+                 if (result.is_read) {
+                   OnAnswer(sent, result.rows.size() > kMaxTimedRows);
                  }
                  on_end(std::move(result));
                });
--- a/libraries/storage/observed_store.h
+++ b/libraries/storage/observed_store.h
@@ -27,8 +27,7 @@
                    std::function<void(ChangeFeedResult)> on_end) override;
 
  private:
-  void OnAnswer(base::TimePoint sent);
-  void OnLargeAnswer();
+  void OnAnswer(base::TimePoint sent, bool is_large = false);
 
   RowStore& m_store;
   StoreHealth m_health;
--- a/services/shallotwick-scheduler/ownership_manager.cc
+++ b/services/shallotwick-scheduler/ownership_manager.cc
@@ -116,12 +116,8 @@
   if (!m_session.GetMonitor().HasObservedLongEnough()) {
     return;
   }
-  std::map<std::string, ownership::OwnerRecord> records;
-  for (const auto& [pool, owner] : m_owners) {
-    records[pool] = owner.record;
-  }
   const auto ranks = ownership::RankCandidates(
-      m_pools, records, m_session.GetMonitor().GetLiveHosts());
+      m_pools, ListOwners(), m_session.GetMonitor().GetLiveHosts());
   for (const auto& [pool, hosts] : ranks) {
     const auto since = m_orphaned_since.try_emplace(pool, now).first->second;
     const auto turns = CountTurnsBeforeClaim(pool, hosts);
@@ -258,21 +254,26 @@
                          const storage::RowCommitResult&) { on_done(); });
 }
 
+std::map<std::string, ownership::OwnerRecord> OwnershipManager::ListOwners()
+    const {
+  std::map<std::string, ownership::OwnerRecord> owners;
+  for (const auto& [pool, owner] : m_owners) {
+    owners[pool] = owner.record;
+  }
+  return owners;
+}
+
 bool OwnershipManager::HasStrongerCandidate(const std::string& pool) const {
   const auto live = m_session.GetMonitor().GetLiveHosts();
   const auto self = live.find(m_session.GetSelf());
   if (self == live.end()) {
     return false;
   }
-  std::map<std::string, ownership::OwnerRecord> records;
-  for (const auto& [name, owner] : m_owners) {
-    if (name != pool) {
-      records[name] = owner.record;
-    }
-  }
+  auto owners = ListOwners();
+  owners.erase(pool);
   auto others = live;
   others.erase(m_session.GetSelf());
-  const auto ranks = ownership::RankCandidates(m_pools, records, others);
+  const auto ranks = ownership::RankCandidates(m_pools, owners, others);
   const auto hosts = ranks.find(pool);
   return hosts != ranks.end() && !hosts->second.empty() &&
          live.at(hosts->second.front()) >= kMinStrengthFactor * self->second;
--- a/services/shallotwick-scheduler/ownership_manager.h
+++ b/services/shallotwick-scheduler/ownership_manager.h
@@ -59,6 +59,7 @@
   void OnReset(const std::vector<storage::VersionedRow>& rows);
   void OnOwnerRow(const storage::VersionedRow& row);
   void ReclaimOwnPools();
+  std::map<std::string, ownership::OwnerRecord> ListOwners() const;
   // Returns how many turns this host waits before it claims a pool, if it may.
   std::optional<ptrdiff_t> CountTurnsBeforeClaim(
       const std::string& pool,
