Count the targets of a host's pools without a pass over the registry

The warning of event 535 went over all targets once for each pool, ten times a second. The pools' schedulers know how many targets they have; these include targets that are no longer registered but may have runs, which need connections as well.

--- a/services/shallotwick-scheduler/scheduler_process.cc
+++ b/services/shallotwick-scheduler/scheduler_process.cc
@@ -300,7 +300,7 @@
 void SchedulerProcess::LogConnectionShortage() {
   size_t targets = 0;
   for (const auto& [pool, runner] : m_pools) {
-    targets += m_targets.CountTargets(pool);
+    targets += runner->GetScheduler().GetTargets().size();
   }
   if (!m_connection_budget.UpdateTargets(targets)) {
     return;
--- a/services/shallotwick-scheduler/target_registry.cc
+++ b/services/shallotwick-scheduler/target_registry.cc
@@ -1,6 +1,5 @@
 #include "target_registry.h"
 
-#include <algorithm>
 #include <stdexcept>
 #include <utility>
 
@@ -48,13 +47,6 @@
 
 void TargetRegistry::Clear() { m_targets.clear(); }
 
-size_t TargetRegistry::CountTargets(const std::string& service) const {
-  return static_cast<size_t>(std::count_if(
-      m_targets.begin(), m_targets.end(), [&service](const auto& target) {
-        return target.second.service == service;
-      }));
-}
-
 std::map<std::string, scheduling::TargetEntry> TargetRegistry::ListTargets(
     const std::string& service) const {
   std::map<std::string, scheduling::TargetEntry> targets;
--- a/services/shallotwick-scheduler/target_registry.h
+++ b/services/shallotwick-scheduler/target_registry.h
@@ -34,7 +34,6 @@
   void OnRow(const storage::VersionedRow& row);
   void Clear();
 
-  size_t CountTargets(const std::string& service) const;
   // Returns the targets of a service by their identifiers.
   std::map<std::string, scheduling::TargetEntry> ListTargets(
       const std::string& service) const;
