Tests: one host with its managers; a relay's limit checked once

Four tests of load_test set up a session and its manager by hand. Their assertions and times are as before. Relay::Pass is only called with a limit.

--- a/services/shallotwick-scheduler/tests/load_test.cc
+++ b/services/shallotwick-scheduler/tests/load_test.cc
@@ -110,6 +110,27 @@
   int m_calls = 0;
 };
 
+// A host that claims pools.
+struct Host {
+  Host(base::EventLoop& loop, storage::RowStore& store, const char* name,
+       double cores)
+      : session(loop, store, {name, "b"}, cores), owners(loop, store, session) {
+    session.m_on_sessions_read = [this] { owners.ClaimOrphanedPools(); };
+    session.m_on_replaced = [] {};
+    owners.m_on_gained = [this](const std::string&, uint64_t, int64_t) {
+      ++gained;
+    };
+    owners.m_on_lost = [](const std::string&) {};
+    owners.SetPools({kService});
+    session.Start();
+  }
+
+  scheduler::SessionRenewer session;
+  scheduler::OwnershipManager owners;
+  // How often it has gained the pool.
+  int gained = 0;
+};
+
 }  // namespace
 
 TEST_GROUP(Load) {
@@ -231,92 +252,45 @@
 }
 
 TEST(Load, PoolThatWasGivenUpIsClaimedByAnotherHostFirst) {
-  scheduler::SessionRenewer session(m_loop, m_store, {"edge-1", "b"}, 4);
-  scheduler::SessionRenewer other_session(m_loop, m_store, {"edge-2", "b"}, 1);
-  scheduler::OwnershipManager owners(m_loop, m_store, session);
-  scheduler::OwnershipManager others(m_loop, m_store, other_session);
-  int gained = 0;
-  int gained_by_other = 0;
-  const auto connect = [](scheduler::SessionRenewer& renewer,
-                          scheduler::OwnershipManager& manager, int& count) {
-    renewer.m_on_sessions_read = [&manager] { manager.ClaimOrphanedPools(); };
-    renewer.m_on_replaced = [] {};
-    manager.m_on_gained = [&count](const std::string&, uint64_t, int64_t) {
-      ++count;
-    };
-    manager.m_on_lost = [](const std::string&) {};
-    manager.SetPools({kService});
-    renewer.Start();
-  };
-  connect(session, owners, gained);
-  connect(other_session, others, gained_by_other);
+  Host one(m_loop, m_store, "edge-1", 4);
+  Host other(m_loop, m_store, "edge-2", 1);
   Advance(std::chrono::seconds(6));
-  LONGS_EQUAL(1, gained + gained_by_other);
-  auto& holder = gained == 1 ? owners : others;
-  holder.GiveUp(kService);
+  LONGS_EQUAL(1, one.gained + other.gained);
+  Host& holder = one.gained == 1 ? one : other;
+  holder.owners.GiveUp(kService);
   Advance(std::chrono::seconds(6));
-  LONGS_EQUAL(1, gained);
-  LONGS_EQUAL(1, gained_by_other);
+  LONGS_EQUAL(1, one.gained);
+  LONGS_EQUAL(1, other.gained);
 }
 
 TEST(Load, PoolWhoseReleaseIsRefusedIsLoadedAnew) {
-  scheduler::SessionRenewer session(m_loop, m_store, {"edge-1", "b"}, 4);
-  scheduler::OwnershipManager owners(m_loop, m_store, session);
-  int gained = 0;
-  session.m_on_sessions_read = [&owners] { owners.ClaimOrphanedPools(); };
-  session.m_on_replaced = [] {};
-  owners.m_on_gained = [&gained](const std::string&, uint64_t, int64_t) {
-    ++gained;
-  };
-  owners.m_on_lost = [](const std::string&) {};
-  owners.SetPools({kService});
-  session.Start();
+  Host host(m_loop, m_store, "edge-1", 4);
   Advance(std::chrono::seconds(6));
-  LONGS_EQUAL(1, gained);
+  LONGS_EQUAL(1, host.gained);
   m_store.m_faults = {{storage::RowCommitStatus::kRefused, false}};
-  owners.GiveUp(kService);
+  host.owners.GiveUp(kService);
   fakes::ProcessDueEvents(m_loop);
-  LONGS_EQUAL(2, gained);
+  LONGS_EQUAL(2, host.gained);
 }
 
 TEST(Load, OnlyFarStrongerHostIsCandidateForOverloadedPool) {
-  scheduler::SessionRenewer session(m_loop, m_store, {"edge-1", "b"}, 1);
-  scheduler::OwnershipManager owners(m_loop, m_store, session);
-  session.m_on_sessions_read = [&owners] { owners.ClaimOrphanedPools(); };
-  session.m_on_replaced = [] {};
-  owners.m_on_gained = [](const std::string&, uint64_t, int64_t) {};
-  owners.m_on_lost = [](const std::string&) {};
-  owners.SetPools({kService});
-  session.Start();
-  const auto join = [this](const char* host, double cores) {
-    auto renewer = std::make_unique<scheduler::SessionRenewer>(
-        m_loop, m_store, shallotwick::ownership::Incarnation{host, "b"}, cores);
-    renewer->m_on_sessions_read = [] {};
-    renewer->m_on_replaced = [] {};
-    renewer->Start();
-    Advance(std::chrono::seconds(5));
-    return renewer;
-  };
-  const auto alike = join("edge-2", 1.5);
-  CHECK_FALSE(owners.HasStrongerCandidate(kService));
-  const auto stronger = join("edge-3", 4);
-  CHECK_TRUE(owners.HasStrongerCandidate(kService));
+  Host host(m_loop, m_store, "edge-1", 1);
+  Host alike(m_loop, m_store, "edge-2", 1.5);
+  Advance(std::chrono::seconds(5));
+  CHECK_FALSE(host.owners.HasStrongerCandidate(kService));
+  Host stronger(m_loop, m_store, "edge-3", 4);
+  Advance(std::chrono::seconds(5));
+  CHECK_TRUE(host.owners.HasStrongerCandidate(kService));
 }
 
 TEST(Load, PoolOfAnotherOwnerIsNotGivenUp) {
   const uint64_t version =
       m_store.Put(scheduler::MakeOwnerKey(kService),
                   R"({"host":"edge-2","boot":"b","term":1})");
-  scheduler::SessionRenewer session(m_loop, m_store, {"edge-1", "b"}, 1);
-  scheduler::OwnershipManager owners(m_loop, m_store, session);
-  session.m_on_sessions_read = [] {};
-  session.m_on_replaced = [] {};
-  owners.m_on_gained = [](const std::string&, uint64_t, int64_t) {};
-  owners.m_on_lost = [](const std::string&) {};
-  owners.SetPools({kService});
-  session.Start();
+  Host host(m_loop, m_store, "edge-1", 1);
+  host.session.m_on_sessions_read = [] {};
   Advance(std::chrono::seconds(1));
-  owners.GiveUp(kService);
+  host.owners.GiveUp(kService);
   Advance(std::chrono::seconds(1));
   LONGS_EQUAL(version, m_store.Get(scheduler::MakeOwnerKey(kService)).version);
 }
--- a/tests/harness/relay.cc
+++ b/tests/harness/relay.cc
@@ -83,13 +83,9 @@
 }
 
 Relay::Clock::time_point Relay::Pass(Lane& lane, size_t bytes) const {
-  const auto now = Clock::now();
-  if (m_bytes_per_second == 0) {
-    return now;
-  }
   const std::chrono::microseconds time(static_cast<int64_t>(bytes) * 1'000'000 /
                                        m_bytes_per_second);
-  lane.free_at = std::max(lane.free_at, now) + time;
+  lane.free_at = std::max(lane.free_at, Clock::now()) + time;
   return lane.free_at;
 }
 
--- a/tests/harness/relay.h
+++ b/tests/harness/relay.h
@@ -41,7 +41,7 @@
 
   void Accept();
   void Pump(const std::shared_ptr<Pair>& pair, Flow& flow);
-  // Returns when that many bytes have passed the link.
+  // Returns when that many bytes have passed the link, which has a limit.
   Clock::time_point Pass(Lane& lane, size_t bytes) const;
 
   asio::io_context m_context{1};
