Log which target has room for a waiting task and why it takes none

520 task-waits said "no room on the targets that can be used" both for a full pool and for one whose room is on targets that its owner leaves out: cordoned for a wave or a move, in back-off, not in the stored roster. The reason now names a registered target that has room, and why it takes no tasks.

WaitBesideTargetThatHasRoomAndTakesNoTasksNamesIt is new behaviour.

--- a/libraries/scheduling/pool_decisions.cc
+++ b/libraries/scheduling/pool_decisions.cc
@@ -79,21 +79,50 @@
 
 bool PoolScheduler::IsUsable(const TargetLedger& target,
                              base::TimePoint now) const {
+  return ExplainUnusable(target, now) == nullptr;
+}
+
+const char* PoolScheduler::ExplainUnusable(const TargetLedger& target,
+                                           base::TimePoint now) const {
+  if (!target.m_is_registered) {
+    return "room only on a target that has left the registry";
+  }
+  if (target.m_entry.draining) {
+    return "room only on a target that drains";
+  }
+  if (!target.m_is_responsive || !target.m_has_accepted_token ||
+      !target.HasClock()) {
+    return "room only on a target that has not answered";
+  }
+  if (!target.m_is_in_roster) {
+    return "room only on a target that the stored roster lacks";
+  }
   const bool is_known_incarnation =
       target.m_entry.incarnation_started_ms == 0 ||
       target.m_reported_born_ms == 0 ||
       target.m_entry.incarnation_started_ms == target.m_reported_born_ms;
+  if (!is_known_incarnation) {
+    return "room only on a target whose restart the registry does not show";
+  }
   // Idle targets are not asked for reports, and an owner that was suspended has
   // not noticed a restart yet.
   const bool is_met =
       m_is_ownership_confirmed ||
       (target.m_was_met_by_confirmed_owner && target.m_missed_reports == 0 &&
        target.HasReportWithin(kMaxLapsedReportAge, now));
-  return is_met && target.m_is_registered && !target.m_entry.draining &&
-         target.m_has_accepted_token && target.m_is_in_roster &&
-         target.m_is_responsive && !target.m_is_cordoned && target.HasClock() &&
-         is_known_incarnation && now >= target.m_suspended_until &&
-         !target.HasUnknownDemand();
+  if (!is_met) {
+    return "room only on a target that another owner may have";
+  }
+  if (target.m_is_cordoned) {
+    return "room only on a cordoned target";
+  }
+  if (now < target.m_suspended_until) {
+    return "room only on a target in back-off";
+  }
+  if (target.HasUnknownDemand()) {
+    return "room only on a target with runs of unknown jobs";
+  }
+  return nullptr;
 }
 
 const TargetLedger* PoolScheduler::FindTargetPendingToken(
@@ -106,26 +135,30 @@
   return nullptr;
 }
 
+Candidate PoolScheduler::MakeCandidate(const TargetLedger& target,
+                                       base::TimePoint now) {
+  Candidate candidate;
+  candidate.id = target.m_entry.id;
+  candidate.rack = FindRack(target.m_entry.labels);
+  candidate.labels = target.m_entry.labels;
+  candidate.room = target.GetFreeCapacity();
+  candidate.failure_streak = target.m_failure_streak;
+  candidate.is_quarantined = now < target.m_quarantined_until;
+  candidate.starts_left = kMaxStartsPerTarget;
+  for (const auto& [name, run] : target.GetRuns()) {
+    candidate.latency_bound_runs += run.latency_target_ms > 0 ? 1 : 0;
+    candidate.starts_left -= run.state == RunState::kStarting ? 1 : 0;
+  }
+  return candidate;
+}
+
 std::vector<Candidate> PoolScheduler::MakeCandidates(
     base::TimePoint now) const {
   std::vector<Candidate> candidates;
   for (const auto& [id, target] : m_targets) {
-    if (!IsUsable(target, now)) {
-      continue;
-    }
-    Candidate candidate;
-    candidate.id = id;
-    candidate.rack = FindRack(target.m_entry.labels);
-    candidate.labels = target.m_entry.labels;
-    candidate.room = target.GetFreeCapacity();
-    candidate.failure_streak = target.m_failure_streak;
-    candidate.is_quarantined = now < target.m_quarantined_until;
-    candidate.starts_left = kMaxStartsPerTarget;
-    for (const auto& [name, run] : target.GetRuns()) {
-      candidate.latency_bound_runs += run.latency_target_ms > 0 ? 1 : 0;
-      candidate.starts_left -= run.state == RunState::kStarting ? 1 : 0;
+    if (IsUsable(target, now)) {
+      candidates.push_back(MakeCandidate(target, now));
     }
-    candidates.push_back(std::move(candidate));
   }
   return candidates;
 }
--- a/libraries/scheduling/pool_scheduler.h
+++ b/libraries/scheduling/pool_scheduler.h
@@ -271,10 +271,15 @@
   void AcknowledgeStoredCompletions();
 
   bool IsUsable(const TargetLedger& target, base::TimePoint now) const;
+  // Returns why the target takes no tasks, or null if it does.
+  const char* ExplainUnusable(const TargetLedger& target,
+                              base::TimePoint now) const;
   // Returns a target that may have runs of a previous owner and has not
   // answered this one yet, or null.
   const TargetLedger* FindTargetPendingToken(base::TimePoint now) const;
   bool NeedsReport(const TargetLedger& target, base::TimePoint now) const;
+  static Candidate MakeCandidate(const TargetLedger& target,
+                                 base::TimePoint now);
   std::vector<Candidate> MakeCandidates(base::TimePoint now) const;
   QueueRank Rank(const ActiveJob& job, const RunTimeCorrection& correction,
                  int64_t wall_ms) const;
@@ -299,6 +304,10 @@
   // Adds jobs of which nothing has run for long although there is room.
   void AddIdleJobs(const std::vector<Candidate>& candidates,
                    base::TimePoint now, std::map<TaskName, TaskWait>& waits);
+  // Names a target that has room for the task and takes none, if there is one.
+  TaskWait ExplainNoRoom(const TaskName& name, const PlacementRequest& request,
+                         const std::vector<Candidate>& candidates,
+                         base::TimePoint now) const;
   TaskWait ExplainWait(ActiveJob& job, const TaskName& name,
                        const std::vector<Candidate>& candidates,
                        base::TimePoint now) const;
--- a/libraries/scheduling/pool_waits.cc
+++ b/libraries/scheduling/pool_waits.cc
@@ -96,6 +96,21 @@
   m_idle_since = std::move(idle_since);
 }
 
+TaskWait PoolScheduler::ExplainNoRoom(const TaskName& name,
+                                      const PlacementRequest& request,
+                                      const std::vector<Candidate>& candidates,
+                                      base::TimePoint now) const {
+  for (const auto& [id, target] : m_targets) {
+    const char* reason = ExplainUnusable(target, now);
+    // A target without an entry may be gone.
+    if (reason != nullptr && target.m_is_registered &&
+        PlaceTask(request, {MakeCandidate(target, now)})) {
+      return {name, id, reason};
+    }
+  }
+  return {name, "", candidates.empty() ? "no target can be used" : kNoRoom};
+}
+
 TaskWait PoolScheduler::ExplainWait(ActiveJob& job, const TaskName& name,
                                     const std::vector<Candidate>& candidates,
                                     base::TimePoint now) const {
@@ -111,13 +126,10 @@
   if (!FitsLeaseLimit(job, name.step, now)) {
     return {name, "", "session too short for a lease"};
   }
-  if (candidates.empty()) {
-    return {name, "", "no target can be used"};
-  }
   const StepPosition position{name.occurrence, name.step};
   PlacementRequest request = MakePlacementRequest(job, position);
   if (!PlaceTask(request, candidates)) {
-    return {name, "", kNoRoom};
+    return ExplainNoRoom(name, request, candidates, now);
   }
   request.excluded = FindStoppingTargets(name);
   if (!PlaceTask(request, candidates)) {
--- a/libraries/scheduling/tests/long_running_test.cc
+++ b/libraries/scheduling/tests/long_running_test.cc
@@ -128,6 +128,19 @@
   STRCMP_EQUAL("back-off after a refused start", m_waits.back().c_str());
 }
 
+TEST(LongRunning, WaitBesideTargetThatHasRoomAndTakesNoTasksNamesIt) {
+  Register("t0");
+  Register("t1");
+  AnswerReports();
+  m_pool.SetCordoned("t1", true);
+  AddJob(MakeLongRunningJob("job", 5));
+  LONGS_EQUAL(4, DecideAfter(milliseconds(250)).starts.size());
+  DecideAfter(milliseconds(1'100));
+  STRCMP_EQUAL("t1 room only on a cordoned target", m_waits.back().c_str());
+  m_pool.SetCordoned("t1", false);
+  LONGS_EQUAL(1, DecideAfter(milliseconds(60)).starts.size());
+}
+
 TEST(LongRunning, WaitLogIsBounded) {
   scheduling::WaitLog log;
   std::map<scheduling::TaskName, scheduling::TaskWait> waits;
