Keep hosts for all cores of a pool's long-running tasks

Cause: a pool's demand counted the hosts over which long-running tasks have to spread, not the cores that they take. A pool with 19.75 cores of them asked for one host of 16, and its second host was given to other pools or, once it was prepared for maintenance, never replaced: it wanted 2 for "all of its work", and that part of the plan is served only once no pool is short of timely work.

The demand now includes the hosts that the cores of long-running tasks need, whether they run or wait, for work on schedule, for all work, and in addition to the hosts that short tasks keep busy.

PoolKeepsHostsForAllCoresOfItsLongRunningTasks and LoadCountsCoresOfLongRunningTasks failed before (1 host instead of 2, 0 cores instead of 5).

--- a/libraries/hosts/capacity_demand.cc
+++ b/libraries/hosts/capacity_demand.cc
@@ -14,6 +14,17 @@
 // The part of a host's cores that tasks of mixed sizes can fill.
 constexpr double kPackingEfficiency = 0.85;
 
+// Returns the hosts that long-running tasks need for themselves.
+int CountLongRunningHosts(const PoolLoad& load) {
+  if (load.cores_per_host <= 0) {
+    return load.min_hosts;
+  }
+  const double usable_cores_per_host = load.cores_per_host * kPackingEfficiency;
+  const int by_cores = static_cast<int>(
+      std::ceil(load.long_running_cores / usable_cores_per_host));
+  return std::max(load.min_hosts, by_cores);
+}
+
 }  // namespace
 
 std::string EncodeCapacityDemand(const CapacityDemand& record) {
@@ -52,8 +63,9 @@
     return 0;
   }
   const double usable_cores_per_host = load.cores_per_host * kPackingEfficiency;
-  return load.min_hosts + static_cast<int>(std::ceil(load.short_running_cores /
-                                                     usable_cores_per_host));
+  return CountLongRunningHosts(load) +
+         static_cast<int>(
+             std::ceil(load.short_running_cores / usable_cores_per_host));
 }
 
 int EstimateOnScheduleHosts(const PoolLoad& load) {
@@ -68,7 +80,7 @@
   const double by_forecast = load.forecast_cores / usable_cores_per_host;
   const int timely = static_cast<int>(
       std::ceil(std::max(std::min(by_backlog, by_parallelism), by_forecast)));
-  return std::max(load.min_hosts, timely);
+  return std::max(CountLongRunningHosts(load), timely);
 }
 
 int EstimateWantedHosts(const PoolLoad& load) {
@@ -83,7 +95,7 @@
   const double by_forecast = load.forecast_cores / usable_cores_per_host;
   const int wanted = static_cast<int>(
       std::ceil(std::max({by_backlog, by_parallelism, by_forecast})));
-  return std::max(load.min_hosts, wanted);
+  return std::max(CountLongRunningHosts(load), wanted);
 }
 
 }  // namespace shallotwick::hosts
--- a/libraries/hosts/capacity_demand.h
+++ b/libraries/hosts/capacity_demand.h
@@ -48,7 +48,9 @@
   // its deadline.
   double on_schedule_waiting_cores = 0;
   double on_schedule_core_seconds = 0;
-  // Hosts that long-running tasks need for themselves.
+  // Cores of all long-running tasks, whether they run or wait.
+  double long_running_cores = 0;
+  // Hosts over which long-running tasks have to spread.
   int min_hosts = 0;
   double cores_per_host = 0;
 
--- a/libraries/hosts/tests/hosts_test.cc
+++ b/libraries/hosts/tests/hosts_test.cc
@@ -114,6 +114,20 @@
   CHECK_TRUE(hosts::EstimateWantedHosts(load) > by_backlog);
 }
 
+TEST(Hosts, PoolKeepsHostsForAllCoresOfItsLongRunningTasks) {
+  hosts::PoolLoad load;
+  load.cores_per_host = 16;
+  load.min_hosts = 1;
+  load.long_running_cores = 19.75;
+  LONGS_EQUAL(2, hosts::EstimateOnScheduleHosts(load));
+  LONGS_EQUAL(2, hosts::EstimateWantedHosts(load));
+  load.short_running_cores = 1;
+  LONGS_EQUAL(3, hosts::EstimateBusyHosts(load));
+  load.min_hosts = 4;
+  LONGS_EQUAL(4, hosts::EstimateOnScheduleHosts(load));
+  LONGS_EQUAL(5, hosts::EstimateBusyHosts(load));
+}
+
 TEST(Hosts, WaveIsCompletedOnceEachHostIsMaintainedOrLeft) {
   hosts::MaintenanceWave wave;
   wave.number = 1;
--- a/libraries/scheduling/pool_planned_work.cc
+++ b/libraries/scheduling/pool_planned_work.cc
@@ -184,6 +184,7 @@
                                    : step_spec.count;
         load.min_hosts = std::max(
             load.min_hosts, (step_spec.count + per_target - 1) / per_target);
+        load.long_running_cores += open * cores;
       } else {
         const double left =
             job.IsStepReady(k, step) ? 1 - running_share / 2 : 1;
--- a/libraries/scheduling/tests/long_running_test.cc
+++ b/libraries/scheduling/tests/long_running_test.cc
@@ -48,6 +48,8 @@
   base::TimePoint m_now{std::chrono::seconds(1'000)};
   scheduling::PoolScheduler m_pool{MakeOptions()};
   std::vector<std::string> m_waits;
+  // What the targets report.
+  std::map<std::string, std::vector<scheduling::ReportedRun>> m_running;
 
   void setup() override {
     m_pool.m_on_decision = [this](const scheduling::SchedulingDecision& note) {
@@ -78,11 +80,21 @@
       }
       scheduling::TargetReport report;
       report.clock_ms = 5'000;
+      report.running = m_running[order.target];
       m_pool.OnReport(order, sent, m_now, report);
     }
     m_pool.ConfirmRoster(m_pool.GetRoster());
   }
 
+  // Starts what fits; the targets report that it works.
+  void StartAll() {
+    for (const auto& start : DecideAfter(milliseconds(60)).starts) {
+      m_pool.OnStartResult(start, {OrderOutcome::kAccepted, 5'000}, m_now);
+      m_running[start.target].push_back({start.task, start.run, "", 100, 0});
+    }
+    AnswerReports();
+  }
+
   scheduling::PoolOrders DecideAfter(base::Duration duration) {
     m_now += duration;
     return m_pool.Decide(m_now, kWallMs);
@@ -162,6 +174,22 @@
   CHECK_TRUE(lines >= 3 && lines <= 6);
 }
 
+TEST(LongRunning, LoadCountsCoresOfLongRunningTasks) {
+  Register("t0");
+  AnswerReports();
+  AddJob(MakeLongRunningJob("running", 3));
+  StartAll();
+  AddJob(MakeLongRunningJob("waiting", 2));
+  scheduling::JobSpec short_job = MakeLongRunningJob("short", 5);
+  short_job.steps[0].long_running = false;
+  AddJob(short_job);
+  scheduling::JobSpec filling = MakeLongRunningJob("filling", 5);
+  filling.steps[0].best_effort = true;
+  AddJob(filling);
+  DOUBLES_EQUAL(5.0, m_pool.EstimateLoad(m_now, kWallMs).long_running_cores,
+                0.001);
+}
+
 TEST(LongRunning, EntryThatNeverAnsweredIsNotInRoster) {
   Register("odd");
   Register("t0");
