Start long-running tasks without another place on cordoned targets

Cause: a target that is prepared for maintenance took no task at all, for as long as the preparation lasts. It lasts until the disruption budgets of the tasks that remain on it allow to end them; and a task that waits uses up its step's budget. So a task that waits for the cordoned target holds up the maintenance that the cordon is for: neither goes on until a host comes.

A cordoned target now takes long-running tasks that fit on no other one. Once its maintenance or move is ordered it is leaving, and takes none; a move now says so as well (SetLeaving), since a task started on the way would be lost. Short tasks are kept off as before.

TaskWithoutOtherPlaceStartsOnCordonedTarget failed before (0 starts instead of 2). TargetIsLeavingWhileItsTransferIsUnderWay, TaskPrefersTargetThatIsNotCordoned and ShortTaskStartsOnNoCordonedTarget are new behaviour and its limits. The test of the reason "room only on a cordoned target" now uses a target that is leaving.

A job's wait for room that cordoned targets have is logged only in a pool at least half of which is idle: others are merely full.

--- a/libraries/scheduling/placement.cc
+++ b/libraries/scheduling/placement.cc
@@ -10,7 +10,8 @@
   const StepSpec& step = *request.step;
   const Resources demand = GetReservedResources(step.demand, step.best_effort);
   if (!demand.Fits(candidate.room) || candidate.starts_left <= 0 ||
-      (candidate.is_quarantined && !step.long_running) ||
+      ((candidate.is_quarantined || candidate.is_cordoned) &&
+       !step.long_running) ||
       request.excluded.count(candidate.id) > 0) {
     return false;
   }
@@ -37,7 +38,7 @@
                                 const std::vector<Candidate>& candidates) {
   const StepSpec& step = *request.step;
   // Lower cost is better.
-  using Cost = std::tuple<bool, int, bool, int, int64_t, size_t>;
+  using Cost = std::tuple<bool, bool, int, bool, int, int64_t, size_t>;
   std::optional<Cost> best;
   for (size_t i = 0; i < candidates.size(); ++i) {
     const Candidate& candidate = candidates[i];
@@ -53,7 +54,8 @@
                                   request.preferred_rack != candidate.rack;
     const int disturbed_runs =
         step.best_effort ? candidate.latency_bound_runs : 0;
-    const Cost cost{request.avoided.count(candidate.id) > 0,
+    const Cost cost{candidate.is_cordoned,
+                    request.avoided.count(candidate.id) > 0,
                     candidate.failure_streak + sibling_count,
                     is_in_other_rack,
                     disturbed_runs,
@@ -66,7 +68,7 @@
   if (!best) {
     return std::nullopt;
   }
-  return std::get<5>(*best);
+  return std::get<6>(*best);
 }
 
 }  // namespace shallotwick::scheduling
--- a/libraries/scheduling/placement.h
+++ b/libraries/scheduling/placement.h
@@ -21,6 +21,8 @@
   int failure_streak = 0;
   // Receives long-running tasks alone.
   bool is_quarantined = false;
+  // Receives long-running tasks that fit nowhere else.
+  bool is_cordoned = false;
   // How many more starts may be in flight to the target.
   int starts_left = 1;
   // Runs with a latency target, which best-effort tasks would slow down.
--- a/libraries/scheduling/pool_decisions.cc
+++ b/libraries/scheduling/pool_decisions.cc
@@ -79,7 +79,7 @@
 
 bool PoolScheduler::IsUsable(const TargetLedger& target,
                              base::TimePoint now) const {
-  return ExplainUnusable(target, now) == nullptr;
+  return !target.m_is_cordoned && ExplainUnusable(target, now) == nullptr;
 }
 
 const char* PoolScheduler::ExplainUnusable(const TargetLedger& target,
@@ -113,9 +113,6 @@
   if (!is_met) {
     return "room only on a target that another owner may have";
   }
-  if (target.m_is_cordoned) {
-    return "room only on a cordoned target";
-  }
   if (now < target.m_suspended_until) {
     return "room only on a target in back-off";
   }
@@ -144,6 +141,7 @@
   candidate.room = target.GetFreeCapacity();
   candidate.failure_streak = target.m_failure_streak;
   candidate.is_quarantined = now < target.m_quarantined_until;
+  candidate.is_cordoned = target.m_is_cordoned;
   candidate.starts_left = kMaxStartsPerTarget;
   for (const auto& [name, run] : target.GetRuns()) {
     candidate.latency_bound_runs += run.latency_target_ms > 0 ? 1 : 0;
@@ -156,7 +154,8 @@
     base::TimePoint now) const {
   std::vector<Candidate> candidates;
   for (const auto& [id, target] : m_targets) {
-    if (IsUsable(target, now)) {
+    const bool is_leaving = target.m_is_cordoned && target.m_is_leaving;
+    if (!is_leaving && ExplainUnusable(target, now) == nullptr) {
       candidates.push_back(MakeCandidate(target, now));
     }
   }
--- a/libraries/scheduling/pool_scheduler.h
+++ b/libraries/scheduling/pool_scheduler.h
@@ -162,7 +162,9 @@
   void OnCommitted(const std::vector<ProgressChange>& batch);
   void OnCommitFailed(const std::vector<ProgressChange>& batch);
 
-  // For planned work on hosts. A cordoned target receives no new runs.
+  // For planned work on hosts. A cordoned target receives no new runs but those
+  // of long-running tasks that fit on no other target, and none once it is
+  // leaving.
   void SetCordoned(const std::string& id, bool cordoned);
   // Returns whether all runs on the target are known from its own reports.
   bool AreRunsKnown(const std::string& id) const;
@@ -271,7 +273,8 @@
   void AcknowledgeStoredCompletions();
 
   bool IsUsable(const TargetLedger& target, base::TimePoint now) const;
-  // Returns why the target takes no tasks, or null if it does.
+  // Returns why the target takes no tasks, or null if it does unless it is
+  // cordoned.
   const char* ExplainUnusable(const TargetLedger& target,
                               base::TimePoint now) const;
   // Returns a target that may have runs of a previous owner and has not
@@ -304,6 +307,8 @@
   // Adds jobs of which nothing has run for long although there is room.
   void AddIdleJobs(const std::vector<Candidate>& candidates,
                    base::TimePoint now, std::map<TaskName, TaskWait>& waits);
+  // Whether at most half of the registered targets' processors is in use.
+  bool IsHalfIdle() const;
   // Names a target that has room for the task and takes none, if there is one.
   TaskWait ExplainNoRoom(const TaskName& name, const PlacementRequest& request,
                          const std::vector<Candidate>& candidates,
--- a/libraries/scheduling/pool_waits.cc
+++ b/libraries/scheduling/pool_waits.cc
@@ -65,6 +65,7 @@
                                 std::map<TaskName, TaskWait>& waits) {
   std::map<std::string, base::TimePoint> idle_since;
   size_t explained = 0;
+  const bool is_half_idle = IsHalfIdle();
   for (auto& [id, job] : m_jobs) {
     const bool may_run = !IsTerminal(job.m_state) &&
                          !job.HasLongRunningStep() &&
@@ -87,7 +88,9 @@
       ++explained;
       const TaskWait wait =
           ExplainWait(job, {id, 0, step, waiting.front()}, candidates, now);
-      if (wait.reason != kNoRoom) {
+      const bool is_allowed =
+          wait.reason == kNoRoom || (wait.is_without_room && !is_half_idle);
+      if (!is_allowed) {
         waits[{id, 0, step, 0}] = wait;
       }
       break;
@@ -96,19 +99,37 @@
   m_idle_since = std::move(idle_since);
 }
 
+bool PoolScheduler::IsHalfIdle() const {
+  int64_t free_cpu_milli = 0;
+  int64_t cpu_milli = 0;
+  for (const auto& [id, target] : m_targets) {
+    if (target.m_is_registered) {
+      free_cpu_milli += target.GetFreeCapacity().cpu_milli;
+      cpu_milli += target.m_entry.capacity.cpu_milli;
+    }
+  }
+  return 2 * free_cpu_milli >= cpu_milli;
+}
+
 TaskWait PoolScheduler::ExplainNoRoom(const TaskName& name,
                                       const PlacementRequest& request,
                                       const std::vector<Candidate>& candidates,
                                       base::TimePoint now) const {
   for (const auto& [id, target] : m_targets) {
-    const char* reason = ExplainUnusable(target, now);
+    const char* reason = target.m_is_cordoned ? "room only on a cordoned target"
+                                              : ExplainUnusable(target, now);
+    Candidate candidate = MakeCandidate(target, now);
+    candidate.is_cordoned = false;
     // A target without an entry may be gone.
     if (reason != nullptr && target.m_is_registered &&
-        PlaceTask(request, {MakeCandidate(target, now)})) {
-      return {name, id, reason};
+        PlaceTask(request, {candidate})) {
+      return {name, id, reason, true};
     }
   }
-  return {name, "", candidates.empty() ? "no target can be used" : kNoRoom};
+  const bool is_any_usable =
+      std::any_of(candidates.begin(), candidates.end(),
+                  [](const Candidate& each) { return !each.is_cordoned; });
+  return {name, "", is_any_usable ? kNoRoom : "no target can be used", true};
 }
 
 TaskWait PoolScheduler::ExplainWait(ActiveJob& job, const TaskName& name,
--- a/libraries/scheduling/tests/long_running_test.cc
+++ b/libraries/scheduling/tests/long_running_test.cc
@@ -145,6 +145,7 @@
   Register("t1");
   AnswerReports();
   m_pool.SetCordoned("t1", true);
+  m_pool.SetLeaving("t1", true);
   AddJob(MakeLongRunningJob("job", 5));
   LONGS_EQUAL(4, DecideAfter(milliseconds(250)).starts.size());
   DecideAfter(milliseconds(1'100));
@@ -174,6 +175,43 @@
   CHECK_TRUE(lines >= 3 && lines <= 6);
 }
 
+TEST(LongRunning, TaskWithoutOtherPlaceStartsOnCordonedTarget) {
+  Register("t0");
+  Register("t1");
+  AnswerReports();
+  AddJob(MakeLongRunningJob("job", 4));
+  StartAll();
+  LONGS_EQUAL(2, m_pool.CountRuns("t0"));
+  m_pool.SetCordoned("t0", true);
+  m_pool.OnTargetEnded("t1", "test");
+  m_pool.SetLeaving("t0", true);
+  LONGS_EQUAL(0, DecideAfter(milliseconds(60)).starts.size());
+  m_pool.SetLeaving("t0", false);
+  LONGS_EQUAL(2, DecideAfter(milliseconds(60)).starts.size());
+}
+
+TEST(LongRunning, TaskPrefersTargetThatIsNotCordoned) {
+  Register("t0");
+  Register("t1");
+  AnswerReports();
+  m_pool.SetCordoned("t0", true);
+  AddJob(MakeLongRunningJob("job", 2));
+  const auto starts = DecideAfter(milliseconds(60)).starts;
+  LONGS_EQUAL(2, starts.size());
+  STRCMP_EQUAL("t1", starts[0].target.c_str());
+  STRCMP_EQUAL("t1", starts[1].target.c_str());
+}
+
+TEST(LongRunning, ShortTaskStartsOnNoCordonedTarget) {
+  Register("t0");
+  AnswerReports();
+  m_pool.SetCordoned("t0", true);
+  scheduling::JobSpec job = MakeLongRunningJob("job", 1);
+  job.steps[0].long_running = false;
+  AddJob(job);
+  LONGS_EQUAL(0, DecideAfter(milliseconds(60)).starts.size());
+}
+
 TEST(LongRunning, LoadCountsCoresOfLongRunningTasks) {
   Register("t0");
   AnswerReports();
--- a/libraries/scheduling/wait_log.h
+++ b/libraries/scheduling/wait_log.h
@@ -16,6 +16,8 @@
   // The target that the task waits for; empty if it waits for none.
   std::string target;
   const char* reason = "";
+  // The task fits on no target that can be used.
+  bool is_without_room = false;
 };
 
 // Selects the waits of tasks that are worth a log line: each change of the
--- a/services/shallotwick-scheduler/capacity_broker.cc
+++ b/services/shallotwick-scheduler/capacity_broker.cc
@@ -304,7 +304,7 @@
       return false;
     }
     if (host->second.pool == pool) {
-      SetCordoned(pool, target, false);
+      SetLeaving(pool, target, false);
     }
     return true;
   });
@@ -442,7 +442,7 @@
   for (const auto& [name, transfer] : transfers) {
     request.hosts.push_back(name);
     listed[name] = m_ledger.GetHosts().at(name);
-    SetCordoned(transfer.from, listed[name].target, true);
+    SetLeaving(transfer.from, listed[name].target, true);
     m_transfer_ended_at.erase(name);
     record[name] = transfer;
   }
@@ -464,7 +464,7 @@
     m_writing_transfers.erase(pool);
     for (const auto& [name, host] : listed) {
       m_transfers[pool].erase(name);
-      SetCordoned(host.pool, host.target, false);
+      SetLeaving(host.pool, host.target, false);
     }
   });
   m_ledger.Operate(std::move(request));
@@ -499,12 +499,22 @@
   }
 }
 
+void CapacityBroker::SetLeaving(const std::string& pool,
+                                const std::string& target, bool leaving) {
+  SetCordoned(pool, target, leaving);
+  const auto pools = m_get_pools();
+  const auto runner = pools.find(pool);
+  if (runner != pools.end()) {
+    runner->second->GetScheduler().SetLeaving(target, leaving);
+  }
+}
+
 void CapacityBroker::OnTransferred(const std::string& pool,
                                    const hosts::FleetHost& host,
                                    hosts::HostOperationOutcome outcome) {
   if (outcome != hosts::HostOperationOutcome::kDone) {
     m_transfers[pool].erase(host.name);
-    SetCordoned(host.pool, host.target, false);
+    SetLeaving(host.pool, host.target, false);
     return;
   }
   const auto now = base::RuntimeClock::now();
@@ -523,7 +533,7 @@
   if (has_target_ended) {
     runner.GetScheduler().OnTargetEnded(host.target, "its host is moved");
   } else if (!m_is_reserved(host.name)) {
-    runner.GetScheduler().SetCordoned(host.target, false);
+    SetLeaving(host.pool, host.target, false);
   }
   runner.Wake();
 }
--- a/services/shallotwick-scheduler/capacity_broker.h
+++ b/services/shallotwick-scheduler/capacity_broker.h
@@ -103,6 +103,9 @@
   void RemoveVisibleTransfers(const std::string& pool, base::TimePoint now);
   void SetCordoned(const std::string& pool, const std::string& target,
                    bool cordoned);
+  // Cordons a target whose transfer is ordered for long-running tasks too.
+  void SetLeaving(const std::string& pool, const std::string& target,
+                  bool leaving);
   // Releases the hosts that no longer are to be transferred, those that may be
   // moving once they turn out not to be.
   void ReleaseHosts(const std::string& pool, const PoolRunner& runner,
--- a/services/shallotwick-scheduler/tests/capacity_broker_test.cc
+++ b/services/shallotwick-scheduler/tests/capacity_broker_test.cc
@@ -221,6 +221,15 @@
   CHECK_FALSE(IsCordoned());
 }
 
+TEST(CapacityBroker, TargetIsLeavingWhileItsTransferIsUnderWay) {
+  const auto is_leaving = [this] {
+    return m_pool->GetScheduler().GetTargets().at(kTarget).m_is_leaving;
+  };
+  CHECK_TRUE(is_leaving());
+  AnswerMove(hosts::HostOperationOutcome::kBusy);
+  CHECK_FALSE(is_leaving());
+}
+
 // The row of a former owner stays until this owner has rewritten it.
 TEST(CapacityBroker, TransferOfFormerOwnerLeavesNoCordon) {
   const auto report_runs = [this](const std::string& target, int runs) {
