Move a long-running task off a host only if it has another place

Cause: before maintenance, Evacuate stopped long-running tasks as far as their disruption budgets allowed, without asking whether they fit anywhere else. The next pass then found them no place.

Evacuate now stops a task only if a target that is not cordoned has room for it, and counts that room as taken.

EvacuationStopsNoTaskThatHasNoPlaceElsewhere (1 stop instead of 0) and EvacuationStopsNoMoreTasksThanHavePlacesElsewhere (4 stops instead of 1) failed before.

--- a/libraries/scheduling/pool_planned_work.cc
+++ b/libraries/scheduling/pool_planned_work.cc
@@ -85,13 +85,17 @@
   return true;
 }
 
-void PoolScheduler::Evacuate(const std::string& id) {
+void PoolScheduler::Evacuate(const std::string& id, base::TimePoint now) {
   TargetLedger* target = FindTarget(id);
   if (target == nullptr) {
     return;
   }
+  std::vector<Candidate> candidates = MakeCandidates(now);
+  std::erase_if(candidates, [](const Candidate& candidate) {
+    return candidate.is_cordoned;
+  });
   for (const auto& [key, names] : GroupLongRunningRuns(id)) {
-    const ActiveJob& job = m_jobs.at(std::get<0>(key));
+    ActiveJob& job = m_jobs.at(std::get<0>(key));
     const auto step = std::get<2>(key);
     int stopping = 0;
     for (const TaskName& name : names) {
@@ -103,15 +107,27 @@
     int left =
         GetDisruptionBudget(job.GetSpec().steps[static_cast<size_t>(step)]) -
         CountUnavailable(job, std::get<1>(key), step, id) - stopping;
+    PlacementRequest request =
+        MakePlacementRequest(job, {std::get<1>(key), step});
     for (const TaskName& name : names) {
       const bool is_ready =
           target->GetRuns().at(name).state == RunState::kPresent;
-      if (left > 0 && is_ready) {
-        LogDecision("run-moved", name, target->GetRuns().at(name).number, id,
-                    "host maintenance");
-        RequestStop(*target, name);
-        --left;
+      if (left <= 0 || !is_ready) {
+        continue;
+      }
+      const auto place = PlaceTask(request, candidates);
+      if (!place) {
+        break;
       }
+      Candidate& chosen = candidates[*place];
+      chosen.room =
+          chosen.room -
+          GetReservedResources(request.step->demand, request.step->best_effort);
+      ++request.sibling_counts[chosen.id];
+      LogDecision("run-moved", name, target->GetRuns().at(name).number, id,
+                  "host maintenance");
+      RequestStop(*target, name);
+      --left;
     }
   }
 }
--- a/libraries/scheduling/pool_scheduler.h
+++ b/libraries/scheduling/pool_scheduler.h
@@ -177,10 +177,10 @@
   // Returns whether ending all runs on the target at once respects all
   // disruption budgets.
   bool CanInterrupt(const std::string& id) const;
-  // Stops long-running tasks on a target as far as their disruption budgets
-  // allow, so that they start elsewhere. Repeated calls remove all of them from
-  // the target.
-  void Evacuate(const std::string& id);
+  // Stops long-running tasks on a target that have a place elsewhere, as far as
+  // their disruption budgets allow. Repeated calls remove all of them from the
+  // target once there is room for them.
+  void Evacuate(const std::string& id, base::TimePoint now);
   size_t CountRuns(const std::string& id) const;
   size_t CountShortRuns(const std::string& id) const;
 
--- a/libraries/scheduling/tests/long_running_test.cc
+++ b/libraries/scheduling/tests/long_running_test.cc
@@ -175,6 +175,36 @@
   CHECK_TRUE(lines >= 3 && lines <= 6);
 }
 
+TEST(LongRunning, EvacuationStopsNoTaskThatHasNoPlaceElsewhere) {
+  Register("t0");
+  Register("t1");
+  AnswerReports();
+  AddJob(MakeLongRunningJob("job", 8));
+  StartAll();
+  m_pool.SetCordoned("t0", true);
+  m_pool.Evacuate("t0", m_now);
+  LONGS_EQUAL(0, DecideAfter(milliseconds(60)).stops.size());
+  Register("t2");
+  AnswerReports();
+  m_pool.Evacuate("t0", m_now);
+  LONGS_EQUAL(1, DecideAfter(milliseconds(60)).stops.size());
+}
+
+TEST(LongRunning, EvacuationStopsNoMoreTasksThanHavePlacesElsewhere) {
+  Register("t0");
+  Register("t1");
+  AnswerReports();
+  scheduling::JobSpec job = MakeLongRunningJob("job", 7);
+  job.steps[0].disruption_budget = 7;
+  AddJob(job);
+  StartAll();
+  m_pool.SetCordoned("t0", true);
+  m_pool.Evacuate("t0", m_now);
+  const auto stops = DecideAfter(milliseconds(60)).stops;
+  LONGS_EQUAL(4 - static_cast<long>(m_pool.CountRuns("t1")), stops.size());
+  CHECK_TRUE(stops.size() <= 1);
+}
+
 TEST(LongRunning, TaskWithoutOtherPlaceStartsOnCordonedTarget) {
   Register("t0");
   Register("t1");
--- a/services/shallotwick-scheduler/wave_coordinator.cc
+++ b/services/shallotwick-scheduler/wave_coordinator.cc
@@ -406,7 +406,7 @@
       (pool->GetScheduler().CountShortRuns(host.target) == 0 ||
        now >= m_preparing.at(host.name).since + kMaxPreparationTime);
   if (is_due) {
-    pool->GetScheduler().Evacuate(host.target);
+    pool->GetScheduler().Evacuate(host.target, now);
     pool->Wake();
   }
 }
