Keep a job's attempts when its route leaves the configuration

Seen by callers: an accepted job is shown as failed after one failed run, though its queue allows several (LOST).

Cause: the limit on failed runs was looked up in the configuration alone, and a route that is not there, or not yet there, counted as one attempt.

The job's record now holds the limit at which it was accepted, which applies while the configuration lacks the route. Records of earlier versions have none; for them it stays one attempt.

JobOfRouteThatConfigurationLacksKeepsItsAttempts failed before (the job had ended after the first failure). AcceptedJobRecordsTheAttemptsOfItsRoute is new.

--- a/libraries/scheduling/job_record.cc
+++ b/libraries/scheduling/job_record.cc
@@ -77,6 +77,7 @@
   for (const StepSpec& step : job.steps) {
     object["steps"].push_back(EncodeStep(step));
   }
+  SetIfNotDefault(object, "max_attempts", job.max_attempts, 0);
   if (job.occurrences > 0) {
     object["occurrences"] = job.occurrences;
     object["first_due_ms"] = job.first_due_ms;
@@ -98,6 +99,7 @@
     for (const json& step : object.at("steps")) {
       job.steps.push_back(DecodeStep(step));
     }
+    job.max_attempts = object.value("max_attempts", 0);
     job.occurrences = object.value("occurrences", 0);
     job.first_due_ms = object.value("first_due_ms", int64_t{0});
     job.interval_ms = object.value("interval_ms", int64_t{0});
--- a/libraries/scheduling/pool_reports.cc
+++ b/libraries/scheduling/pool_reports.cc
@@ -330,9 +330,10 @@
   failed.insert(position, completion.run);
   m_changes.MarkChanged(job.GetSpec().id, false);
   const auto route = m_routes.find(job.GetSpec().route);
-  const int attempt_limit =
-      route == m_routes.end() ? 1 : std::max(1, route->second.max_attempts);
-  if (static_cast<int>(failed.size()) >= attempt_limit) {
+  const int attempt_limit = route == m_routes.end()
+                                ? job.GetSpec().max_attempts
+                                : route->second.max_attempts;
+  if (static_cast<int>(failed.size()) >= std::max(1, attempt_limit)) {
     EndJob(job, JobState::kFailed);
   }
 }
--- a/libraries/scheduling/tests/policy_test.cc
+++ b/libraries/scheduling/tests/policy_test.cc
@@ -26,6 +26,7 @@
   job.route = "quotes";
   job.payload = "text";
   job.accepted_ms = 1'000;
+  job.max_attempts = 4;
   scheduling::StepSpec step;
   step.count = 2;
   step.demand = {1'800, 256, 0};
@@ -56,6 +57,21 @@
   return scheduling::RankJob(input, now_ms);
 }
 
+// Lets a target report that a run of the task of "job1" has failed.
+void ReportFailure(scheduling::PoolScheduler& pool, const char* target,
+                   int64_t run) {
+  const auto now = base::TimePoint(std::chrono::seconds(100));
+  scheduling::TargetEntry entry;
+  entry.id = target;
+  pool.AddRosterTarget(entry, now);
+  scheduling::ReportOrder order;
+  order.target = target;
+  scheduling::TargetReport report;
+  report.ended = {
+      {1, {"job1", 0, 0, 0}, run, scheduling::RunOutcome::kFailed, ""}};
+  pool.OnReport(order, now, now, report);
+}
+
 }  // namespace
 
 TEST_GROUP(Policy){};
@@ -274,7 +290,6 @@
 // of ownership, the completions of one task arrive from several targets in any
 // order.
 TEST(Policy, FailuresAreCountedInAnyReportOrder) {
-  const auto now = base::TimePoint(std::chrono::seconds(100));
   scheduling::PoolScheduler pool({});
   pool.SetRoutes({{"quote", {0, 2, 1.0, 0}}});
   scheduling::JobSpec job;
@@ -282,23 +297,28 @@
   job.route = "quote";
   job.steps.emplace_back();
   pool.AddJob(job, scheduling::MakeInitialProgress(job), true);
-  const auto report_failure = [&](const char* target, int64_t run) {
-    scheduling::TargetEntry entry;
-    entry.id = target;
-    pool.AddRosterTarget(entry, now);
-    scheduling::ReportOrder order;
-    order.target = target;
-    scheduling::TargetReport report;
-    report.ended = {
-        {1, {"job1", 0, 0, 0}, run, scheduling::RunOutcome::kFailed, ""}};
-    pool.OnReport(order, now, now, report);
-  };
-  report_failure("i-2", 2);
+  ReportFailure(pool, "i-2", 2);
   CHECK_TRUE(pool.IsActive("job1"));
   // The same completion, reported again by another target, does not count as a
   // second failure.
-  report_failure("i-3", 2);
+  ReportFailure(pool, "i-3", 2);
+  CHECK_TRUE(pool.IsActive("job1"));
+  ReportFailure(pool, "i-1", 1);
+  CHECK_FALSE(pool.IsActive("job1"));
+}
+
+TEST(Policy, JobOfRouteThatConfigurationLacksKeepsItsAttempts) {
+  scheduling::PoolScheduler pool({});
+  pool.SetRoutes({{"other", {0, 9, 1.0, 0}}});
+  scheduling::JobSpec job;
+  job.id = "job1";
+  job.route = "quote";
+  job.max_attempts = 3;
+  job.steps.emplace_back();
+  pool.AddJob(job, scheduling::MakeInitialProgress(job), true);
+  ReportFailure(pool, "i-1", 1);
+  ReportFailure(pool, "i-2", 2);
   CHECK_TRUE(pool.IsActive("job1"));
-  report_failure("i-1", 1);
+  ReportFailure(pool, "i-3", 3);
   CHECK_FALSE(pool.IsActive("job1"));
 }
--- a/services/shallotwick-scheduler/job_api.cc
+++ b/services/shallotwick-scheduler/job_api.cc
@@ -139,6 +139,7 @@
   job.id = id;
   job.route = route.name;
   job.accepted_ms = m_get_unix_ms();
+  job.max_attempts = route.policy.max_attempts;
   m_submit(route.service, job,
            [this, id, name = route.name, service = route.service,
             shape = DescribeSteps(job), respond](JobCallOutcome outcome) {
--- a/services/shallotwick-scheduler/tests/scheduler_test.cc
+++ b/services/shallotwick-scheduler/tests/scheduler_test.cc
@@ -750,6 +750,30 @@
   }
 }
 
+TEST(Scheduler, AcceptedJobRecordsTheAttemptsOfItsRoute) {
+  scheduler::JobService jobs(m_loop, m_store);
+  scheduler::JobStateLookup states(m_loop, jobs);
+  scheduler::JobApi api(jobs, states, m_metrics);
+  scheduling::ServingConfig config;
+  config.routes = {{"quote", "quotes.example", "/quote/", kService, {0, 4}}};
+  api.m_get_config = [&config] { return &config; };
+  api.m_is_store_reachable = [] { return true; };
+  api.m_get_unix_ms = [] { return int64_t{1}; };
+  int recorded = 0;
+  api.m_can_submit = [](const std::string&) { return true; };
+  api.m_submit = [&recorded](const std::string&, const scheduling::JobSpec& job,
+                             scheduler::JobService::OnOutcome) {
+    recorded = job.max_attempts;
+  };
+  http::Request request;
+  request.method = "POST";
+  request.target = "/quote/5c0e7a21d94b36f8";
+  request.headers = {{"Host", "quotes.example"}};
+  request.body = R"({"spec":"text","steps":[{"count":1,"cpu":500}]})";
+  api.Handle(request, [](const http::Response&) {});
+  LONGS_EQUAL(4, recorded);
+}
+
 TEST(Scheduler, SubmitReportsUnknownIfAnAttemptMayTakeEffect) {
   using Fault = fakes::FakeRowStore::Fault;
   const Fault refused{RowCommitStatus::kRefused, false};
