Keep a restarted target leaving while its maintenance is ordered

A target that starts anew keeps its cordon, but lost the mark that its maintenance or move is ordered. Since cordoned targets take long-running tasks that have no other place, such a task would have been started there and ended by the operation.

TargetThatRestartsWhileLeavingTakesNoTask failed before (1 start).

--- a/libraries/scheduling/job.h
+++ b/libraries/scheduling/job.h
@@ -62,8 +62,8 @@
   int64_t interval_ms = 0;
   // When the job was accepted, in milliseconds since the Unix epoch.
   int64_t accepted_ms = 0;
-  // The route's limit on failed runs of one task when the job was accepted; 0 if
-  // not recorded. A later configuration may lack the route.
+  // The route's limit on failed runs of one task when the job was accepted; 0
+  // if not recorded. A later configuration may lack the route.
   int max_attempts = 0;
 
   int GetOccurrenceCount() const { return occurrences > 0 ? occurrences : 1; }
--- a/libraries/scheduling/pool_scheduler.cc
+++ b/libraries/scheduling/pool_scheduler.cc
@@ -176,6 +176,7 @@
   reset.m_is_registered = target.m_is_registered;
   reset.m_is_in_roster = target.m_is_in_roster;
   reset.m_is_cordoned = target.m_is_cordoned;
+  reset.m_is_leaving = target.m_is_leaving;
   reset.CopyLeaseBounds(target);
   reset.m_has_answered_owner = target.m_has_answered_owner;
   reset.m_fence = target.m_fence;
--- a/libraries/scheduling/tests/long_running_test.cc
+++ b/libraries/scheduling/tests/long_running_test.cc
@@ -242,6 +242,17 @@
   LONGS_EQUAL(0, DecideAfter(milliseconds(60)).starts.size());
 }
 
+TEST(LongRunning, TargetThatRestartsWhileLeavingTakesNoTask) {
+  Register("t0");
+  AnswerReports();
+  m_pool.SetCordoned("t0", true);
+  m_pool.SetLeaving("t0", true);
+  m_pool.OnTargetEnded("t0", "test");
+  AnswerReports();
+  AddJob(MakeLongRunningJob("job", 1));
+  LONGS_EQUAL(0, DecideAfter(milliseconds(60)).starts.size());
+}
+
 TEST(LongRunning, LoadCountsCoresOfLongRunningTasks) {
   Register("t0");
   AnswerReports();
