Start tasks on cordoned targets if the pool has had no other one for 2 s

Cause: the same as for long-running tasks. A host is prepared for maintenance until a slot of the wave is free and the budgets allow to end what runs there, and nothing bounds that time; if all hosts of a pool are prepared, its jobs wait for as long.

Once only cordoned targets have been left for 2 s, which is longer than a preparation that nothing holds up, all tasks may start on those that are not leaving.

PoolOfCordonedTargetsStartsShortTasksWithin3Seconds failed before (no start in 3 s). WaitOfJobWithRoomIsLoggedAfter3Seconds let a job wait for a cordoned target, which is now used; its target is leaving instead, and it expects the same lines.

--- a/libraries/scheduling/pool_decisions.cc
+++ b/libraries/scheduling/pool_decisions.cc
@@ -19,6 +19,8 @@
 // target with runs reports as soon as one ends.
 constexpr auto kMaxLapsedReportAge = std::chrono::milliseconds(300);
 constexpr auto kPlacementPeriod = std::chrono::milliseconds(50);
+// Longer than hosts are prepared for maintenance unless something holds it up.
+constexpr auto kMaxCordonOfWholePool = std::chrono::milliseconds(2'000);
 // More starts would wait for a connection to the target, and their answers for
 // each other. Gangs start as a whole.
 constexpr int kMaxStartsPerTarget = 8;
@@ -208,6 +210,26 @@
   return jobs;
 }
 
+void PoolScheduler::LiftCordonsOfWholePool(std::vector<Candidate>& candidates,
+                                           base::TimePoint now) {
+  const bool are_all_cordoned =
+      !candidates.empty() &&
+      std::all_of(candidates.begin(), candidates.end(),
+                  [](const Candidate& each) { return each.is_cordoned; });
+  if (!are_all_cordoned) {
+    m_all_cordoned_since.reset();
+    return;
+  }
+  const auto since = m_all_cordoned_since.value_or(now);
+  m_all_cordoned_since = since;
+  if (now < since + kMaxCordonOfWholePool) {
+    return;
+  }
+  for (Candidate& candidate : candidates) {
+    candidate.is_cordoned = false;
+  }
+}
+
 void PoolScheduler::StartWaitingTasks(base::TimePoint now, int64_t wall_ms,
                                       PoolOrders& orders) {
   m_start_window.OnPass(now);
@@ -216,6 +238,7 @@
     return;
   }
   std::vector<Candidate> candidates = MakeCandidates(now);
+  LiftCordonsOfWholePool(candidates, now);
   if (candidates.empty() || m_jobs.empty()) {
     return;
   }
--- a/libraries/scheduling/pool_scheduler.h
+++ b/libraries/scheduling/pool_scheduler.h
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <tuple>
@@ -163,8 +164,8 @@
   void OnCommitFailed(const std::vector<ProgressChange>& batch);
 
   // For planned work on hosts. A cordoned target receives no new runs but those
-  // of long-running tasks that fit on no other target, and none once it is
-  // leaving.
+  // of long-running tasks that fit on no other target, unless all targets are
+  // cordoned for long; and none once it is leaving.
   void SetCordoned(const std::string& id, bool cordoned);
   // Returns whether all runs on the target are known from its own reports.
   bool AreRunsKnown(const std::string& id) const;
@@ -284,6 +285,10 @@
   static Candidate MakeCandidate(const TargetLedger& target,
                                  base::TimePoint now);
   std::vector<Candidate> MakeCandidates(base::TimePoint now) const;
+  // Once only cordoned targets have been left for long, lets all tasks use
+  // them.
+  void LiftCordonsOfWholePool(std::vector<Candidate>& candidates,
+                              base::TimePoint now);
   QueueRank Rank(const ActiveJob& job, const RunTimeCorrection& correction,
                  int64_t wall_ms) const;
   std::vector<ActiveJob*> RankWaitingJobs(base::TimePoint now, int64_t wall_ms);
@@ -339,6 +344,8 @@
   // An event has occurred that may allow a task to start.
   bool m_may_start_more = true;
   base::TimePoint m_last_placement;
+  // Since when all targets that could take tasks are cordoned.
+  std::optional<base::TimePoint> m_all_cordoned_since;
   WaitLog m_wait_log;
   // Since when nothing of a job is assigned.
   std::map<std::string, base::TimePoint> m_idle_since;
--- a/libraries/scheduling/tests/long_running_test.cc
+++ b/libraries/scheduling/tests/long_running_test.cc
@@ -242,6 +242,24 @@
   LONGS_EQUAL(0, DecideAfter(milliseconds(60)).starts.size());
 }
 
+TEST(LongRunning, PoolOfCordonedTargetsStartsShortTasksWithin3Seconds) {
+  Register("t0");
+  Register("t1");
+  AnswerReports();
+  m_pool.SetCordoned("t0", true);
+  m_pool.SetCordoned("t1", true);
+  m_pool.SetLeaving("t1", true);
+  scheduling::JobSpec job = MakeLongRunningJob("job", 1);
+  job.steps[0].long_running = false;
+  AddJob(job);
+  std::vector<scheduling::StartOrder> starts;
+  for (int i = 0; i < 49 && starts.empty(); ++i) {
+    starts = DecideAfter(milliseconds(60)).starts;
+  }
+  LONGS_EQUAL(1, starts.size());
+  STRCMP_EQUAL("t0", starts[0].target.c_str());
+}
+
 TEST(LongRunning, TargetThatRestartsWhileLeavingTakesNoTask) {
   Register("t0");
   AnswerReports();
--- a/libraries/scheduling/tests/room_behind_full_label_test.cc
+++ b/libraries/scheduling/tests/room_behind_full_label_test.cc
@@ -96,6 +96,7 @@
   AddJob(MakeJob("unlabelled", ""));
   AddJob(MakeJob("labelled", "gpu"));
   m_pool.SetCordoned("t1", true);
+  m_pool.SetLeaving("t1", true);
   for (int i = 0; i < 45; ++i) {
     Pass();
   }
