--- a/services/shallotwick-scheduler/tests/scheduler_test.cc
+++ b/services/shallotwick-scheduler/tests/scheduler_test.cc
@@ -762,7 +762,7 @@
   int recorded = 0;
   api.m_can_submit = [](const std::string&) { return true; };
   api.m_submit = [&recorded](const std::string&, const scheduling::JobSpec& job,
-                             scheduler::JobService::OnOutcome) {
+                             const scheduler::JobService::OnOutcome&) {
     recorded = job.max_attempts;
   };
   http::Request request;
