Review: a large submission stops its service for good

Replaces the case of two holders, which review/3 shows already. The progress row of 6,000 tasks outgrows the store's limit for a row, and the refused transaction is repeated for ever. The stand-ins lose what only the dropped cases used.

--- a/review/8/case.cc
+++ b/review/8/case.cc
@@ -1,9 +1,7 @@
-// The platform refuses orders for machines for some seconds. A pool in need has
-// ordered a standby machine; a wave wants the same machine.
+// A large submission comes among small ones.
 
 #include <chrono>
 #include <cstdio>
-#include <map>
 #include <string>
 #include <thread>
 #include <vector>
@@ -13,111 +11,76 @@
 namespace shallotwick::review {
 namespace {
 
-constexpr char kGiving[] = "tinturaria";
-constexpr char kNeedy[] = "encomendas";
-constexpr char kStandby[] = "escritorio";
-constexpr int kExecutors = 2;
-constexpr int64_t kCpuMilli = 5'000;
-constexpr auto kOutage = std::chrono::milliseconds(5'000);
-// The rule's bound.
-constexpr int64_t kLeaseMs = 3'000;
+constexpr char kService[] = "corte";
+constexpr int kExecutors = 4;
+constexpr int kLargeTasks = 6'000;
+constexpr int kParts = 6;
+constexpr int kSmallTasks = 6;
+constexpr int64_t kLargeCpuMilli = 100;
+constexpr int64_t kSmallCpuMilli = 2'300;
+constexpr int64_t kRunMs = 640;
 
-nlohmann::json MakeRoute(const std::string& name, const std::string& service) {
-  return {{"name", name},
-          {"host", "caller.example"},
-          {"prefix", "/" + name + "/"},
-          {"service", service},
-          {"attempts", 2},
-          {"priority", 0},
-          {"stretch", 1.6},
-          {"sloMs", 600}};
-}
-
-std::string MakeShortJob() {
-  return nlohmann::json{{"spec", MakeSpec({1'300, kCpuMilli, false})},
+std::string MakeJob(int width, int64_t cpu_milli) {
+  return nlohmann::json{{"spec", MakeSpec({kRunMs, cpu_milli, false})},
                         {"steps",
-                         {{{"count", 16},
-                           {"cpu", kCpuMilli},
-                           {"memMb", 1'000},
-                           {"estMs", 1'300}}}}}
+                         {{{"count", width},
+                           {"cpu", cpu_milli},
+                           {"memMb", 50},
+                           {"estMs", kRunMs}}}}}
       .dump();
 }
 
 std::string MakeIdentifier(int number) {
   char text[17];
-  std::snprintf(text, sizeof(text), "%016x", 0x5000 + number);
+  std::snprintf(text, sizeof(text), "%016x", 0x6000 + number);
   return text;
 }
 
-// Returns how often a holder ordered a machine again after another holder had,
-// all within the bound.
-int CountTurns(Fleet& fleet) {
-  int turns = 0;
-  std::map<std::string, std::vector<ReceivedOrder>> by_machine;
-  for (const ReceivedOrder& order : fleet.GetReceivedOrders()) {
-    by_machine[order.machine].push_back(order);
-  }
-  for (const auto& [machine, orders] : by_machine) {
-    // The last order before the holder changed.
-    const ReceivedOrder* before_change = nullptr;
-    for (size_t i = 1; i < orders.size(); ++i) {
-      if (orders[i].holder == orders[i - 1].holder) {
-        continue;
-      }
-      if (before_change != nullptr &&
-          before_change->holder == orders[i].holder &&
-          orders[i].at_ms - before_change->at_ms <= kLeaseMs) {
-        ++turns;
-        fleet.Record("ONE: " + machine + " was ordered by " + orders[i].holder +
-                     " within " +
-                     std::to_string(orders[i].at_ms - before_change->at_ms) +
-                     " ms before and after " + orders[i - 1].holder);
-      }
-      before_change = &orders[i - 1];
-    }
-  }
-  return turns;
-}
-
 int Play(bool has_trouble) {
   FleetOptions options;
-  options.services = {
-      {kGiving, kExecutors}, {kNeedy, kExecutors}, {kStandby, 1}};
-  options.standby = kStandby;
-  options.routes = {MakeRoute("dye", kGiving), MakeRoute("order", kNeedy)};
+  options.services = {{kService, kExecutors}};
+  options.routes = {{{"name", "cut-plan"},
+                     {"host", "caller.example"},
+                     {"prefix", "/cut/"},
+                     {"service", kService},
+                     {"attempts", 4},
+                     {"priority", 0},
+                     {"stretch", 1.6},
+                     {"sloMs", 600}}};
   options.record_path = "review/8/record.txt";
   Fleet fleet(options);
   fleet.StartSchedulers();
-  std::this_thread::sleep_for(std::chrono::seconds(9));
-  if (fleet.FindOwner(kNeedy) == fleet.FindOwner(kStandby)) {
-    std::fprintf(stderr, "one scheduler owns both pools\n");
-    return 2;
-  }
-  const auto outage_end = Clock::now() + kOutage;
+  std::this_thread::sleep_for(std::chrono::seconds(6));
+  std::vector<SoundJob> jobs;
+  int number = 0;
+  const auto submit = [&](int width, int64_t cpu_milli) {
+    const std::string id = MakeIdentifier(number++);
+    const Answer answer = fleet.CallUntilAnswered("POST", "/cut/" + id,
+                                                  MakeJob(width, cpu_milli), 5);
+    if (answer.status == 200) {
+      jobs.push_back({id, width, cpu_milli});
+    }
+  };
   if (has_trouble) {
-    fleet.SetCloudDown(true);
-  }
-  std::vector<std::thread> callers;
-  for (int i = 1; i <= 12; ++i) {
-    callers.emplace_back([&fleet, i] {
-      fleet.CallUntilAnswered("POST", "/order/" + MakeIdentifier(i),
-                              MakeShortJob(), 5);
-    });
+    submit(kLargeTasks, kLargeCpuMilli);
+  } else {
+    for (int i = 0; i < kParts; ++i) {
+      submit(kLargeTasks / kParts, kLargeCpuMilli);
+    }
   }
-  for (std::thread& caller : callers) {
-    caller.join();
+  for (int i = 0; i < 60; ++i) {
+    submit(kSmallTasks, kSmallCpuMilli);
+    std::this_thread::sleep_for(std::chrono::milliseconds(500));
   }
-  std::this_thread::sleep_for(std::chrono::milliseconds(500));
-  // The standby machine is the one after those of the first service.
-  fleet.RequestWave(1, {fleet.ListMachines().at(kExecutors)}, 30, 1);
-  std::this_thread::sleep_until(outage_end);
-  if (has_trouble) {
-    fleet.SetCloudDown(false);
+  fleet.Record("end of the traffic");
+  IdleWatch watch(fleet, kService, jobs);
+  const int broken = watch.Run(std::chrono::seconds(14));
+  for (const SoundJob& job : jobs) {
+    fleet.Call(0, "GET", "/cut/" + job.id);
   }
-  std::this_thread::sleep_for(std::chrono::seconds(6));
-  const int turns = CountTurns(fleet);
-  std::printf("%d turns of two holders\n", turns);
-  return turns > 0 ? 1 : 0;
+  fleet.RecordEvents();
+  std::printf("%d submissions with nothing running for 3 s\n", broken);
+  return broken > 0 ? 1 : 0;
 }
 
 }  // namespace
--- a/review/fleet/fleet.cc
+++ b/review/fleet/fleet.cc
@@ -37,7 +37,6 @@
 constexpr int64_t kStartupMs = 300;
 constexpr int64_t kDayMs = 86'400'000;
 constexpr auto kMoveTime = std::chrono::milliseconds(1'500);
-constexpr auto kUpkeepTime = std::chrono::milliseconds(2'000);
 constexpr size_t kMaxListedEnds = 500;
 constexpr auto kBeat = std::chrono::milliseconds(1'500);
 constexpr auto kTick = std::chrono::milliseconds(3);
@@ -453,8 +452,8 @@
     scheduler.name = "edge-z0-" + std::to_string(i + 1);
     scheduler.store = std::make_unique<http::Server>(
         MakeOptions(),
-        [this, i](const http::Request& request, const http::Respond& respond) {
-          HandleStore(i, request, respond);
+        [this](const http::Request& request, const http::Respond& respond) {
+          HandleStore(request, respond);
         });
     m_schedulers.push_back(std::move(scheduler));
   }
@@ -638,12 +637,6 @@
   return -1;
 }
 
-void Fleet::SetStoreFault(
-    std::function<StoreFault(int, const std::string&, const json&)> decide) {
-  const std::lock_guard lock(m_mutex);
-  m_decide = std::move(decide);
-}
-
 std::pair<int, json> Fleet::Commit(const json& transaction) {
   size_t entries = 0;
   for (const char* part : {"expectedRev", "writes", "remove"}) {
@@ -663,52 +656,17 @@
   return {status, body};
 }
 
-void Fleet::HandleCommit(int scheduler, const http::Request& request,
-                         const http::Respond& respond) {
-  const json transaction = json::parse(request.body);
-  const StoreFault fault = m_decide
-                               ? m_decide(scheduler, "/v1/rows-tx", transaction)
-                               : StoreFault::kNone;
-  if (request.body.size() > kMaxCallBytes) {
-    respond(http::MakeJsonResponse(400, R"({"error":"too large"})"));
-    return;
-  }
-  switch (fault) {
-    case StoreFault::kRefuse:
-      respond(http::MakeJsonResponse(503, "{}"));
-      return;
-    case StoreFault::kLoseAnswer:
-      Commit(transaction);
-      return;
-    case StoreFault::kDoLate:
-      m_waiting.push_back(
-          {Clock::now() + m_late_by, [this, transaction](bool is_over) {
-             if (is_over) {
-               const int status = Commit(transaction).first;
-               Record("the store carries a call out late: " +
-                      std::to_string(status));
-             }
-             return is_over;
-           }});
-      return;
-    case StoreFault::kNone:
-      break;
-  }
-  const auto [status, body] = Commit(transaction);
-  respond(http::MakeJsonResponse(status, body.dump()));
-}
-
-void Fleet::HandleStore(int scheduler, const http::Request& request,
+void Fleet::HandleStore(const http::Request& request,
                         const http::Respond& respond) {
   const std::lock_guard lock(m_mutex);
   const std::string path = http::GetPath(request.target);
   if (path == "/v1/rows-tx") {
-    HandleCommit(scheduler, request, respond);
-    return;
-  }
-  if (m_decide &&
-      m_decide(scheduler, path, json::object()) == StoreFault::kRefuse) {
-    respond(http::MakeJsonResponse(503, "{}"));
+    if (request.body.size() > kMaxCallBytes) {
+      respond(http::MakeJsonResponse(400, R"({"error":"too large"})"));
+      return;
+    }
+    const auto [status, body] = Commit(json::parse(request.body));
+    respond(http::MakeJsonResponse(status, body.dump()));
     return;
   }
   if (path == "/v1/rows-get") {
@@ -742,28 +700,6 @@
 void Fleet::HandleCloud(const http::Request& request,
                         const http::Respond& respond) {
   const std::lock_guard lock(m_mutex);
-  if (request.method != "POST") {
-    HandleCloudCall(request, respond);
-    return;
-  }
-  const json order = json::parse(request.body);
-  ReceivedOrder received;
-  received.at_ms = GetUnixMs();
-  received.machine = order.value("machine", "");
-  received.holder =
-      http::FindHeader(request.headers, "X-Shallotwick-Lease-Holder")
-          .value_or("");
-  HandleCloudCall(request, [&](const http::Response& response) {
-    received.status = response.status;
-    respond(response);
-  });
-  Record(http::GetPath(request.target) + " for " + received.machine + " by " +
-         received.holder + " -> " + std::to_string(received.status));
-  m_received_orders.push_back(received);
-}
-
-void Fleet::HandleCloudCall(const http::Request& request,
-                            const http::Respond& respond) {
   const std::string path = http::GetPath(request.target);
   if (m_is_cloud_down) {
     m_refused_orders += path == "/v1/machine-move" ? 1 : 0;
@@ -774,10 +710,6 @@
     HandleMove(request, respond);
     return;
   }
-  if (path == "/v1/machine-upkeep") {
-    HandleUpkeep(request, respond);
-    return;
-  }
   if (path != "/v1/machines") {
     respond(http::MakeJsonResponse(400, "{}"));
     return;
@@ -856,45 +788,6 @@
   Answer200(respond, json::object());
 }
 
-void Fleet::HandleUpkeep(const http::Request& request,
-                         const http::Respond& respond) {
-  const json order = json::parse(request.body);
-  const auto machine = order.at("machine").get<std::string>();
-  const auto wave = order.at("wave").get<int64_t>();
-  Executor* executor = FindMachine(machine);
-  if (executor == nullptr) {
-    respond(http::MakeJsonResponse(400, "{}"));
-    return;
-  }
-  const std::string line =
-      "upkeep of " + machine + " for wave " + std::to_string(wave);
-  if (!AcceptMachineOrder(*executor, request, line, respond)) {
-    return;
-  }
-  if (executor->state != "up") {
-    Record(line + " -> 409 busy");
-    respond(http::MakeJsonResponse(409, R"({"reason":"busy"})"));
-    return;
-  }
-  if (executor->waves.count(wave) > 0) {
-    Record(line + " -> 200, already done");
-    Answer200(respond, json::object());
-    return;
-  }
-  executor->waves.insert(wave);
-  TakeDown(*executor, "upkeep", executor->model->GetService(), kUpkeepTime);
-  const auto depth = static_cast<int>(std::count_if(
-      m_executors.begin(), m_executors.end(),
-      [](const Executor& each) { return each.state == "upkeep"; }));
-  m_upkeep_depths.push_back(depth);
-  const bool is_lost = std::exchange(m_loses_upkeep_answer, false);
-  Record(line + (is_lost ? " is carried out and not answered" : " -> 200") +
-         ", " + std::to_string(depth) + " down for upkeep");
-  if (!is_lost) {
-    Answer200(respond, json::object());
-  }
-}
-
 // Ends the executor on the machine; the next one is up after that time.
 void Fleet::TakeDown(Executor& executor, const std::string& state,
                      const std::string& pool,
@@ -912,41 +805,6 @@
   executor.next_beat = executor.up_at;
 }
 
-void Fleet::LoseNextUpkeepAnswer() {
-  const std::lock_guard lock(m_mutex);
-  m_loses_upkeep_answer = true;
-}
-
-void Fleet::RequestWave(int number, const std::vector<std::string>& machines,
-                        int complete_by_s, int most) {
-  const std::lock_guard lock(m_mutex);
-  m_rows.Put("op", "wave/" + std::to_string(number),
-             json{{"wave", number},
-                  {"machines", machines},
-                  {"completeByS", complete_by_s},
-                  {"maxCount", most}}
-                 .dump());
-}
-
-std::vector<std::string> Fleet::ListMachines() const {
-  const std::lock_guard lock(m_mutex);
-  std::vector<std::string> machines;
-  for (const Executor& executor : m_executors) {
-    machines.push_back(executor.model->GetMachine());
-  }
-  return machines;
-}
-
-std::vector<int> Fleet::GetUpkeepDepths() const {
-  const std::lock_guard lock(m_mutex);
-  return m_upkeep_depths;
-}
-
-std::string Fleet::GetWaveStatus(int number) const {
-  const std::lock_guard lock(m_mutex);
-  return m_rows.Get("status", "", "wave/" + std::to_string(number));
-}
-
 void Fleet::SetCloudDown(bool is_down) {
   Record(is_down ? "the calls for machines are refused"
                  : "the calls for machines are served");
@@ -959,11 +817,6 @@
   return m_refused_orders;
 }
 
-std::vector<ReceivedOrder> Fleet::GetReceivedOrders() const {
-  const std::lock_guard lock(m_mutex);
-  return m_received_orders;
-}
-
 std::vector<MachineOrder> Fleet::GetMachineOrders() const {
   const std::lock_guard lock(m_mutex);
   return m_machine_orders;
--- a/review/fleet/fleet.h
+++ b/review/fleet/fleet.h
@@ -111,17 +111,6 @@
   std::list<nlohmann::json> m_ended;
 };
 
-// What the store does with one call.
-enum class StoreFault {
-  kNone,
-  // Refused with 503: nothing is done.
-  kRefuse,
-  // Done at once, and not answered.
-  kLoseAnswer,
-  // Not answered, and done later if its condition still holds.
-  kDoLate,
-};
-
 struct FleetOptions {
   int schedulers = 3;
   // Names of services, with the number of executors of each.
@@ -142,14 +131,6 @@
   std::vector<std::string> ended_tasks;
 };
 
-// An order for a machine as the platform has received it.
-struct ReceivedOrder {
-  int64_t at_ms = 0;
-  std::string machine;
-  std::string holder;
-  int status = 0;
-};
-
 struct Answer {
   // 0 without a complete answer.
   int status = 0;
@@ -184,33 +165,11 @@
   // Returns the scheduler that owns a service's pool, or -1.
   int FindOwner(const std::string& service) const;
 
-  // Decides on each call to the store; called with the scheduler that sent it,
-  // the path and the body.
-  void SetStoreFault(
-      std::function<StoreFault(int scheduler, const std::string& path,
-                               const nlohmann::json& body)>
-          decide);
-  std::chrono::milliseconds m_late_by{4'000};
-
   // While set, the platform's calls for machines are refused with 503.
   void SetCloudDown(bool is_down);
-  // Carries out the next upkeep of a machine without answering the call.
-  void LoseNextUpkeepAnswer();
-  // Requests the upkeep of machines as the operator does.
-  void RequestWave(int number, const std::vector<std::string>& machines,
-                   int complete_by_s, int most);
-  // The names of the machines, in their order.
-  std::vector<std::string> ListMachines() const;
-  // How many machines were down for upkeep when each upkeep began, that one
-  // included.
-  std::vector<int> GetUpkeepDepths() const;
-  // What the system has written of the wave, or an empty text.
-  std::string GetWaveStatus(int number) const;
   // Orders for machines that were refused so far while the calls were down.
   size_t CountRefusedOrders() const;
   std::vector<MachineOrder> GetMachineOrders() const;
-  // All orders for machines, also refused ones, in their order.
-  std::vector<ReceivedOrder> GetReceivedOrders() const;
 
   // All starts and ends so far, in their order.
   std::vector<RunEvent> GetEvents() const;
@@ -234,8 +193,6 @@
     // The machine's state; there is an executor only while it is "up".
     std::string state = "up";
     Clock::time_point up_at;
-    // The waves whose upkeep the machine has had.
-    std::set<int64_t> waves;
     int64_t token = 0;
   };
   struct Scheduler {
@@ -251,15 +208,9 @@
     std::function<bool(bool is_over)> try_answer;
   };
 
-  void HandleStore(int scheduler, const http::Request& request,
-                   const http::Respond& respond);
-  void HandleCommit(int scheduler, const http::Request& request,
-                    const http::Respond& respond);
+  void HandleStore(const http::Request& request, const http::Respond& respond);
   void HandleCloud(const http::Request& request, const http::Respond& respond);
-  void HandleCloudCall(const http::Request& request,
-                       const http::Respond& respond);
   void HandleMove(const http::Request& request, const http::Respond& respond);
-  void HandleUpkeep(const http::Request& request, const http::Respond& respond);
   Executor* FindMachine(const std::string& machine);
   // Returns whether the order may be carried out; otherwise answers it.
   bool AcceptMachineOrder(Executor& executor, const http::Request& request,
@@ -282,16 +233,11 @@
   std::vector<Scheduler> m_schedulers;
   std::unique_ptr<http::Server> m_cloud;
   bool m_is_cloud_down = false;
-  bool m_loses_upkeep_answer = false;
-  std::vector<int> m_upkeep_depths;
   size_t m_refused_orders = 0;
   std::vector<MachineOrder> m_machine_orders;
-  std::vector<ReceivedOrder> m_received_orders;
   std::vector<RunEvent> m_events_of_ended_executors;
   int m_lives = 0;
   std::list<Waiting> m_waiting;
-  std::function<StoreFault(int, const std::string&, const nlohmann::json&)>
-      m_decide;
   std::atomic<bool> m_stopping{false};
   std::thread m_clock;
   std::string m_directory;
