--- a/review/10/case.cc
+++ b/review/10/case.cc
@@ -9,7 +9,7 @@
 #include <thread>
 #include <vector>
 
-#include "review/fleet/fleet.h"
+#include "review/fleet.h"
 
 namespace shallotwick::review {
 namespace {
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -10,7 +10,7 @@
 mkdir -p target/review
 flags=(-std=c++20 -O1 -g -Wall -Wextra -Werror -DASIO_STANDALONE
   -DBOOST_LOG_DYN_LINK -I. -Ilibraries -Itests)
-g++ "${flags[@]}" -c review/fleet/fleet.cc -o target/review/fleet.o
+g++ "${flags[@]}" -c review/fleet.cc -o target/review/fleet.o
 for number in 6 7 8 9 10; do
   source=review/$number/case.cc
   [ -f "$source" ] || continue
--- a/review/fleet/fleet.cc
+++ b/review/fleet.cc
@@ -1,4 +1,4 @@
-#include "review/fleet/fleet.h"
+#include "review/fleet.h"
 
 #include <arpa/inet.h>
 #include <fcntl.h>
