Cancel a job that is not stored yet for good

A DELETE for an unknown job now writes a withdrawal under the conditions of a submission (no row, the route's fence, former services searched) and is answered once it is stored. Submissions carry the condition that meets it already; they get 410, and the rest of their batch is stored. The owner removes the rows after the retention time.

--- a/libraries/scheduling/progress.cc
+++ b/libraries/scheduling/progress.cc
@@ -8,12 +8,13 @@
 namespace shallotwick::scheduling {
 namespace {
 
-constexpr std::array<std::pair<JobState, const char*>, 5> kStateNames = {
+constexpr std::array<std::pair<JobState, const char*>, 6> kStateNames = {
     {{JobState::kQueued, "queued"},
      {JobState::kRunning, "running"},
      {JobState::kCompleted, "completed"},
      {JobState::kFailed, "failed"},
-     {JobState::kCancelled, "cancelled"}}};
+     {JobState::kCancelled, "cancelled"},
+     {JobState::kWithdrawn, "withdrawn"}}};
 
 JobState ReadState(const nlohmann::json& json) {
   const auto name = json.at("state").get<std::string>();
@@ -99,6 +100,12 @@
   return json.dump();
 }
 
+std::string EncodeWithdrawal() {
+  JobProgress withdrawn;
+  withdrawn.state = JobState::kWithdrawn;
+  return EncodeProgress(withdrawn);
+}
+
 ProgressSummary DecodeSummary(const std::string& text) {
   try {
     const nlohmann::json json = nlohmann::json::parse(text);
--- a/libraries/scheduling/progress.h
+++ b/libraries/scheduling/progress.h
@@ -9,7 +9,16 @@
 
 namespace shallotwick::scheduling {
 
-enum class JobState { kQueued, kRunning, kCompleted, kFailed, kCancelled };
+enum class JobState {
+  kQueued,
+  kRunning,
+  kCompleted,
+  kFailed,
+  kCancelled,
+  // Cancelled before it was stored: the row keeps a submission that is still
+  // under way from being stored. No such job exists for callers.
+  kWithdrawn,
+};
 
 bool IsTerminal(JobState state);
 const char* NameOf(JobState state);
@@ -47,6 +56,10 @@
 // state.
 std::string EncodeProgress(const JobProgress& progress);
 
+// Returns the stored form of a job that was cancelled before it was stored, for
+// both its progress row and its job row.
+std::string EncodeWithdrawal();
+
 // The part of a progress record that can be decoded without the job's
 // specification.
 struct ProgressSummary {
--- a/services/shallotwick-scheduler/job_api.cc
+++ b/services/shallotwick-scheduler/job_api.cc
@@ -167,7 +167,7 @@
 
 void JobApi::Cancel(const scheduling::Route& route, const std::string& id,
                     const http::Respond& respond) {
-  m_jobs.Cancel(ListServices(route), id,
+  m_jobs.Cancel(ListServices(route), route.name, id,
                 [this, id, respond](JobCallOutcome outcome) {
                   if (outcome == JobCallOutcome::kDone) {
                     base::Log(base::events::kJobCancelled, {{"job", id}});
@@ -226,6 +226,12 @@
     case JobCallOutcome::kDone:
       return done;
     case JobCallOutcome::kNotFound:
+      if (std::string(call) == "submit") {
+        base::Log(base::events::kJobRefused,
+                  {{"job", id}, {"call", call}, {"reason", "withdrawn"}});
+        return http::MakeProblem(410, "job-withdrawn",
+                                 "The job was cancelled before it was stored.");
+      }
       return http::MakeProblem(410, "no-such-job", "No job has this name.");
     case JobCallOutcome::kRefused:
       base::Log(base::events::kJobRefused,
--- a/services/shallotwick-scheduler/job_service.cc
+++ b/services/shallotwick-scheduler/job_service.cc
@@ -15,6 +15,19 @@
 constexpr int kMaxAttempts = 3;
 constexpr auto kRetryDelay = std::chrono::milliseconds(40);
 
+// Makes a transaction fail if the job is stored or withdrawn already, or if its
+// route has another service.
+void RequireAbsence(const storage::RowKey& progress, const RouteFence& fence,
+                    storage::RowTransaction& transaction) {
+  transaction.expected.push_back({progress, storage::kNoVersion});
+  // Jobs of one route share the fence, and a transaction names each row once.
+  if (fence.expected &&
+      std::find(transaction.expected.begin(), transaction.expected.end(),
+                *fence.expected) == transaction.expected.end()) {
+    transaction.expected.push_back(*fence.expected);
+  }
+}
+
 }  // namespace
 
 struct JobService::FoundJob {
@@ -34,13 +47,7 @@
   const storage::RowKey progress = MakeProgressKey(service, job.id);
   scheduling::JobProgress initial;
   initial.route = job.route;
-  transaction.expected.push_back({progress, storage::kNoVersion});
-  // Jobs of one route share the fence, and a transaction names each row once.
-  if (fence.expected &&
-      std::find(transaction.expected.begin(), transaction.expected.end(),
-                *fence.expected) == transaction.expected.end()) {
-    transaction.expected.push_back(*fence.expected);
-  }
+  RequireAbsence(progress, fence, transaction);
   transaction.writes.push_back(
       {MakeJobKey(service, job.id), scheduling::EncodeJobRecord(job)});
   transaction.writes.push_back({progress, scheduling::EncodeProgress(initial)});
@@ -78,21 +85,25 @@
   }
   Find(fence->former_services, job.id, 1,
        [fence, on_done = std::move(on_done)](JobCallOutcome outcome,
-                                             const FoundJob&) {
+                                             const FoundJob& found) {
          const bool is_new = outcome == JobCallOutcome::kNotFound;
-         on_done(is_new ? std::nullopt : std::optional(outcome), *fence);
+         on_done(
+             is_new ? std::nullopt : std::optional(GetOutcome(outcome, found)),
+             *fence);
        });
 }
 
-std::set<std::string> JobService::ListStoredJobs(
+std::map<std::string, JobCallOutcome> JobService::FindStoredJobs(
     const std::string& service, const storage::RowCommitResult& result) {
-  std::set<std::string> stored;
+  std::map<std::string, JobCallOutcome> stored;
   for (const storage::VersionedRow& row : result.current) {
     const bool is_stored = row.key.table == GetProgressTable(service) &&
                            row.version != storage::kNoVersion &&
                            !row.is_removed;
     if (is_stored) {
-      stored.insert(row.key.key);
+      const bool is_withdrawn = row.value == scheduling::EncodeWithdrawal();
+      stored[row.key.key] =
+          is_withdrawn ? JobCallOutcome::kNotFound : JobCallOutcome::kDone;
     }
   }
   return stored;
@@ -114,14 +125,16 @@
           // or an earlier attempt took effect without a response. Or its
           // route has another service by now, and no attempt can take
           // effect.
-          case storage::RowCommitStatus::kConflict:
-            if (ListStoredJobs(service, result).count(id) > 0) {
-              on_done(JobCallOutcome::kDone);
+          case storage::RowCommitStatus::kConflict: {
+            const auto stored = FindStoredJobs(service, result);
+            if (stored.count(id) > 0) {
+              on_done(stored.at(id));
               return;
             }
             m_on_fenced();
             on_done(JobCallOutcome::kRefused);
             return;
+          }
           case storage::RowCommitStatus::kRefused:
             // An earlier attempt may still take effect.
             on_done(attempt == 1 ? JobCallOutcome::kRefused
@@ -191,25 +204,96 @@
   Find(services, id, 1,
        [on_done = std::move(on_done)](JobCallOutcome outcome,
                                       const FoundJob& found) {
-         on_done(outcome, found.state);
+         on_done(GetOutcome(outcome, found), found.state);
        });
 }
 
+JobCallOutcome JobService::GetOutcome(JobCallOutcome outcome,
+                                      const FoundJob& found) {
+  const bool is_withdrawn = outcome == JobCallOutcome::kDone &&
+                            found.state == scheduling::JobState::kWithdrawn;
+  return is_withdrawn ? JobCallOutcome::kNotFound : outcome;
+}
+
+// As for a submission, the fence is read before the job is searched for.
 void JobService::Cancel(const std::vector<std::string>& services,
-                        const std::string& id, OnOutcome on_done) {
+                        const std::string& route, const std::string& id,
+                        OnOutcome on_done) {
+  const std::string service = services.front();
+  const std::optional<RouteFence> fence = m_find_fence(service, route);
   Find(services, id, 1,
-       [this, id, on_done = std::move(on_done)](JobCallOutcome outcome,
-                                                const FoundJob& found) mutable {
-         const bool is_finished = outcome != JobCallOutcome::kDone ||
-                                  scheduling::IsTerminal(found.state);
-         if (is_finished) {
-           on_done(outcome);
-           return;
+       [this, service, id, fence, on_done = std::move(on_done)](
+           JobCallOutcome outcome, const FoundJob& found) mutable {
+         if (outcome == JobCallOutcome::kNotFound) {
+           Withdraw(service, id, fence, 1, std::move(on_done));
+         } else {
+           CancelFound(id, outcome, found, std::move(on_done));
          }
-         TryCancel(found, id, 1, false, std::move(on_done));
        });
 }
 
+void JobService::CancelFound(const std::string& id, JobCallOutcome outcome,
+                             const FoundJob& found, OnOutcome on_done) {
+  const bool is_finished =
+      outcome != JobCallOutcome::kDone || scheduling::IsTerminal(found.state);
+  if (is_finished) {
+    on_done(GetOutcome(outcome, found));
+    return;
+  }
+  TryCancel(found, id, 1, false, std::move(on_done));
+}
+
+// The owner learns of the withdrawal from the job row, and removes both rows
+// after the retention period.
+void JobService::Withdraw(const std::string& service, const std::string& id,
+                          const std::optional<RouteFence>& fence, int attempt,
+                          OnOutcome on_done) {
+  if (!fence) {
+    on_done(JobCallOutcome::kRefused);
+    return;
+  }
+  const storage::RowKey progress = MakeProgressKey(service, id);
+  storage::RowTransaction transaction;
+  RequireAbsence(progress, *fence, transaction);
+  transaction.writes = {
+      {progress, scheduling::EncodeWithdrawal()},
+      {MakeJobKey(service, id), scheduling::EncodeWithdrawal()}};
+  m_store.Commit(
+      std::move(transaction),
+      m_lifetime.Guard([this, service, id, fence, attempt,
+                        on_done = std::move(on_done)](
+                           const storage::RowCommitResult& result) mutable {
+        switch (result.status) {
+          case storage::RowCommitStatus::kCommitted:
+            on_done(JobCallOutcome::kNotFound);
+            return;
+          case storage::RowCommitStatus::kConflict:
+            if (FindStoredJobs(service, result).count(id) > 0) {
+              Find({service}, id, 1,
+                   [this, id, on_done = std::move(on_done)](
+                       JobCallOutcome outcome, const FoundJob& found) mutable {
+                     CancelFound(id, outcome, found, std::move(on_done));
+                   });
+              return;
+            }
+            m_on_fenced();
+            on_done(JobCallOutcome::kRefused);
+            return;
+          case storage::RowCommitStatus::kRefused:
+            on_done(attempt == 1 ? JobCallOutcome::kRefused
+                                 : JobCallOutcome::kUnknown);
+            return;
+          case storage::RowCommitStatus::kUnknown:
+            break;
+        }
+        if (attempt >= kMaxAttempts) {
+          on_done(JobCallOutcome::kUnknown);
+          return;
+        }
+        Withdraw(service, id, fence, attempt + 1, std::move(on_done));
+      }));
+}
+
 void JobService::TryCancel(const FoundJob& found, const std::string& id,
                            int attempt, bool may_be_cancelled,
                            OnOutcome on_done) {
@@ -251,7 +335,7 @@
                const bool is_finished = outcome != JobCallOutcome::kDone ||
                                         scheduling::IsTerminal(latest.state);
                if (is_finished) {
-                 on_done(outcome);
+                 on_done(GetOutcome(outcome, latest));
                  return;
                }
                TryCancel(latest, id, attempt + 1, may_be_done,
--- a/services/shallotwick-scheduler/job_service.h
+++ b/services/shallotwick-scheduler/job_service.h
@@ -2,8 +2,8 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -57,21 +57,27 @@
                             const scheduling::JobSpec& job,
                             const RouteFence& fence,
                             storage::RowTransaction& transaction);
-  // Returns the jobs of the service that a conflict shows as stored.
-  static std::set<std::string> ListStoredJobs(
+  // Returns the outcomes of submissions whose jobs a conflict shows as stored
+  // for the service (kDone) or as withdrawn (kNotFound).
+  static std::map<std::string, JobCallOutcome> FindStoredJobs(
       const std::string& service, const storage::RowCommitResult& result);
   // Gets the fence for storing a job, or the outcome if it must not be stored:
   // the service does not accept it, or a former service of the route has it.
   void PrepareSubmission(const std::string& service,
                          const scheduling::JobSpec& job, OnFence on_done);
-  // Stores a job; repeating the call has no further effect.
+  // Stores a job; repeating the call has no further effect. The outcome is
+  // kNotFound if the job has been cancelled before: it will never run.
   void Submit(const std::string& service, const scheduling::JobSpec& job,
               OnOutcome on_done);
   // Searches the partitions of `services` in order: a route may have moved to
   // another service since the job was accepted.
   void FindState(const std::vector<std::string>& services,
                  const std::string& id, OnState on_done);
-  void Cancel(const std::vector<std::string>& services, const std::string& id,
+  // Cancels a job of the route, whose service is the first of `services`. A job
+  // that is not stored is withdrawn: a submission of it that is still under way
+  // will not be stored. The outcome is kNotFound once that is certain.
+  void Cancel(const std::vector<std::string>& services,
+              const std::string& route, const std::string& id,
               OnOutcome on_done);
   // Counts the accepted jobs of a route of which no task has started. Uses the
   // owner's queue report or, if there is no fresh one, the progress rows of the
@@ -90,6 +96,15 @@
                  OnOutcome on_done);
   void Find(std::vector<std::string> services, const std::string& id,
             int attempt, OnFound on_done);
+  // The outcome of a call for a job that `Find` has returned.
+  static JobCallOutcome GetOutcome(JobCallOutcome outcome,
+                                   const FoundJob& found);
+  void CancelFound(const std::string& id, JobCallOutcome outcome,
+                   const FoundJob& found, OnOutcome on_done);
+  // `fence` is from before the search that has not found the job.
+  void Withdraw(const std::string& service, const std::string& id,
+                const std::optional<RouteFence>& fence, int attempt,
+                OnOutcome on_done);
   // `may_be_cancelled`: an earlier attempt may have taken effect.
   void TryCancel(const FoundJob& found, const std::string& id, int attempt,
                  bool may_be_cancelled, OnOutcome on_done);
--- a/services/shallotwick-scheduler/peer_api.cc
+++ b/services/shallotwick-scheduler/peer_api.cc
@@ -59,7 +59,12 @@
         respond(http::MakeProblem(kRefusedStatus, "store-refused",
                                   "The job is not stored."));
         return;
-      default:
+      case JobCallOutcome::kNotFound:
+        respond(
+            http::MakeProblem(kWithdrawnStatus, "job-withdrawn",
+                              "The job was cancelled before it was stored."));
+        return;
+      case JobCallOutcome::kUnknown:
         respond(http::MakeProblem(kUnknownStatus, "outcome-unknown",
                                   "The store did not answer."));
     }
--- a/services/shallotwick-scheduler/pool_records.cc
+++ b/services/shallotwick-scheduler/pool_records.cc
@@ -33,8 +33,10 @@
     (storage::kMaxTransactionEntries - 1) / 3;
 // Minimum interval between roster writes that only remove targets.
 constexpr auto kRosterShrinkPeriod = std::chrono::milliseconds(500);
-// Maximum number of progress rows of ended jobs removed in one transaction.
-constexpr size_t kMaxRemovalsPerTransaction = 50;
+// Maximum number of ended jobs whose rows are removed in one transaction. A
+// withdrawn job has two; one entry is the owner row.
+constexpr size_t kMaxRemovalsPerTransaction =
+    (storage::kMaxTransactionEntries - 1) / 2;
 
 }  // namespace
 
@@ -144,6 +146,9 @@
       {MakeOwnerKey(m_options.service), m_options.owner_version}};
   for (const auto& [job, state] : old) {
     transaction.removals.push_back(MakeProgressKey(m_options.service, job));
+    if (state == scheduling::JobState::kWithdrawn) {
+      transaction.removals.push_back(MakeJobKey(m_options.service, job));
+    }
   }
   m_store.Commit(
       std::move(transaction),
--- a/services/shallotwick-scheduler/pool_runner.cc
+++ b/services/shallotwick-scheduler/pool_runner.cc
@@ -307,6 +307,10 @@
   if (m_scheduler.HasJob(id) || m_ended_jobs.count(id) > 0) {
     return;
   }
+  if (row.value == scheduling::EncodeWithdrawal()) {
+    RecordEndedJob(id, scheduling::JobState::kWithdrawn);
+    return;
+  }
   const bool may_be_successors = m_is_loaded || !predates_ownership;
   if (may_be_successors && !IsOwnershipConfirmed()) {
     m_deferred_jobs[id] = row;
@@ -581,10 +585,12 @@
     const std::string& job) const {
   const auto ended = m_ended_jobs.find(job);
   if (ended != m_ended_jobs.end()) {
-    // That a job was cancelled is concluded from its missing row only.
-    return ended->second == scheduling::JobState::kCancelled
-               ? std::nullopt
-               : std::optional(ended->second);
+    // That a job was cancelled is concluded from its missing row only. A
+    // withdrawn job is none.
+    const bool is_uncertain =
+        ended->second == scheduling::JobState::kCancelled ||
+        ended->second == scheduling::JobState::kWithdrawn;
+    return is_uncertain ? std::nullopt : std::optional(ended->second);
   }
   // Another owner may know more.
   if (!IsOwnershipConfirmed()) {
--- a/services/shallotwick-scheduler/submission_batcher.cc
+++ b/services/shallotwick-scheduler/submission_batcher.cc
@@ -101,8 +101,7 @@
     m_not_before = now + kRefusalDelay;
     m_loop.RunAfter(kRefusalDelay, m_lifetime.Guard([this] { SendBatch(); }));
   }
-  const std::set<std::string> stored =
-      JobService::ListStoredJobs(m_pool, result);
+  const auto stored = JobService::FindStoredJobs(m_pool, result);
   for (Submission& submission : batch) {
     switch (result.status) {
       case storage::RowCommitStatus::kCommitted:
@@ -111,7 +110,7 @@
       case storage::RowCommitStatus::kConflict:
         // The jobs that exist already made the others fail.
         if (stored.count(submission.job.id) > 0) {
-          submission.on_done(JobCallOutcome::kDone);
+          submission.on_done(stored.at(submission.job.id));
           continue;
         }
         if (IsFenced(submission, result)) {
--- a/services/shallotwick-scheduler/tests/outage_test.cc
+++ b/services/shallotwick-scheduler/tests/outage_test.cc
@@ -430,7 +430,7 @@
   m_store.m_refused_table = scheduler::kOwnerTable;
   EndBothSteps();
   scheduler::JobService jobs(m_loop, m_store);
-  jobs.Cancel({kService}, kJob, [](JobCallOutcome) {});
+  jobs.Cancel({kService}, "quote", kJob, [](JobCallOutcome) {});
   Advance(std::chrono::milliseconds(500));
   m_store.m_refused_table.clear();
   Advance(std::chrono::milliseconds(500));
@@ -589,7 +589,7 @@
   scheduler::JobService jobs(m_loop, m_store);
   m_store.m_faults = {{RowCommitStatus::kUnknown, true}};
   std::optional<JobCallOutcome> outcome;
-  jobs.Cancel({kService}, kJob,
+  jobs.Cancel({kService}, "quote", kJob,
               [&outcome](JobCallOutcome result) { outcome = result; });
   // The store turns this host away once the first attempt has taken effect.
   m_loop.GetContext().restart();
@@ -742,7 +742,7 @@
   PutJob(kJob);
   Advance(std::chrono::milliseconds(200));
   scheduler::JobService jobs(m_loop, m_store);
-  jobs.Cancel({kService}, kJob, [](JobCallOutcome) {});
+  jobs.Cancel({kService}, "quote", kJob, [](JobCallOutcome) {});
   Advance(std::chrono::milliseconds(200));
   CHECK_FALSE(pool->GetScheduler().IsActive(kJob));
   CHECK_FALSE(pool->FindState(kJob).has_value());
--- a/services/shallotwick-scheduler/tests/scheduler_test.cc
+++ b/services/shallotwick-scheduler/tests/scheduler_test.cc
@@ -249,7 +249,7 @@
   CHECK_TRUE(pool->GetScheduler().IsActive("job1"));
   scheduler::JobService jobs(m_loop, m_store);
   std::optional<JobCallOutcome> outcome;
-  jobs.Cancel({"other", kService}, "job1",
+  jobs.Cancel({"other", kService}, "quote", "job1",
               [&outcome](JobCallOutcome result) { outcome = result; });
   ProcessDueEvents();
   CHECK_TRUE(outcome == JobCallOutcome::kDone);
