Keep what a pool stores within the store's limits

Its progress outgrew its row; the store's 400 was taken for "not now" and the batch repeated for ever with other jobs in it, so that no end was acknowledged.

Progress of large jobs has a compact form with part rows, transactions are filled by bytes and entries in one place, the roster takes several rows, and a rejection for good is an outcome of its own: the batch is taken apart until the job is alone, which is held while the others go on. Acknowledgements wait for the job of the end only. Jobs that fit into no row get 413 before they are stored.

The fake store now refuses what the platform's store refuses, for all tests.

--- a/libraries/base/log_catalogue.h
+++ b/libraries/base/log_catalogue.h
@@ -180,6 +180,10 @@
     535, "connections-short", Severity::kWarning,
     "The limit on open files began or ceased to allow fewer connections than "
     "the pools of a host have targets."};
+inline constexpr LogEvent kProgressRejected{
+    536, "progress-rejected", Severity::kError,
+    "The store does not take the progress of a job; it is tried again from "
+    "time to time."};
 inline constexpr LogEvent kWaveProgress{
     531, "wave-progress", Severity::kInfo,
     "A maintenance wave has begun, gone on or ended."};
@@ -239,6 +243,7 @@
                                     kStartsLimited,
                                     kConnectionsShort,
                                     kProgressBacklog,
+                                    kProgressRejected,
                                     kWaveProgress};
 
 }  // namespace shallotwick::base::events
--- a/libraries/scheduling/active_job.cc
+++ b/libraries/scheduling/active_job.cc
@@ -108,8 +108,9 @@
 bool ActiveJob::SetCheckpoint(const TaskName& name, int64_t run,
                               const std::string& checkpoint) {
   ActiveTask& named = *FindTask(name);
-  const bool is_known = checkpoint.empty() || run < named.checkpoint_run ||
-                        checkpoint == named.progress.checkpoint;
+  const bool is_known =
+      checkpoint.empty() || checkpoint.size() > kMaxCheckpointBytes ||
+      run < named.checkpoint_run || checkpoint == named.progress.checkpoint;
   if (is_known) {
     return false;
   }
--- a/libraries/scheduling/change_queue.cc
+++ b/libraries/scheduling/change_queue.cc
@@ -13,51 +13,63 @@
 void ChangeQueue::MarkChanged(const std::string& job, bool is_final) {
   const auto found = m_queued.find(job);
   if (found == m_queued.end()) {
-    AddChange(job, Change{m_last_completion, is_final});
+    Enqueue(job, Change{m_last_completion, is_final});
     return;
   }
   if (is_final && !found->second.is_final) {
     m_ready.erase(MakeOrderKey(job, found->second));
     found->second.is_final = true;
-    if (m_in_flight.count(job) == 0) {
-      m_ready.insert(MakeOrderKey(job, found->second));
-    }
+    Enqueue(job, Change(found->second));
   }
 }
 
 void ChangeQueue::MarkStarted(const std::string& job) {
   if (m_queued.count(job) == 0) {
-    AddChange(job, Change{m_last_completion + 1, false});
+    Enqueue(job, Change{m_last_completion + 1, false});
   }
 }
 
-void ChangeQueue::AddChange(const std::string& job, const Change& change) {
-  m_unstored_changes.insert(change.first_completion);
-  Enqueue(job, change);
-}
-
 void ChangeQueue::Enqueue(const std::string& job, const Change& change) {
   m_queued[job] = change;
-  if (m_in_flight.count(job) == 0) {
+  if (m_in_flight.count(job) == 0 && m_held.count(job) == 0) {
     m_ready.insert(MakeOrderKey(job, change));
   }
 }
 
-void ChangeQueue::RemoveUnstored(int64_t first_completion) {
-  m_unstored_changes.erase(m_unstored_changes.find(first_completion));
+void ChangeQueue::Hold(const std::string& job) {
+  m_held.insert(job);
+  const auto found = m_queued.find(job);
+  if (found != m_queued.end()) {
+    m_ready.erase(MakeOrderKey(job, found->second));
+  }
+}
+
+void ChangeQueue::Release(const std::string& job) {
+  m_held.erase(job);
+  const auto found = m_queued.find(job);
+  if (found != m_queued.end()) {
+    Enqueue(job, Change(found->second));
+  }
+}
+
+bool ChangeQueue::IsEmpty() const {
+  return std::all_of(
+      m_queued.begin(), m_queued.end(),
+      [this](const auto& entry) { return m_held.count(entry.first) > 0; });
 }
 
-void ChangeQueue::RecordCompletion(RunCompletion completion) {
+void ChangeQueue::RecordCompletion(RunCompletion completion, std::string job) {
   ++m_last_completion;
-  m_completions.emplace_back(m_last_completion, std::move(completion));
+  m_completions[{completion.target, completion.generation}].push_back(
+      {m_last_completion, std::move(completion), std::move(job)});
 }
 
 void ChangeQueue::Remove(const std::string& job) {
+  m_held.erase(job);
   for (auto* changes : {&m_queued, &m_in_flight}) {
     const auto found = changes->find(job);
     if (found != changes->end()) {
       m_ready.erase(MakeOrderKey(job, found->second));
-      RemoveUnstored(found->second.first_completion);
       changes->erase(found);
     }
   }
@@ -81,11 +93,10 @@
     if (found == m_in_flight.end()) {
       continue;
     }
-    RemoveUnstored(found->second.first_completion);
     m_in_flight.erase(found);
     const auto queued = m_queued.find(job);
     if (queued != m_queued.end()) {
-      m_ready.insert(MakeOrderKey(job, queued->second));
+      Enqueue(job, Change(queued->second));
     }
   }
 }
@@ -100,23 +111,34 @@
     m_in_flight.erase(found);
     const auto queued = m_queued.find(job);
     if (queued != m_queued.end()) {
-      RemoveUnstored(queued->second.first_completion);
       change.is_final = change.is_final || queued->second.is_final;
     }
     Enqueue(job, change);
   }
 }
 
+bool ChangeQueue::IsUnstored(const std::string& job, int64_t completion) const {
+  for (const auto* changes : {&m_queued, &m_in_flight}) {
+    const auto found = changes->find(job);
+    if (found != changes->end() &&
+        found->second.first_completion <= completion) {
+      return true;
+    }
+  }
+  return false;
+}
+
 std::vector<RunCompletion> ChangeQueue::PopStoredCompletions() {
   std::vector<RunCompletion> stored;
-  // A change that was first made at or before a completion may include the
-  // effects of that completion.
-  while (!m_completions.empty() &&
-         (m_unstored_changes.empty() ||
-          m_completions.front().first < *m_unstored_changes.begin())) {
-    stored.push_back(std::move(m_completions.front().second));
-    m_completions.pop_front();
+  for (auto& [incarnation, completions] : m_completions) {
+    while (!completions.empty() &&
+           !IsUnstored(completions.front().job, completions.front().recorded)) {
+      stored.push_back(std::move(completions.front().completion));
+      completions.pop_front();
+    }
   }
+  std::erase_if(m_completions,
+                [](const auto& entry) { return entry.second.empty(); });
   return stored;
 }
 
--- a/libraries/scheduling/change_queue.h
+++ b/libraries/scheduling/change_queue.h
@@ -7,6 +7,7 @@
 #include <set>
 #include <string>
 #include <tuple>
+#include <utility>
 #include <vector>
 
 namespace shallotwick::scheduling {
@@ -38,14 +39,20 @@
   // Records that the job's first task has started. No completion waits for this
   // change to be stored.
   void MarkStarted(const std::string& job);
-  // Records a completion. The jobs that it changes must be marked directly
-  // afterwards.
-  void RecordCompletion(RunCompletion completion);
+  // Records a completion of a run of the job. Must be called before
+  // MarkChanged.
+  void RecordCompletion(RunCompletion completion, std::string job);
   // Discards all changes of a job whose final state another process has already
   // stored.
   void Remove(const std::string& job);
 
-  bool IsEmpty() const { return m_queued.empty(); }
+  // Keeps the job's changes out of batches until Release: they cannot be stored
+  // for the time being.
+  void Hold(const std::string& job);
+  void Release(const std::string& job);
+
+  // Returns whether no change waits for a batch, other than held ones.
+  bool IsEmpty() const;
   // Returns the number of changes that the next batch could contain.
   size_t CountReady() const { return m_ready.size(); }
 
@@ -54,8 +61,8 @@
   // Returns the jobs to the queue, at their previous position.
   void OnFailed(const std::vector<std::string>& jobs);
 
-  // Returns the completions whose changes are all stored. Each is returned
-  // once.
+  // Returns the completions whose changes are all stored, together with those
+  // of all earlier completions of the same target. Each is returned once.
   std::vector<RunCompletion> PopStoredCompletions();
 
  private:
@@ -70,19 +77,30 @@
   // change.
   using OrderKey = std::tuple<bool, int64_t, std::string>;
 
+  struct Completion {
+    int64_t recorded = 0;
+    RunCompletion completion;
+    std::string job;
+  };
+
+  using Incarnation = std::pair<std::string, uint64_t>;
+
   static OrderKey MakeOrderKey(const std::string& job, const Change& change);
   void Enqueue(const std::string& job, const Change& change);
-  void AddChange(const std::string& job, const Change& change);
-  void RemoveUnstored(int64_t first_completion);
+  // Returns whether a change of the job up to a completion is not stored. A
+  // change that was first made at or before a completion may include the
+  // effects of that completion.
+  bool IsUnstored(const std::string& job, int64_t completion) const;
 
   int64_t m_last_completion = 0;
   std::map<std::string, Change> m_queued;
   std::map<std::string, Change> m_in_flight;
   // The queued jobs that are not in a batch in flight.
   std::set<OrderKey> m_ready;
-  // The completion numbers of all changes that are not stored yet.
-  std::multiset<int64_t> m_unstored_changes;
-  std::deque<std::pair<int64_t, RunCompletion>> m_completions;
+  std::set<std::string> m_held;
+  // Those that cannot be acknowledged yet. Targets are independent of each
+  // other, so that a job that cannot be stored holds up only its own targets.
+  std::map<Incarnation, std::deque<Completion>> m_completions;
 };
 
 }  // namespace shallotwick::scheduling
--- a/libraries/scheduling/pool_reports.cc
+++ b/libraries/scheduling/pool_reports.cc
@@ -250,7 +250,8 @@
   for (const ReportedCompletion& completion : completions) {
     if (completion.number > target.m_processed_completion) {
       m_changes.RecordCompletion(
-          {target.m_entry.id, target.m_generation, completion.number});
+          {target.m_entry.id, target.m_generation, completion.number},
+          completion.task.job);
       ApplyCompletion(target, completion, now);
       target.m_processed_completion = completion.number;
       // The completion has to be acknowledged even if it changes no job.
--- a/libraries/scheduling/pool_scheduler.cc
+++ b/libraries/scheduling/pool_scheduler.cc
@@ -416,6 +416,11 @@
   m_has_urgent_change = m_has_urgent_change || !m_changes.IsEmpty();
 }
 
+void PoolScheduler::ReleaseChanges(const std::string& job) {
+  m_changes.Release(job);
+  m_has_urgent_change = m_has_urgent_change || !m_changes.IsEmpty();
+}
+
 void PoolScheduler::AcknowledgeStoredCompletions() {
   for (const RunCompletion& completion : m_changes.PopStoredCompletions()) {
     TargetLedger* target = FindTarget(completion.target);
--- a/libraries/scheduling/pool_scheduler.h
+++ b/libraries/scheduling/pool_scheduler.h
@@ -162,6 +162,10 @@
   std::vector<ProgressChange> DequeueChanges(size_t max_count);
   void OnCommitted(const std::vector<ProgressChange>& batch);
   void OnCommitFailed(const std::vector<ProgressChange>& batch);
+  // Leaves the changes of a job that cannot be stored out of batches until they
+  // are released.
+  void HoldChanges(const std::string& job) { m_changes.Hold(job); }
+  void ReleaseChanges(const std::string& job);
 
   // For planned work on hosts. A cordoned target receives no new runs but those
   // of long-running tasks that fit on no other target, unless all targets are
--- a/libraries/scheduling/progress.h
+++ b/libraries/scheduling/progress.h
@@ -23,6 +23,9 @@
 bool IsTerminal(JobState state);
 const char* NameOf(JobState state);
 
+// Longer checkpoints are not kept: they may not fit into a row, also escaped.
+inline constexpr size_t kMaxCheckpointBytes = 6'000;
+
 // The stored state of a task.
 struct TaskProgress {
   bool done = false;
--- a/libraries/scheduling/tests/change_queue_test.cc
+++ b/libraries/scheduling/tests/change_queue_test.cc
@@ -15,7 +15,7 @@
   // Records a completion of a run of the job.
   void RecordRunCompletion(const std::string& job, int64_t number,
                            bool is_final = false) {
-    m_queue.RecordCompletion({"i-1", 1, number});
+    m_queue.RecordCompletion({"i-1", 1, number}, job);
     m_queue.MarkChanged(job, is_final);
   }
 
@@ -95,7 +95,7 @@
 
 TEST(ChangeQueue, CompletionsWithoutChangesWaitForEarlierOnes) {
   RecordRunCompletion("a", 1);
-  m_queue.RecordCompletion({"i-1", 1, 2});
+  m_queue.RecordCompletion({"i-1", 1, 2}, "ended");
   CHECK_TRUE(PopCompletionNumbers().empty());
   // The start of a job delays no acknowledgement.
   m_queue.MarkStarted("b");
@@ -114,3 +114,32 @@
   m_queue.OnFailed({"a"});
   CHECK_TRUE(m_queue.IsEmpty());
 }
+
+// LOST: one job that could not be stored kept all ends of its pool from being
+// acknowledged.
+TEST(ChangeQueue, HeldJobDelaysOnlyItsOwnTargets) {
+  RecordRunCompletion("a", 1);
+  m_queue.RecordCompletion({"i-2", 1, 1}, "b");
+  m_queue.MarkChanged("b", false);
+  CHECK_TRUE(m_queue.PopBatch(9) == (Jobs{"a", "b"}));
+  m_queue.Hold("a");
+  m_queue.OnFailed({"a"});
+  m_queue.OnStored({"b"});
+  const auto stored = m_queue.PopStoredCompletions();
+  LONGS_EQUAL(1, stored.size());
+  STRCMP_EQUAL("i-2", stored.front().target.c_str());
+  CHECK_TRUE(m_queue.PopBatch(9).empty());
+  CHECK_TRUE(m_queue.IsEmpty());
+  m_queue.Release("a");
+  CHECK_TRUE(m_queue.PopBatch(9) == (Jobs{"a"}));
+}
+
+// The end of a second run of a task changes nothing, but says that the task is
+// done as long as the first end is not stored.
+TEST(ChangeQueue, RepeatedCompletionWaitsForTheChangesOfItsJob) {
+  RecordRunCompletion("a", 1);
+  m_queue.RecordCompletion({"i-2", 1, 1}, "a");
+  CHECK_TRUE(m_queue.PopStoredCompletions().empty());
+  m_queue.OnStored(m_queue.PopBatch(9));
+  LONGS_EQUAL(2, m_queue.PopStoredCompletions().size());
+}
--- a/libraries/storage/row_store.cc
+++ b/libraries/storage/row_store.cc
@@ -7,6 +7,11 @@
 namespace shallotwick::storage {
 namespace {
 
+// Field names, punctuation and a version.
+constexpr size_t kBytesPerEntry = 80;
+// Control characters of a key are written as six.
+constexpr size_t kMaxEscapeFactor = 6;
+
 void ReadPage(RowStore& store, const RowRange& range,
               std::shared_ptr<RowReadResult> result,
               std::function<void(RowReadResult)> on_end) {
@@ -33,6 +38,47 @@
 
 }  // namespace
 
+size_t CountEntries(const RowTransaction& transaction) {
+  return transaction.expected.size() + transaction.writes.size() +
+         transaction.removals.size();
+}
+
+size_t EstimateBytes(const RowTransaction& transaction) {
+  const auto count_key = [](const RowKey& key) {
+    return kBytesPerEntry +
+           kMaxEscapeFactor *
+               (key.table.size() + key.part.size() + key.key.size());
+  };
+  size_t bytes = kBytesPerEntry;
+  for (const ExpectedVersion& expected : transaction.expected) {
+    bytes += count_key(expected.key);
+  }
+  for (const RowWrite& write : transaction.writes) {
+    bytes += count_key(write.key) + (write.value.size() + 2) / 3 * 4;
+  }
+  for (const RowKey& removal : transaction.removals) {
+    bytes += count_key(removal);
+  }
+  return bytes;
+}
+
+bool FitsTogether(const RowTransaction& transaction,
+                  const RowTransaction& addition) {
+  return CountEntries(transaction) + CountEntries(addition) <=
+             kMaxTransactionEntries &&
+         EstimateBytes(transaction) + EstimateBytes(addition) <=
+             kMaxTransactionBytes;
+}
+
+void Append(const RowTransaction& addition, RowTransaction& transaction) {
+  const auto append = [](const auto& from, auto& to) {
+    to.insert(to.end(), from.begin(), from.end());
+  };
+  append(addition.expected, transaction.expected);
+  append(addition.writes, transaction.writes);
+  append(addition.removals, transaction.removals);
+}
+
 std::string GetSuccessor(const std::string& key) { return key + '\0'; }
 
 void ReadPartition(RowStore& store, const std::string& table,
--- a/libraries/storage/row_store.h
+++ b/libraries/storage/row_store.h
@@ -58,6 +58,19 @@
 // Maximum number of entries in a transaction: expected versions, writes and
 // removals together.
 inline constexpr size_t kMaxTransactionEntries = 100;
+// Maximum size of a value; the store's limit of 64 KiB may count base64.
+inline constexpr size_t kMaxRowBytes = size_t{48} * 1024;
+// Maximum of EstimateBytes; the store takes 1 MB a call.
+inline constexpr size_t kMaxTransactionBytes = 900'000;
+
+size_t CountEntries(const RowTransaction& transaction);
+// Returns an upper bound of the transaction's size in a call.
+size_t EstimateBytes(const RowTransaction& transaction);
+// Returns whether a transaction with the entries of both fits into one call.
+bool FitsTogether(const RowTransaction& transaction,
+                  const RowTransaction& addition);
+// Adds the entries of `addition`.
+void Append(const RowTransaction& addition, RowTransaction& transaction);
 
 enum class RowCommitStatus {
   kCommitted,
@@ -65,6 +78,9 @@
   kConflict,
   // The store refused the transaction; nothing was written.
   kRefused,
+  // The store refused the transaction for good, for what it contains or for its
+  // size; nothing was written.
+  kRejected,
   // No response: the transaction may have been committed, or may still be.
   kUnknown,
 };
--- a/services/shallotwick-scheduler/capacity_broker.cc
+++ b/services/shallotwick-scheduler/capacity_broker.cc
@@ -18,10 +18,6 @@
 // recipient, owners that gave hosts to one pool made each other's writes
 // conflict, and the slower ones kept idle hosts for seconds.
 constexpr char kTransfersPrefix[] = "transfers/";
-// Maximum number of hosts per transaction; each takes two entries, as does the
-// shared row.
-constexpr size_t kMaxMovesPerTransaction =
-    storage::kMaxTransactionEntries / 2 - 1;
 // Minimum interval between writes of a pool's demand.
 constexpr auto kDemandWritePeriod = std::chrono::milliseconds(100);
 constexpr auto kSlowStoreDemandWritePeriod = std::chrono::milliseconds(1'000);
@@ -433,7 +429,7 @@
   if (transfers.empty() || !m_writing_transfers.insert(pool).second) {
     return;
   }
-  while (transfers.size() > kMaxMovesPerTransaction) {
+  while (transfers.size() > kMaxHostsPerOperation) {
     transfers.erase(std::prev(transfers.end()));
   }
   HostOperationRequest request;
--- a/services/shallotwick-scheduler/host_ledger.h
+++ b/services/shallotwick-scheduler/host_ledger.h
@@ -20,8 +20,13 @@
 // operation on a host.
 inline constexpr auto kHostListMargin = std::chrono::milliseconds(300);
 
-// An operation on one or more hosts. Owners agree on it by a conditional write
-// of one shared row before it is sent.
+// Hosts of one operation: each takes two entries of a transaction, as does the
+// shared row.
+inline constexpr size_t kMaxHostsPerOperation =
+    storage::kMaxTransactionEntries / 2 - 1;
+
+// An operation on up to kMaxHostsPerOperation hosts. Owners agree on it by a
+// conditional write of one shared row before it is sent.
 struct HostOperationRequest {
   std::vector<std::string> hosts;
   // Sends the operation to one host with the fencing token that orders it.
--- a/services/shallotwick-scheduler/job_api.cc
+++ b/services/shallotwick-scheduler/job_api.cc
@@ -7,6 +7,7 @@
 #include "base/log_catalogue.h"
 #include "base/random_identifier.h"
 #include "platform/operator_codec.h"
+#include "scheduling/job_record.h"
 #include "storage/store_health.h"
 
 namespace shallotwick::scheduler {
@@ -140,6 +141,11 @@
   job.route = route.name;
   job.accepted_ms = m_get_unix_ms();
   job.max_attempts = route.policy.max_attempts;
+  if (scheduling::EncodeJobRecord(job).size() > storage::kMaxRowBytes) {
+    respond(http::MakeProblem(413, "job-too-large",
+                              "The job takes more than 48 KiB as stored."));
+    return;
+  }
   m_submit(route.service, job,
            [this, id, name = route.name, service = route.service,
             shape = DescribeSteps(job), respond](JobCallOutcome outcome) {
@@ -237,6 +243,11 @@
       base::Log(base::events::kJobRefused,
                 {{"job", id}, {"call", call}, {"reason", "store"}});
       return Refuse("store-refused");
+    case JobCallOutcome::kRejected:
+      base::Log(base::events::kJobRefused,
+                {{"job", id}, {"call", call}, {"reason", "store-rejected"}});
+      return http::MakeProblem(400, "job-rejected",
+                               "The store does not take this job.");
     case JobCallOutcome::kUnknown:
       break;
   }
--- a/services/shallotwick-scheduler/job_service.cc
+++ b/services/shallotwick-scheduler/job_service.cc
@@ -140,6 +140,9 @@
             on_done(attempt == 1 ? JobCallOutcome::kRefused
                                  : JobCallOutcome::kUnknown);
             return;
+          case storage::RowCommitStatus::kRejected:
+            on_done(JobCallOutcome::kRejected);
+            return;
           case storage::RowCommitStatus::kUnknown:
             break;
         }
@@ -280,6 +283,7 @@
             on_done(JobCallOutcome::kRefused);
             return;
           case storage::RowCommitStatus::kRefused:
+          case storage::RowCommitStatus::kRejected:
             on_done(attempt == 1 ? JobCallOutcome::kRefused
                                  : JobCallOutcome::kUnknown);
             return;
@@ -385,7 +389,8 @@
         }
         int64_t count = 0;
         for (const storage::VersionedRow& row : result.rows) {
-          const auto summary = ReadSummary(row);
+          const bool is_part = !SplitProgressKey(row.key.key).second.empty();
+          const auto summary = is_part ? std::nullopt : ReadSummary(row);
           const bool is_queued =
               summary && summary->state == scheduling::JobState::kQueued &&
               summary->route == route;
--- a/services/shallotwick-scheduler/job_service.h
+++ b/services/shallotwick-scheduler/job_service.h
@@ -21,6 +21,8 @@
   kRefused,
   // The request may or may not have taken effect.
   kUnknown,
+  // The store does not take the job; repeating the request does not help.
+  kRejected,
 };
 
 // Accepts, looks up and cancels jobs. All results come from the store, so that
--- a/services/shallotwick-scheduler/job_tables.cc
+++ b/services/shallotwick-scheduler/job_tables.cc
@@ -11,6 +11,8 @@
 
 // Two tables per bucket stay well below the store's limit of 100 tables.
 constexpr uint64_t kBucketCount = 32;
+// Sorts before all digits.
+constexpr char kPartSeparator = '/';
 
 std::string GetBucket(const std::string& service) {
   return std::to_string(base::StableHash(service) % kBucketCount);
@@ -35,12 +37,27 @@
   return {GetProgressTable(service), service, id};
 }
 
+storage::RowKey MakeProgressPartKey(const std::string& service,
+                                    const std::string& id,
+                                    const std::string& part) {
+  return {GetProgressTable(service), service, id + kPartSeparator + part};
+}
+
+std::pair<std::string, std::string> SplitProgressKey(const std::string& key) {
+  const size_t separator = key.find(kPartSeparator);
+  return separator == std::string::npos
+             ? std::pair(key, std::string())
+             : std::pair(key.substr(0, separator), key.substr(separator + 1));
+}
+
 storage::RowKey MakeOwnerKey(const std::string& service) {
   return {kOwnerTable, service, kPoolKey};
 }
 
-storage::RowKey MakeRosterKey(const std::string& service) {
-  return {kRosterTable, service, kPoolKey};
+storage::RowKey MakeRosterKey(const std::string& service, size_t row) {
+  const std::string suffix =
+      row == 0 ? "" : kPartSeparator + std::to_string(row);
+  return {kRosterTable, service, kPoolKey + suffix};
 }
 
 storage::RowKey MakeQueueKey(const std::string& service) {
--- a/services/shallotwick-scheduler/job_tables.h
+++ b/services/shallotwick-scheduler/job_tables.h
@@ -2,6 +2,7 @@
 
 #include <optional>
 #include <string>
+#include <utility>
 
 #include "scheduling/progress.h"
 #include "storage/row_store.h"
@@ -32,8 +33,16 @@
 storage::RowKey MakeJobKey(const std::string& service, const std::string& id);
 storage::RowKey MakeProgressKey(const std::string& service,
                                 const std::string& id);
+// A part of a job's progress that its record names. Follows the record in the
+// order of keys.
+storage::RowKey MakeProgressPartKey(const std::string& service,
+                                    const std::string& id,
+                                    const std::string& part);
+// Returns the job and the part, which is empty for the job's record.
+std::pair<std::string, std::string> SplitProgressKey(const std::string& key);
 storage::RowKey MakeOwnerKey(const std::string& service);
-storage::RowKey MakeRosterKey(const std::string& service);
+// A roster takes several rows if it does not fit into one.
+storage::RowKey MakeRosterKey(const std::string& service, size_t row = 0);
 storage::RowKey MakeQueueKey(const std::string& service);
 storage::RowKey MakeSessionKey(const std::string& host);
 
--- a/services/shallotwick-scheduler/peer_api.cc
+++ b/services/shallotwick-scheduler/peer_api.cc
@@ -59,6 +59,10 @@
         respond(http::MakeProblem(kRefusedStatus, "store-refused",
                                   "The job is not stored."));
         return;
+      case JobCallOutcome::kRejected:
+        respond(http::MakeProblem(kRejectedStatus, "job-rejected",
+                                  "The store does not take this job."));
+        return;
       case JobCallOutcome::kNotFound:
         respond(
             http::MakeProblem(kWithdrawnStatus, "job-withdrawn",
--- a/services/shallotwick-scheduler/peer_client.cc
+++ b/services/shallotwick-scheduler/peer_client.cc
@@ -28,6 +28,8 @@
       return JobCallOutcome::kDone;
     case kRefusedStatus:
       return JobCallOutcome::kRefused;
+    case kRejectedStatus:
+      return JobCallOutcome::kRejected;
     case kWithdrawnStatus:
       return JobCallOutcome::kNotFound;
     default:
--- a/services/shallotwick-scheduler/peer_client.h
+++ b/services/shallotwick-scheduler/peer_client.h
@@ -19,6 +19,7 @@
 // and never will be. All others leave it open.
 inline constexpr int kStoredStatus = 200;
 inline constexpr int kRefusedStatus = 503;
+inline constexpr int kRejectedStatus = 400;
 // The job has been cancelled before.
 inline constexpr int kWithdrawnStatus = 410;
 inline constexpr int kUnknownStatus = 504;
--- a/services/shallotwick-scheduler/pool_records.cc
+++ b/services/shallotwick-scheduler/pool_records.cc
@@ -33,10 +33,43 @@
     (storage::kMaxTransactionEntries - 1) / 3;
 // Minimum interval between roster writes that only remove targets.
 constexpr auto kRosterShrinkPeriod = std::chrono::milliseconds(500);
-// Maximum number of ended jobs whose rows are removed in one transaction. A
-// withdrawn job has two; one entry is the owner row.
-constexpr size_t kMaxRemovalsPerTransaction =
-    (storage::kMaxTransactionEntries - 1) / 2;
+// Maximum number of a job's part rows removed in one transaction. The owner row
+// and two other rows of the job take the rest.
+constexpr size_t kMaxPartRemovalsPerTransaction =
+    storage::kMaxTransactionEntries - 3;
+// A job whose progress the store has rejected is tried again after this time.
+constexpr auto kRejectedRetryDelay = std::chrono::seconds(5);
+
+// Returns the values of the roster's rows, at least one.
+std::vector<std::string> EncodeRoster(
+    const std::map<std::string, std::string>& roster) {
+  std::vector<std::string> rows;
+  nlohmann::json row = nlohmann::json::object();
+  size_t bytes = 0;
+  for (const auto& [id, address] : roster) {
+    const size_t added = nlohmann::json{id, address}.dump().size();
+    if (bytes + added > storage::kMaxRowBytes - 2) {
+      rows.push_back(row.dump());
+      row = nlohmann::json::object();
+      bytes = 0;
+    }
+    row[id] = address;
+    bytes += added;
+  }
+  rows.push_back(row.dump());
+  return rows;
+}
+
+scheduling::JobProgress WithoutCheckpoints(scheduling::JobProgress progress) {
+  for (auto& steps : progress.tasks) {
+    for (auto& step : steps) {
+      for (scheduling::TaskProgress& task : step) {
+        task.checkpoint.clear();
+      }
+    }
+  }
+  return progress;
+}
 
 }  // namespace
 
@@ -66,8 +99,15 @@
   transaction.expected = {
       {MakeOwnerKey(m_options.service), m_options.owner_version},
       {MakeRosterKey(m_options.service), m_roster_version}};
-  transaction.writes = {
-      {MakeRosterKey(m_options.service), nlohmann::json(roster).dump()}};
+  const std::vector<std::string> rows = EncodeRoster(roster);
+  for (size_t i = 0; i < rows.size(); ++i) {
+    transaction.writes.push_back(
+        {MakeRosterKey(m_options.service, i), rows[i]});
+  }
+  for (size_t i = rows.size(); i < m_roster_rows; ++i) {
+    transaction.removals.push_back(MakeRosterKey(m_options.service, i));
+  }
+  m_roster_rows = std::max(m_roster_rows, rows.size());
   m_store.Commit(
       std::move(transaction),
       m_lifetime.Guard([this, roster](const storage::RowCommitResult& result) {
@@ -124,43 +164,61 @@
   }
 }
 
-// Removes the progress rows of jobs whose retention period is over.
+// Removes the rows of jobs whose retention period is over, a job's record last.
 void PoolRunner::RemoveExpiredProgress() {
   if (m_is_removing_progress) {
     return;
   }
   const auto now = base::RuntimeClock::now();
   std::map<std::string, scheduling::JobState> old;
+  storage::RowTransaction transaction;
+  transaction.expected = {
+      {MakeOwnerKey(m_options.service), m_options.owner_version}};
   while (!m_ended_jobs_by_time.empty() &&
-         old.size() < kMaxRemovalsPerTransaction &&
          m_ended_jobs_by_time.front().first + m_options.retention <= now) {
-    old.insert(m_ended_jobs.extract(m_ended_jobs_by_time.front().second));
+    const std::string& job = m_ended_jobs_by_time.front().second;
+    storage::RowTransaction removal;
+    removal.removals =
+        m_progress_parts.ListRows(job, kMaxPartRemovalsPerTransaction);
+    const bool is_last =
+        removal.removals.size() < kMaxPartRemovalsPerTransaction;
+    if (is_last) {
+      removal.removals.push_back(MakeProgressKey(m_options.service, job));
+      const auto ended = m_ended_jobs.find(job);
+      if (ended != m_ended_jobs.end() &&
+          ended->second == scheduling::JobState::kWithdrawn) {
+        removal.removals.push_back(MakeJobKey(m_options.service, job));
+      }
+    }
+    if (!storage::FitsTogether(transaction, removal)) {
+      break;
+    }
+    storage::Append(removal, transaction);
+    if (!is_last) {
+      break;
+    }
+    old.insert(m_ended_jobs.extract(job));
     m_ended_jobs_by_time.pop_front();
   }
-  if (old.empty()) {
+  if (transaction.removals.empty()) {
     return;
   }
   m_is_removing_progress = true;
-  storage::RowTransaction transaction;
-  transaction.expected = {
-      {MakeOwnerKey(m_options.service), m_options.owner_version}};
-  for (const auto& [job, state] : old) {
-    transaction.removals.push_back(MakeProgressKey(m_options.service, job));
-    if (state == scheduling::JobState::kWithdrawn) {
-      transaction.removals.push_back(MakeJobKey(m_options.service, job));
-    }
-  }
-  m_store.Commit(
-      std::move(transaction),
-      m_lifetime.Guard([this, old](const storage::RowCommitResult& result) {
-        m_is_removing_progress = false;
-        if (result.status != storage::RowCommitStatus::kCommitted) {
-          // Retried later; removing a row that no longer exists has no effect.
-          for (const auto& [job, state] : old) {
-            RecordEndedJob(job, state);
-          }
-        }
-      }));
+  const std::vector<storage::RowKey> removed = transaction.removals;
+  m_store.Commit(std::move(transaction),
+                 m_lifetime.Guard([this, old, removed](
+                                      const storage::RowCommitResult& result) {
+                   m_is_removing_progress = false;
+                   if (result.status == storage::RowCommitStatus::kCommitted) {
+                     m_progress_parts.OnRemoved(removed);
+                     return;
+                   }
+                   // Retried later; removing a row that no longer exists has no
+                   // effect.
+                   for (const auto& [job, state] : old) {
+                     RecordEndedJob(job, state);
+                   }
+                 }));
 }
 
 void PoolRunner::ConfirmOwnership() {
@@ -277,77 +335,148 @@
   if (m_commits_in_flight >= kMaxCommitsInFlight || m_is_lost) {
     return;
   }
-  const std::vector<scheduling::ProgressChange> batch =
+  const std::vector<scheduling::ProgressChange> changes =
       m_scheduler.DequeueChanges(kMaxChangesPerCommit);
-  if (batch.empty()) {
-    m_scheduler.OnCommitted(batch);
+  if (changes.empty()) {
+    m_scheduler.OnCommitted(changes);
     Wake();
     return;
   }
-  ++m_commits_in_flight;
   storage::RowTransaction transaction;
   transaction.expected.push_back(
       {MakeOwnerKey(m_options.service), m_options.owner_version});
-  for (const scheduling::ProgressChange& change : batch) {
-    const storage::RowKey key = MakeProgressKey(m_options.service, change.job);
-    transaction.expected.push_back({key, m_progress_versions[change.job]});
-    transaction.writes.push_back(
-        {key, scheduling::EncodeProgress(change.progress)});
+  CommitBatch batch;
+  std::vector<scheduling::ProgressChange> left;
+  for (const scheduling::ProgressChange& change : changes) {
+    const bool must_wait =
+        !batch.empty() && (m_rejected_jobs.count(change.job) > 0 ||
+                           m_rejected_jobs.count(batch[0].change.job) > 0);
+    StoredChange stored{change, must_wait
+                                    ? scheduling::ProgressRows{}
+                                    : EncodeProgressRows(change.progress)};
+    storage::RowTransaction entries = MakeEntries(stored);
+    if (batch.empty() && !storage::FitsTogether(transaction, entries)) {
+      // Without a checkpoint, a task starts anew.
+      stored.rows = EncodeProgressRows(WithoutCheckpoints(change.progress));
+      entries = MakeEntries(stored);
+    }
+    if (must_wait ||
+        (!batch.empty() && !storage::FitsTogether(transaction, entries))) {
+      left.push_back(change);
+      continue;
+    }
+    storage::Append(entries, transaction);
+    batch.push_back(std::move(stored));
+  }
+  m_scheduler.OnCommitFailed(left);
+  ++m_commits_in_flight;
+  m_store.Commit(std::move(transaction),
+                 m_lifetime.Guard([this, batch = std::move(batch)](
+                                      const storage::RowCommitResult& result) {
+                   OnCommitted(result, batch);
+                 }));
+}
+
+storage::RowTransaction PoolRunner::MakeEntries(
+    const StoredChange& stored) const {
+  const std::string& job = stored.change.job;
+  const storage::RowKey key = MakeProgressKey(m_options.service, job);
+  const auto version = m_progress_versions.find(job);
+  storage::RowTransaction entries;
+  entries.expected = {{key, version == m_progress_versions.end()
+                                ? storage::kNoVersion
+                                : version->second}};
+  entries.writes = {{key, stored.rows.record}};
+  m_progress_parts.AddChanges(job, stored.rows, entries);
+  if (scheduling::IsTerminal(stored.change.progress.state)) {
+    entries.removals = {MakeJobKey(m_options.service, job)};
+  }
+  return entries;
+}
+
+void PoolRunner::OnChangesStored(const storage::RowCommitResult& result,
+                                 const CommitBatch& batch) {
+  for (const auto& [change, rows] : batch) {
+    m_progress_parts.OnStored(change.job, rows);
+    m_rejected_jobs.erase(change.job);
     if (scheduling::IsTerminal(change.progress.state)) {
-      transaction.removals.push_back(MakeJobKey(m_options.service, change.job));
+      m_progress_versions.erase(change.job);
+      RecordEndedJob(change.job, change.progress.state);
+      base::Log(base::events::kJobEndStored,
+                {{"pool", m_options.service},
+                 {"job", change.job},
+                 {"state", scheduling::NameOf(change.progress.state)},
+                 {"version", std::to_string(result.version)},
+                 {"fence", std::to_string(m_options.owner_version)}});
+    } else {
+      m_progress_versions[change.job] = result.version;
     }
   }
-  m_store.Commit(
-      std::move(transaction),
-      m_lifetime.Guard([this, batch](const storage::RowCommitResult& result) {
-        OnCommitted(result, batch);
-      }));
 }
 
-void PoolRunner::OnCommitted(
-    const storage::RowCommitResult& result,
-    const std::vector<scheduling::ProgressChange>& batch) {
+void PoolRunner::OnCommitted(const storage::RowCommitResult& result,
+                             const CommitBatch& batch) {
   --m_commits_in_flight;
-  if (result.status == storage::RowCommitStatus::kCommitted) {
-    for (const scheduling::ProgressChange& change : batch) {
-      if (scheduling::IsTerminal(change.progress.state)) {
-        m_progress_versions.erase(change.job);
-        RecordEndedJob(change.job, change.progress.state);
-        base::Log(base::events::kJobEndStored,
-                  {{"pool", m_options.service},
-                   {"job", change.job},
-                   {"state", scheduling::NameOf(change.progress.state)},
-                   {"version", std::to_string(result.version)},
-                   {"fence", std::to_string(m_options.owner_version)}});
-      } else {
-        m_progress_versions[change.job] = result.version;
+  std::vector<scheduling::ProgressChange> changes;
+  for (const StoredChange& stored : batch) {
+    changes.push_back(stored.change);
+  }
+  const char* reason = "no-answer";
+  switch (result.status) {
+    case storage::RowCommitStatus::kCommitted:
+      OnChangesStored(result, batch);
+      m_scheduler.OnCommitted(changes);
+      Wake();
+      return;
+    case storage::RowCommitStatus::kConflict:
+      reason = "conflict";
+      ResolveConflict(result, batch);
+      break;
+    case storage::RowCommitStatus::kRejected:
+      reason = "rejected";
+      IsolateRejectedJobs(batch, result.error);
+      break;
+    case storage::RowCommitStatus::kUnknown:
+      for (const auto& [change, rows] : batch) {
+        m_progress_parts.OnUncertain(change.job, rows);
       }
-    }
-    m_scheduler.OnCommitted(batch);
-    Wake();
-    return;
+      m_commit_not_before = base::RuntimeClock::now() + kCommitRetryDelay;
+      break;
+    case storage::RowCommitStatus::kRefused:
+      m_commit_not_before = base::RuntimeClock::now() + kCommitRetryDelay;
+      break;
   }
   m_metrics
-      .GetCounter(
-          "shallotwick_progress_commit_retries_total",
-          {{"reason", result.status == storage::RowCommitStatus::kConflict
-                          ? "conflict"
-                          : "no-answer"}})
+      .GetCounter("shallotwick_progress_commit_retries_total",
+                  {{"reason", reason}})
       .Increment();
-  if (result.status == storage::RowCommitStatus::kConflict) {
-    ResolveConflict(result, batch);
-  } else {
-    m_commit_not_before = base::RuntimeClock::now() + kCommitRetryDelay;
-  }
-  m_scheduler.OnCommitFailed(batch);
+  m_scheduler.OnCommitFailed(changes);
   Wake();
 }
 
+void PoolRunner::IsolateRejectedJobs(const CommitBatch& batch,
+                                     const std::string& error) {
+  if (batch.size() > 1) {
+    for (const StoredChange& stored : batch) {
+      m_rejected_jobs.insert(stored.change.job);
+    }
+    return;
+  }
+  const std::string job = batch.front().change.job;
+  base::Log(base::events::kProgressRejected,
+            {{"pool", m_options.service}, {"job", job}, {"fault", error}});
+  m_metrics.GetCounter("shallotwick_progress_rejections_total", {}).Increment();
+  m_scheduler.HoldChanges(job);
+  m_loop.RunAfter(kRejectedRetryDelay, m_lifetime.Guard([this, job] {
+    m_scheduler.ReleaseChanges(job);
+    Wake();
+  }));
+}
+
 // A conflict means that an earlier write of this owner took effect without a
 // response, that a caller cancelled a job, or that another host owns the pool.
-void PoolRunner::ResolveConflict(
-    const storage::RowCommitResult& result,
-    const std::vector<scheduling::ProgressChange>& batch) {
+void PoolRunner::ResolveConflict(const storage::RowCommitResult& result,
+                                 const CommitBatch& batch) {
   if (!IsStillOwner(result)) {
     AbandonPool("owner row has changed");
     return;
@@ -358,7 +487,7 @@
       current[row.key.key] = row;
     }
   }
-  for (const scheduling::ProgressChange& change : batch) {
+  for (const auto& [change, rows] : batch) {
     const auto row = current.find(change.job);
     const bool is_gone = row == current.end() ||
                          row->second.version == storage::kNoVersion ||
@@ -367,8 +496,7 @@
       // The result may list only the rows whose versions differ.
       continue;
     }
-    const bool is_own =
-        row->second.value == scheduling::EncodeProgress(change.progress);
+    const bool is_own = row->second.value == rows.record;
     const auto summary = is_own ? std::nullopt : ReadSummary(row->second);
     if (summary && summary->state == scheduling::JobState::kCancelled) {
       RemoveCancelledJob(change.job);
--- a/services/shallotwick-scheduler/pool_runner.cc
+++ b/services/shallotwick-scheduler/pool_runner.cc
@@ -138,7 +138,8 @@
               kJobIdleTimeout}),
       m_progress_reader(loop, store),
       m_took_over_at(base::RuntimeClock::now()),
-      m_load(metrics, options.service, m_took_over_at) {
+      m_load(metrics, options.service, m_took_over_at),
+      m_progress_parts(options.service) {
   m_scheduler.m_on_decision =
       [this](const scheduling::SchedulingDecision& note) { LogDecision(note); };
   m_scheduler.m_on_wrong_target_end =
@@ -210,8 +211,11 @@
 
 void PoolRunner::OnRosterRead(const storage::RowReadResult& result) {
   const auto now = base::RuntimeClock::now();
+  m_roster_rows = result.rows.size();
   for (const storage::VersionedRow& row : result.rows) {
-    m_roster_version = row.version;
+    if (row.key == MakeRosterKey(m_options.service)) {
+      m_roster_version = row.version;
+    }
     for (const auto& [id, address] : DecodeRoster(row)) {
       scheduling::TargetEntry entry;
       entry.id = id;
@@ -241,9 +245,19 @@
       GetProgressTable(m_options.service), m_options.service,
       [this](const storage::RowReadResult& result) {
         for (const storage::VersionedRow& row : result.rows) {
-          m_loaded_progress[row.key.key] = row;
+          const auto [job, part] = SplitProgressKey(row.key.key);
+          if (!part.empty()) {
+            m_progress_parts.OnLoaded(job, part, row.value);
+            continue;
+          }
+          m_loaded_progress[job] = row;
           RecordJobIfEnded(row);
         }
+        for (const std::string& job : m_progress_parts.ListJobs()) {
+          if (m_loaded_progress.count(job) == 0) {
+            RecordEndedJob(job, scheduling::JobState::kCancelled);
+          }
+        }
         m_load.SetStep("jobs");
         m_jobs.Start();
       });
@@ -324,7 +338,8 @@
     uint64_t version = row.version;
     const auto loaded = m_loaded_progress.find(id);
     if (loaded != m_loaded_progress.end()) {
-      progress = scheduling::DecodeProgress(spec, loaded->second.value);
+      progress = scheduling::DecodeProgressRows(
+          spec, {loaded->second.value, m_progress_parts.GetParts(id)});
       version = loaded->second.version;
     }
     if (scheduling::IsTerminal(progress.state)) {
--- a/services/shallotwick-scheduler/pool_runner.h
+++ b/services/shallotwick-scheduler/pool_runner.h
@@ -14,6 +14,7 @@
 #include "host_listing.h"
 #include "hosts/arrival_forecast.h"
 #include "load_monitor.h"
+#include "progress_parts.h"
 #include "scheduling/pool_scheduler.h"
 #include "scheduling/serving_config.h"
 #include "scheduling/target_orders.h"
@@ -144,10 +145,24 @@
   void ScheduleCommit();
   void LogBacklog(base::TimePoint now);
   void Commit();
+  // A change of a job's progress, with its stored form.
+  struct StoredChange {
+    scheduling::ProgressChange change;
+    scheduling::ProgressRows rows;
+  };
+  using CommitBatch = std::vector<StoredChange>;
+
+  // Returns the entries that store a change.
+  storage::RowTransaction MakeEntries(const StoredChange& stored) const;
   void OnCommitted(const storage::RowCommitResult& result,
-                   const std::vector<scheduling::ProgressChange>& batch);
+                   const CommitBatch& batch);
+  void OnChangesStored(const storage::RowCommitResult& result,
+                       const CommitBatch& batch);
+  // Takes a batch apart that the store will never accept. A job that is alone
+  // in it is held for a while.
+  void IsolateRejectedJobs(const CommitBatch& batch, const std::string& error);
   void ResolveConflict(const storage::RowCommitResult& result,
-                       const std::vector<scheduling::ProgressChange>& batch);
+                       const CommitBatch& batch);
   bool IsStillOwner(const storage::RowCommitResult& result) const;
   void AbandonPool(const char* reason);
   void CountOutcome(const char* order, scheduling::OrderOutcome outcome);
@@ -169,6 +184,10 @@
   LoadMonitor m_load;
   // Versions of the progress rows of active jobs.
   std::map<std::string, uint64_t> m_progress_versions;
+  ProgressParts m_progress_parts;
+  // Jobs of which the store has rejected a transaction with others. The next
+  // one has them alone.
+  std::set<std::string> m_rejected_jobs;
   // Progress rows read at the takeover, kept until the jobs have been loaded.
   std::map<std::string, storage::VersionedRow> m_loaded_progress;
   // Jobs that arrived while the ownership was not confirmed.
@@ -196,6 +215,8 @@
   base::TimePoint m_queues_reported_at;
   bool m_is_reporting_queues = false;
   uint64_t m_roster_version = storage::kNoVersion;
+  // The most rows that the stored roster may have.
+  size_t m_roster_rows = 0;
   std::map<std::string, std::string> m_stored_roster;
   base::TimePoint m_roster_written_at;
   bool m_is_roster_read = false;
--- a/services/shallotwick-scheduler/submission_batcher.cc
+++ b/services/shallotwick-scheduler/submission_batcher.cc
@@ -10,19 +10,12 @@
 namespace shallotwick::scheduler {
 namespace {
 
-// Entries of a transaction that a job takes, with the fence of its route.
-constexpr size_t kMaxEntriesPerJob = 4;
 // The owner's own transactions wait in the same queue.
 constexpr int kMaxBatchesInFlight = 3;
 // Callers wait for three seconds, and a transaction takes up to one.
 constexpr auto kMaxWait = std::chrono::milliseconds(1'500);
 constexpr auto kRefusalDelay = std::chrono::milliseconds(100);
 
-size_t CountEntries(const storage::RowTransaction& transaction) {
-  return transaction.expected.size() + transaction.writes.size() +
-         transaction.removals.size();
-}
-
 }  // namespace
 
 void SubmissionBatcher::Submit(const scheduling::JobSpec& job,
@@ -53,17 +46,25 @@
   std::vector<Submission> repeated;
   std::set<std::string> jobs;
   storage::RowTransaction transaction;
-  while (!m_waiting.empty() && CountEntries(transaction) + kMaxEntriesPerJob <=
-                                   storage::kMaxTransactionEntries) {
-    Submission submission = std::move(m_waiting.front());
+  while (!m_waiting.empty()) {
+    Submission& first = m_waiting.front();
+    storage::RowTransaction addition;
+    JobService::AddSubmission(m_pool, first.job, first.fence, addition);
+    const bool is_full =
+        !batch.empty() && (first.must_be_alone || batch.front().must_be_alone ||
+                           !storage::FitsTogether(transaction, addition));
+    if (is_full) {
+      break;
+    }
+    Submission submission = std::move(first);
     m_waiting.pop_front();
-    const scheduling::JobSpec& job = submission.job;
     // A transaction names each row once.
-    if (!jobs.insert(job.id).second) {
+    if (!jobs.insert(submission.job.id).second) {
       repeated.push_back(std::move(submission));
       continue;
     }
-    JobService::AddSubmission(m_pool, job, submission.fence, transaction);
+    JobService::AddSubmission(m_pool, submission.job, submission.fence,
+                              transaction);
     batch.push_back(std::move(submission));
   }
   for (Submission& submission : repeated) {
@@ -121,6 +122,16 @@
         break;
       case storage::RowCommitStatus::kRefused:
         break;
+      // One job may have caused it.
+      case storage::RowCommitStatus::kRejected:
+        if (batch.size() == 1) {
+          submission.on_done(submission.may_be_stored
+                                 ? JobCallOutcome::kUnknown
+                                 : JobCallOutcome::kRejected);
+          continue;
+        }
+        submission.must_be_alone = true;
+        break;
       case storage::RowCommitStatus::kUnknown:
         submission.may_be_stored = true;
         break;
--- a/services/shallotwick-scheduler/submission_batcher.h
+++ b/services/shallotwick-scheduler/submission_batcher.h
@@ -32,6 +32,8 @@
     bool may_be_stored = false;
     // No transaction begins later.
     base::TimePoint deadline;
+    // The store has rejected a transaction with this job and others.
+    bool must_be_alone = false;
   };
 
   void SendBatch();
--- a/services/shallotwick-scheduler/wave_coordinator.cc
+++ b/services/shallotwick-scheduler/wave_coordinator.cc
@@ -17,10 +17,6 @@
 constexpr auto kMaxPreparationTime = std::chrono::milliseconds(1'500);
 // Time from the selection of a host that runs tasks until it is down.
 constexpr auto kBusyHostPreparationTime = std::chrono::milliseconds(2'500);
-// Maximum number of hosts per transaction; each takes two entries, as does the
-// wave's row.
-constexpr size_t kMaxHostsPerTransaction =
-    storage::kMaxTransactionEntries / 2 - 1;
 // A host missing from the host list for this long has left the fleet.
 constexpr auto kMissingHostTimeout = std::chrono::milliseconds(3'000);
 // Time from a host's return until the next host is down: covers the delay of
@@ -135,7 +131,7 @@
   // All owners write the wave's row, so one write per host would limit the pace
   // of a large wave.
   idle.resize(std::min(
-      {idle.size(), static_cast<size_t>(free_slots), kMaxHostsPerTransaction}));
+      {idle.size(), static_cast<size_t>(free_slots), kMaxHostsPerOperation}));
   if (!idle.empty()) {
     StartMaintenance(wave, idle, row, record);
   }
--- a/tests/fakes/fake_row_store.cc
+++ b/tests/fakes/fake_row_store.cc
@@ -5,6 +5,28 @@
 
 namespace shallotwick::fakes {
 
+namespace {
+
+// As the platform's table service.
+constexpr size_t kMaxValueBytes = 65'536;
+constexpr size_t kMaxCallBytes = 1'000'000;
+constexpr size_t kMaxEntries = 100;
+
+bool ExceedsLimits(const storage::RowTransaction& transaction) {
+  size_t bytes = 0;
+  for (const storage::RowWrite& write : transaction.writes) {
+    const size_t encoded = (write.value.size() + 2) / 3 * 4;
+    if (encoded > kMaxValueBytes) {
+      return true;
+    }
+    bytes += encoded;
+  }
+  return bytes > kMaxCallBytes ||
+         storage::CountEntries(transaction) > kMaxEntries;
+}
+
+}  // namespace
+
 uint64_t FakeRowStore::Put(const storage::RowKey& key,
                            const std::string& value) {
   m_rows[key] = {key, value, ++m_version, false};
@@ -40,7 +62,10 @@
     storage::RowTransaction transaction,
     std::function<void(storage::RowCommitResult)> on_end) {
   storage::RowCommitResult result;
-  if (!m_faults.empty()) {
+  if (ExceedsLimits(transaction)) {
+    ++m_rejections;
+    result.status = storage::RowCommitStatus::kRejected;
+  } else if (!m_faults.empty()) {
     const Fault fault = m_faults.front();
     m_faults.erase(m_faults.begin());
     if (fault.takes_effect) {
--- a/tests/fakes/fake_row_store.h
+++ b/tests/fakes/fake_row_store.h
@@ -35,6 +35,9 @@
   // Carries out the late commits whose conditions still hold.
   void CarryOutLate();
 
+  // How many transactions exceeded the limits of the table service.
+  int m_rejections = 0;
+
   uint64_t Put(const storage::RowKey& key, const std::string& value);
   // The row, without a version if there is none.
   storage::VersionedRow Get(const storage::RowKey& key) const;
