Blame failures on the job or the target that causes them

Two failures in a row quarantined a target for up to 6 s, whatever had failed, so that the attempts of one job quarantined the pool.

FailureEvidence weighs failures of work that does well elsewhere, and of several jobs, against a target, and failures on several targets against a job. Quarantines are bounded by half of the pool, end with a run that is done, and don't hold where no other target could run the task. Failing tasks back off and come after sound work of their rank.

--- a/libraries/scheduling/active_job.h
+++ b/libraries/scheduling/active_job.h
@@ -19,6 +19,10 @@
   int64_t last_run = 0;
   // The run that the checkpoint in `progress` is from; 0 if it was stored.
   int64_t checkpoint_run = 0;
+  // No run starts before, as earlier ones have failed.
+  base::TimePoint not_before;
+  // The number of runs that failed one after the other, each soon.
+  int failures_in_a_row = 0;
   // The target of the last failed or stalled run; placement avoids it if
   // another target is suitable.
   std::string avoided_target;
--- a/libraries/scheduling/placement.cc
+++ b/libraries/scheduling/placement.cc
@@ -6,18 +6,25 @@
 namespace shallotwick::scheduling {
 namespace {
 
-bool IsAllowed(const PlacementRequest& request, const Candidate& candidate) {
+bool HasLabel(const StepSpec& step, const Candidate& candidate) {
+  return step.required_label.empty() ||
+         std::find(candidate.labels.begin(), candidate.labels.end(),
+                   step.required_label) != candidate.labels.end();
+}
+
+bool IsKeptOut(const StepSpec& step, const Candidate& candidate) {
+  return candidate.is_suspended ||
+         (candidate.is_quarantined && !step.long_running);
+}
+
+bool IsAllowed(const PlacementRequest& request, const Candidate& candidate,
+               bool heeds_quarantine) {
   const StepSpec& step = *request.step;
   const Resources demand = GetReservedResources(step.demand, step.best_effort);
   if (!demand.Fits(candidate.room) || candidate.starts_left <= 0 ||
-      ((candidate.is_quarantined || candidate.is_cordoned) &&
-       !step.long_running) ||
-      request.excluded.count(candidate.id) > 0) {
-    return false;
-  }
-  if (!step.required_label.empty() &&
-      std::find(candidate.labels.begin(), candidate.labels.end(),
-                step.required_label) == candidate.labels.end()) {
+      (heeds_quarantine && IsKeptOut(step, candidate)) ||
+      (candidate.is_cordoned && !step.long_running) ||
+      !HasLabel(step, candidate) || request.excluded.count(candidate.id) > 0) {
     return false;
   }
   if (step.most_per_target > 0) {
@@ -34,15 +41,52 @@
   return labels.size() > 1 ? labels[1] : "";
 }
 
+bool CouldRun(const StepSpec& step, const Candidate& candidate) {
+  return HasLabel(step, candidate) &&
+         GetReservedResources(step.demand, step.best_effort)
+             .Fits(candidate.capacity);
+}
+
+void BoundQuarantine(std::vector<Candidate>& candidates) {
+  int64_t cpu_milli = 0;
+  std::vector<Candidate*> quarantined;
+  for (Candidate& candidate : candidates) {
+    cpu_milli += candidate.is_cordoned ? 0 : candidate.capacity.cpu_milli;
+    if (candidate.is_quarantined && !candidate.is_cordoned) {
+      quarantined.push_back(&candidate);
+    }
+  }
+  std::stable_sort(quarantined.begin(), quarantined.end(),
+                   [](const Candidate* left, const Candidate* right) {
+                     return left->failure_points > right->failure_points;
+                   });
+  int64_t quarantined_cpu_milli = 0;
+  for (Candidate* candidate : quarantined) {
+    const int64_t sum = quarantined_cpu_milli + candidate->capacity.cpu_milli;
+    if (2 * sum <= cpu_milli) {
+      quarantined_cpu_milli = sum;
+      continue;
+    }
+    candidate->is_quarantined = false;
+    candidate->is_suspended = false;
+  }
+}
+
 std::optional<size_t> PlaceTask(const PlacementRequest& request,
                                 const std::vector<Candidate>& candidates) {
   const StepSpec& step = *request.step;
+  const bool heeds_quarantine =
+      std::any_of(candidates.begin(), candidates.end(),
+                  [&step](const Candidate& candidate) {
+                    return !IsKeptOut(step, candidate) &&
+                           !candidate.is_cordoned && CouldRun(step, candidate);
+                  });
   // Lower cost is better.
   using Cost = std::tuple<bool, bool, int, bool, int, int64_t, size_t>;
   std::optional<Cost> best;
   for (size_t i = 0; i < candidates.size(); ++i) {
     const Candidate& candidate = candidates[i];
-    if (!IsAllowed(request, candidate)) {
+    if (!IsAllowed(request, candidate, heeds_quarantine)) {
       continue;
     }
     const auto sibling_entry = request.sibling_counts.find(candidate.id);
@@ -56,7 +100,7 @@
         step.best_effort ? candidate.latency_bound_runs : 0;
     const Cost cost{candidate.is_cordoned,
                     request.avoided.count(candidate.id) > 0,
-                    candidate.failure_streak + sibling_count,
+                    candidate.failure_points + sibling_count,
                     is_in_other_rack,
                     disturbed_runs,
                     candidate.room.cpu_milli,
--- a/libraries/scheduling/placement.h
+++ b/libraries/scheduling/placement.h
@@ -17,10 +17,14 @@
   std::string rack;
   std::vector<std::string> labels;
   Resources room;
-  // Consecutive failed or stalled runs on this target.
-  int failure_streak = 0;
+  // What an empty target has.
+  Resources capacity;
+  // What speaks against the target, see FailureEvidence.
+  int failure_points = 0;
   // Receives long-running tasks alone.
   bool is_quarantined = false;
+  // Receives no tasks at all.
+  bool is_suspended = false;
   // Receives long-running tasks that fit nowhere else.
   bool is_cordoned = false;
   // How many more starts may be in flight to the target.
@@ -49,8 +53,17 @@
 // and the second one is its rack, such as "r1-3".
 std::string FindRack(const std::vector<std::string>& labels);
 
+// Lifts the quarantines of the targets with the least evidence against them
+// until at most half of the processors is quarantined.
+void BoundQuarantine(std::vector<Candidate>& candidates);
+
+// Returns whether the target has what a task of the step needs when it is
+// empty.
+bool CouldRun(const StepSpec& step, const Candidate& candidate);
+
 // Returns the index of the best candidate for a task, or std::nullopt if the
-// task fits on none. All else being equal, prefers the candidate with the least
+// task fits on none. A quarantine does not hold where all others could not run
+// the task either. All else being equal, prefers the candidate with the least
 // free CPU (best fit), which keeps larger gaps free for wide tasks.
 std::optional<size_t> PlaceTask(const PlacementRequest& request,
                                 const std::vector<Candidate>& candidates);
--- a/libraries/scheduling/pool_decisions.cc
+++ b/libraries/scheduling/pool_decisions.cc
@@ -14,6 +14,8 @@
 constexpr auto kNoRoomBackoff = std::chrono::milliseconds(300);
 constexpr auto kInvalidOrderBackoff = std::chrono::milliseconds(2'000);
 constexpr auto kNoTicketBackoff = std::chrono::milliseconds(1'000);
+// Long-running tasks have no time to wait for the end of a long quarantine.
+constexpr auto kSuspensionTime = std::chrono::milliseconds(1'500);
 constexpr auto kStallCheckPeriod = std::chrono::milliseconds(200);
 // A lapsed owner starts tasks on targets that have reported within this time. A
 // target with runs reports as soon as one ends.
@@ -141,8 +143,11 @@
   candidate.rack = FindRack(target.m_entry.labels);
   candidate.labels = target.m_entry.labels;
   candidate.room = target.GetFreeCapacity();
-  candidate.failure_streak = target.m_failure_streak;
+  candidate.capacity = target.m_entry.capacity;
+  candidate.failure_points = target.m_failure_points;
   candidate.is_quarantined = now < target.m_quarantined_until;
+  candidate.is_suspended = candidate.is_quarantined &&
+                           now < target.m_quarantined_since + kSuspensionTime;
   candidate.is_cordoned = target.m_is_cordoned;
   candidate.starts_left = kMaxStartsPerTarget;
   for (const auto& [name, run] : target.GetRuns()) {
@@ -161,6 +166,7 @@
       candidates.push_back(MakeCandidate(target, now));
     }
   }
+  BoundQuarantine(candidates);
   return candidates;
 }
 
@@ -173,6 +179,7 @@
     input.policy = route->second;
   }
   input.long_running = job.HasLongRunningStep();
+  input.is_failing = m_failures.IsFailing(job.GetSpec().id);
   input.due_since_ms = job.GetDueMs(job.GetFirstUnfinishedOccurrence());
   input.full_chain_ms = PredictChainMs(correction, job.GetFullChain());
   input.remaining_chain_ms =
@@ -304,7 +311,15 @@
   const auto [occurrence, step_index] = position;
   const StepSpec& step = job.GetSpec().steps[static_cast<size_t>(step_index)];
   auto& tasks = job.GetStep(occurrence, step_index);
-  const std::vector<int> waiting = ListWaitingTasks(job, position);
+  std::vector<int> waiting = ListWaitingTasks(job, position);
+  // A gang is started as a whole.
+  const auto is_in_backoff = [&tasks, now](int i) {
+    return now < tasks[static_cast<size_t>(i)].not_before;
+  };
+  if (step.gang && std::any_of(waiting.begin(), waiting.end(), is_in_backoff)) {
+    return true;
+  }
+  std::erase_if(waiting, is_in_backoff);
   if (waiting.empty() || !FitsLeaseLimit(job, step_index, now)) {
     return true;
   }
--- a/libraries/scheduling/pool_interventions.cc
+++ b/libraries/scheduling/pool_interventions.cc
@@ -13,8 +13,9 @@
 
 // An accepted stop that has not taken effect is sent again after this time.
 constexpr auto kStopRetryInterval = std::chrono::milliseconds(1'500);
-// A target on which a run stalled receives no new runs for this time.
-constexpr auto kStalledTargetQuarantine = std::chrono::milliseconds(2'000);
+// A run is stopped as stalled only after far more than its expected time, so
+// one is enough for a quarantine.
+constexpr int kStallPoints = 2;
 // Reported loads are up to half a second old.
 constexpr auto kPacePeriod = std::chrono::milliseconds(500);
 
@@ -76,10 +77,9 @@
                   run.percent == 0 ? "no progress" : "slow");
       FindTask(name)->avoided_target = id;
       RequestStop(target, name);
-    }
-    if (!stalled.empty()) {
-      ++target.m_failure_streak;
-      target.m_suspended_until = now + kStalledTargetQuarantine;
+      AssessTargets(m_failures.OnFailed(id, name, kStallPoints,
+                                        HasDoneTask(*FindJob(name.job), name)),
+                    now, id);
     }
   }
 }
--- a/libraries/scheduling/pool_reports.cc
+++ b/libraries/scheduling/pool_reports.cc
@@ -23,11 +23,16 @@
 // The wait of a report request while a stop or a start without a response is
 // unresolved.
 constexpr int64_t kUnresolvedReportWaitMs = 150;
-// A target is quarantined, and receives no new runs, after this number of
-// consecutive failures.
-constexpr int kQuarantineFailureStreak = 2;
+// The evidence on which a target is quarantined, see FailureEvidence.
+constexpr int kQuarantinePoints = 2;
 constexpr auto kQuarantineDuration = std::chrono::milliseconds(1'500);
 constexpr int kMaxQuarantineFactor = 4;
+// The back-off of a task after its second failure in a row; it doubles with
+// each further one.
+constexpr auto kMinFailureBackoff = std::chrono::milliseconds(100);
+constexpr int kMaxDoublings = 4;
+// A run that fails after a longer time is not one of a row.
+constexpr auto kMaxTimeToFailure = std::chrono::milliseconds(2'000);
 
 // Completions are acknowledged within this time of the last report.
 constexpr auto kMaxAcknowledgementDelay = std::chrono::milliseconds(100);
@@ -269,22 +274,15 @@
     if (ended != nullptr && completion.how == RunOutcome::kDone) {
       RecordRunTime(*ended, completion.task.step, run->second, now);
     }
+    ActiveTask* task = FindTask(completion.task);
+    if (task != nullptr && now >= run->second.started + kMaxTimeToFailure) {
+      task->failures_in_a_row = 0;
+    }
     run->second.checkpoint.clear();
     DropRun(target, completion.task);
   }
   const bool is_failure = completion.how == RunOutcome::kFailed;
-  if (completion.how == RunOutcome::kDone) {
-    target.m_failure_streak = 0;
-  } else if (is_failure) {
-    ++target.m_failure_streak;
-    if (target.m_failure_streak >= kQuarantineFailureStreak) {
-      // Long-running tasks have no time to wait for more.
-      target.m_suspended_until = now + kQuarantineDuration;
-      target.m_quarantined_until =
-          now + kQuarantineDuration *
-                    std::min(target.m_failure_streak, kMaxQuarantineFactor);
-    }
-  }
+  RecordEvidence(target, completion, now);
   ActiveJob* job = FindJob(completion.task.job);
   ActiveTask* task = FindTask(completion.task);
   if (job == nullptr || task == nullptr || IsTerminal(job->m_state)) {
@@ -307,14 +305,71 @@
   LogDecision("run-ended", completion.task, completion.run, target.m_entry.id,
               is_failure ? "failed" : "interrupted");
   if (is_failure) {
-    ApplyFailure(target, completion, *job, *task);
+    ApplyFailure(target, completion, *job, *task, now);
+  }
+}
+
+void PoolScheduler::RecordEvidence(const TargetLedger& target,
+                                   const ReportedCompletion& completion,
+                                   base::TimePoint now) {
+  const TaskName& task = completion.task;
+  ActiveJob* job = FindJob(task.job);
+  if (completion.how == RunOutcome::kDone) {
+    std::vector<TaskName> tasks = {task};
+    if (job != nullptr && job->FindTask(task) != nullptr && job->IsGang(task)) {
+      const auto& step = job->GetStep(task.occurrence, task.step);
+      tasks.clear();
+      for (int i = 0; i < static_cast<int>(step.size()); ++i) {
+        tasks.push_back({task.job, task.occurrence, task.step, i});
+      }
+    }
+    AssessTargets(m_failures.OnDone(target.m_entry.id, tasks), now, "");
+  } else if (completion.how == RunOutcome::kFailed && job != nullptr &&
+             job->FindTask(task) != nullptr && !IsTerminal(job->m_state)) {
+    AssessTargets(m_failures.OnFailed(target.m_entry.id, task, 1,
+                                      HasDoneTask(*job, task)),
+                  now, target.m_entry.id);
+  }
+}
+
+bool PoolScheduler::HasDoneTask(const ActiveJob& job, const TaskName& task) {
+  const StepSpec& step = job.GetSpec().steps[static_cast<size_t>(task.step)];
+  return job.CountUnfinished(task.occurrence, task.step) < step.count;
+}
+
+void PoolScheduler::AssessTargets(const FailureEvidence::Affected& targets,
+                                  base::TimePoint now,
+                                  const std::string& failed) {
+  for (const std::string& id : targets) {
+    TargetLedger* target = FindTarget(id);
+    if (target == nullptr) {
+      continue;
+    }
+    const int points = m_failures.CountPoints(id);
+    const int before = std::exchange(target->m_failure_points, points);
+    const bool is_worse =
+        before < kQuarantinePoints ||
+        (id == failed && (points > before || points >= kMaxQuarantineFactor));
+    if (points < kQuarantinePoints) {
+      target->m_quarantined_until = {};
+    } else if (is_worse) {
+      target->m_quarantined_since = now;
+      target->m_quarantined_until =
+          now + kQuarantineDuration * std::min(points, kMaxQuarantineFactor);
+    }
   }
 }
 
 void PoolScheduler::ApplyFailure(TargetLedger& target,
                                  const ReportedCompletion& completion,
-                                 ActiveJob& job, ActiveTask& task) {
+                                 ActiveJob& job, ActiveTask& task,
+                                 base::TimePoint now) {
   task.avoided_target = target.m_entry.id;
+  ++task.failures_in_a_row;
+  if (task.failures_in_a_row > 1) {
+    const int doublings = std::min(task.failures_in_a_row - 2, kMaxDoublings);
+    task.not_before = now + kMinFailureBackoff * (1 << doublings);
+  }
   const StepSpec& step =
       job.GetSpec().steps[static_cast<size_t>(completion.task.step)];
   if (step.long_running) {
--- a/libraries/scheduling/pool_scheduler.cc
+++ b/libraries/scheduling/pool_scheduler.cc
@@ -182,7 +182,7 @@
   reset.m_fence = target.m_fence;
   reset.m_watched_until = target.m_watched_until;
   reset.m_required_fence = target.m_required_fence;
-  reset.m_failure_streak = target.m_failure_streak;
+  reset.m_failure_points = target.m_failure_points;
   reset.m_generation = ++m_last_generation;
   target = std::move(reset);
 }
@@ -242,6 +242,7 @@
 void PoolScheduler::EraseTarget(const std::string& id) {
   m_first_fence = std::max(m_first_fence, m_targets.at(id).m_fence);
   m_targets.erase(id);
+  m_failures.RemoveTarget(id);
 }
 
 bool PoolScheduler::EndIfReplaced(const std::string& id,
@@ -359,6 +360,8 @@
 
 void PoolScheduler::EndJob(ActiveJob& job, JobState state) {
   job.m_state = state;
+  // Nothing is added to the evidence.
+  AssessTargets(m_failures.OnJobEnded(job.GetSpec().id), {}, "");
   m_changes.MarkChanged(job.GetSpec().id, true);
   m_has_urgent_change = true;
   const JobSpec& spec = job.GetSpec();
--- a/libraries/scheduling/pool_scheduler.h
+++ b/libraries/scheduling/pool_scheduler.h
@@ -14,6 +14,7 @@
 #include "scheduling/active_job.h"
 #include "scheduling/change_queue.h"
 #include "scheduling/ended_targets.h"
+#include "scheduling/failure_evidence.h"
 #include "scheduling/placement.h"
 #include "scheduling/start_window.h"
 #include "scheduling/target_ledger.h"
@@ -246,7 +247,16 @@
                        const ReportedCompletion& completion,
                        base::TimePoint now);
   void ApplyFailure(TargetLedger& target, const ReportedCompletion& completion,
-                    ActiveJob& job, ActiveTask& task);
+                    ActiveJob& job, ActiveTask& task, base::TimePoint now);
+  void RecordEvidence(const TargetLedger& target,
+                      const ReportedCompletion& completion,
+                      base::TimePoint now);
+  // Returns whether a task of the step and occurrence is done.
+  static bool HasDoneTask(const ActiveJob& job, const TaskName& task);
+  // Begins the quarantine of targets that are to blame, and ends that of those
+  // that no longer are. `failed`: the target on which a run has just failed.
+  void AssessTargets(const FailureEvidence::Affected& targets,
+                     base::TimePoint now, const std::string& failed);
   void ApplyRunning(TargetLedger& target, const ReportedRun& reported,
                     base::TimePoint now);
   // Gives a checkpoint that a member of a gang has reported to all members.
@@ -343,6 +353,7 @@
   // any target that was erased, which may return under its id.
   uint64_t m_first_fence = 0;
   StartWindow m_start_window;
+  FailureEvidence m_failures;
   RunTimeModel m_run_times;
   base::TimePoint m_last_stall_check;
   // An event has occurred that may allow a task to start.
--- a/libraries/scheduling/queue_order.cc
+++ b/libraries/scheduling/queue_order.cc
@@ -26,6 +26,7 @@
 QueueRank RankJob(const QueueInput& input, int64_t now_ms) {
   QueueRank rank;
   rank.priority = input.policy.priority;
+  rank.is_failing = input.is_failing;
   const int64_t objective_ms =
       static_cast<int64_t>(input.policy.stretch *
                            static_cast<double>(input.full_chain_ms)) +
--- a/libraries/scheduling/queue_order.h
+++ b/libraries/scheduling/queue_order.h
@@ -24,6 +24,8 @@
 struct QueueInput {
   RoutePolicy policy;
   bool long_running = false;
+  // The job's runs fail by its own fault.
+  bool is_failing = false;
   int64_t due_since_ms = 0;
   int64_t full_chain_ms = 0;
   int64_t remaining_chain_ms = 0;
@@ -36,6 +38,8 @@
   // can still end within the maximum time that counts; jobs that cannot.
   int tier = 0;
   int priority = 0;
+  // Behind sound work of the same tier and priority.
+  bool is_failing = false;
   int64_t slack_ms = 0;
 
   // Returns whether the job can still end within its objective.
--- a/libraries/scheduling/target_ledger.h
+++ b/libraries/scheduling/target_ledger.h
@@ -136,11 +136,12 @@
   int64_t m_acknowledged_completion = 0;
   bool m_has_unsent_acknowledgement = false;
   base::TimePoint m_suspended_until;
-  // After failures of runs; until then the target receives long-running tasks
-  // alone.
+  // After failures that are its fault the target receives no tasks at first,
+  // then long-running tasks alone.
+  base::TimePoint m_quarantined_since;
   base::TimePoint m_quarantined_until;
-  // The number of failed or stalled runs since the last successful one.
-  int m_failure_streak = 0;
+  // What speaks against the target: FailureEvidence::CountPoints.
+  int m_failure_points = 0;
   // When a report was last received, or the last attempt to get one failed.
   base::TimePoint m_last_report_attempt;
   // When a report was last received, and when it was ordered. The target may
