Don't let jobs that cannot be placed hold up others

A pass ended after 40 different needs without room, and needs that no target could ever meet counted; the oldest jobs come first in each pass, so these ended it for good.

What can never run is decided from the targets' sizes and labels and left out. A need without room covers all larger ones, and the rest of a pass is bounded by its cost, going on where the last one ended. What no host of the fleet could take raises no demand.

--- a/libraries/hosts/host_operations.h
+++ b/libraries/hosts/host_operations.h
@@ -27,6 +27,10 @@
   // kUnknown and the target is not known.
   std::string target;
   int64_t cpu_milli = 0;
+  // Zero or empty if not listed.
+  int64_t memory_mb = 0;
+  int64_t accelerators = 0;
+  std::vector<std::string> labels = {};
 
   auto operator<=>(const FleetHost&) const = default;
 };
--- a/libraries/scheduling/active_job.h
+++ b/libraries/scheduling/active_job.h
@@ -73,6 +73,8 @@
 
   JobState m_state = JobState::kQueued;
   bool m_predates_ownership = false;
+  // Whether the log says that a step fits on no target of the pool.
+  bool m_is_misfit_logged = false;
   // No task of this job starts before this time. Set as a backoff after a
   // target refused a start order as invalid or for lack of a ticket.
   base::TimePoint m_not_before;
--- a/libraries/scheduling/placement.cc
+++ b/libraries/scheduling/placement.cc
@@ -3,15 +3,11 @@
 #include <algorithm>
 #include <tuple>
 
+#include "scheduling/step_fit.h"
+
 namespace shallotwick::scheduling {
 namespace {
 
-bool HasLabel(const StepSpec& step, const Candidate& candidate) {
-  return step.required_label.empty() ||
-         std::find(candidate.labels.begin(), candidate.labels.end(),
-                   step.required_label) != candidate.labels.end();
-}
-
 bool IsKeptOut(const StepSpec& step, const Candidate& candidate) {
   return candidate.is_suspended ||
          (candidate.is_quarantined && !step.long_running);
@@ -24,7 +20,8 @@
   if (!demand.Fits(candidate.room) || candidate.starts_left <= 0 ||
       (heeds_quarantine && IsKeptOut(step, candidate)) ||
       (candidate.is_cordoned && !step.long_running) ||
-      !HasLabel(step, candidate) || request.excluded.count(candidate.id) > 0) {
+      !HasLabel(candidate.labels, step.required_label) ||
+      request.excluded.count(candidate.id) > 0) {
     return false;
   }
   if (step.most_per_target > 0) {
@@ -42,7 +39,7 @@
 }
 
 bool CouldRun(const StepSpec& step, const Candidate& candidate) {
-  return HasLabel(step, candidate) &&
+  return HasLabel(candidate.labels, step.required_label) &&
          GetReservedResources(step.demand, step.best_effort)
              .Fits(candidate.capacity);
 }
--- a/libraries/scheduling/pool_decisions.cc
+++ b/libraries/scheduling/pool_decisions.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <utility>
 
-#include "scheduling/failed_placements.h"
+#include "scheduling/placement_pass.h"
 #include "scheduling/pool_scheduler.h"
 
 namespace shallotwick::scheduling {
@@ -244,37 +244,90 @@
     m_start_window.OnLimited();
     return;
   }
+  UpdatePoolFit();
   std::vector<Candidate> candidates = MakeCandidates(now);
   LiftCordonsOfWholePool(candidates, now);
   if (candidates.empty() || m_jobs.empty()) {
     return;
   }
-  FailedPlacements failed;
-  for (ActiveJob* job : RankWaitingJobs(now, wall_ms)) {
-    const JobSpec& spec = job->GetSpec();
-    for (int k = 0; k < spec.GetOccurrenceCount(); ++k) {
-      if (spec.occurrences > 0 && job->GetDueMs(k) + kClockMarginMs > wall_ms) {
-        break;
+  PlacementPass pass(candidates);
+  const std::vector<ActiveJob*> jobs = RankWaitingJobs(now, wall_ms);
+  size_t next = 0;
+  for (; next < jobs.size() && !pass.HasSpentHalf(); ++next) {
+    if (!StartJob(*jobs[next], pass, candidates, now, wall_ms, orders)) {
+      return;
+    }
+  }
+  // Goes on where the last pass has ended.
+  if (m_next_rank > next && m_next_rank < jobs.size()) {
+    next = m_next_rank;
+  }
+  m_next_rank = 0;
+  for (; next < jobs.size(); ++next) {
+    if (pass.HasSpentAll()) {
+      m_next_rank = next;
+      m_may_start_more = true;
+      return;
+    }
+    if (!StartJob(*jobs[next], pass, candidates, now, wall_ms, orders)) {
+      return;
+    }
+  }
+}
+
+bool PoolScheduler::StartJob(ActiveJob& job, PlacementPass& pass,
+                             std::vector<Candidate>& candidates,
+                             base::TimePoint now, int64_t wall_ms,
+                             PoolOrders& orders) {
+  const JobSpec& spec = job.GetSpec();
+  for (int k = 0; k < spec.GetOccurrenceCount(); ++k) {
+    if (spec.occurrences > 0 && job.GetDueMs(k) + kClockMarginMs > wall_ms) {
+      break;
+    }
+    for (int i = 0; i < static_cast<int>(spec.steps.size()); ++i) {
+      const StepSpec& step = spec.steps[static_cast<size_t>(i)];
+      const bool is_waiting = job.CountUnfinished(k, i) > 0 &&
+                              !pass.HasNoRoom(step) && job.IsStepReady(k, i);
+      if (!is_waiting || !CanRunInPool(job, {k, i}) ||
+          StartStep(job, {k, i}, pass, candidates, now, orders)) {
+        continue;
       }
-      for (int i = 0; i < static_cast<int>(spec.steps.size()); ++i) {
-        const StepSpec& step = spec.steps[static_cast<size_t>(i)];
-        const bool is_waiting =
-            job->CountUnfinished(k, i) > 0 && job->IsStepReady(k, i);
-        if (!is_waiting || failed.IsHopeless(step) ||
-            StartStep(*job, {k, i}, candidates, now, orders)) {
-          continue;
-        }
-        failed.Add(step, candidates);
-        // The steps behind a gang that waits for room in the window would take
-        // it for good.
-        const bool is_gang_held_back = step.gang && m_start_window.HoldsBack();
-        if (failed.IsPoolFull() || is_gang_held_back ||
-            m_start_window.GetRoom() == 0) {
-          return;
-        }
+      pass.AddFailure(step, candidates);
+      // The steps behind a gang that waits for room in the window would take
+      // it for good.
+      const bool is_gang_held_back = step.gang && m_start_window.HoldsBack();
+      if (is_gang_held_back || m_start_window.GetRoom() == 0) {
+        return false;
       }
     }
   }
+  return true;
+}
+
+void PoolScheduler::UpdatePoolFit() {
+  if (!std::exchange(m_has_pool_changed, false)) {
+    return;
+  }
+  StepFit::Shapes shapes;
+  for (const auto& [id, target] : m_targets) {
+    if (target.m_is_registered) {
+      ++shapes[{target.m_entry.capacity, target.m_entry.labels}];
+    }
+  }
+  m_pool_fit.SetTargets(shapes);
+}
+
+bool PoolScheduler::CanRunInPool(ActiveJob& job, StepPosition position) {
+  const auto [occurrence, index] = position;
+  const JobSpec& spec = job.GetSpec();
+  if (m_pool_fit.CouldRun(spec.steps[static_cast<size_t>(index)])) {
+    return true;
+  }
+  if (!std::exchange(job.m_is_misfit_logged, true)) {
+    LogDecision("task-waits", {spec.id, occurrence, index, 0}, 0, "",
+                kFitsNowhere);
+  }
+  return false;
 }
 
 std::vector<int> PoolScheduler::ListWaitingTasks(ActiveJob& job,
@@ -306,6 +359,7 @@
 // Starts as many tasks of a step as possible. Returns false if a task could not
 // be placed.
 bool PoolScheduler::StartStep(ActiveJob& job, StepPosition position,
+                              PlacementPass& pass,
                               std::vector<Candidate>& candidates,
                               base::TimePoint now, PoolOrders& orders) {
   const auto [occurrence, step_index] = position;
@@ -348,6 +402,7 @@
     const TaskName name{job.GetSpec().id, occurrence, step_index, i};
     request.avoided = {task.avoided_target};
     request.excluded = FindStoppingTargets(name);
+    pass.AddSearch();
     const std::optional<size_t> candidate_index =
         PlaceTask(request, candidates);
     if (!candidate_index) {
--- a/libraries/scheduling/pool_planned_work.cc
+++ b/libraries/scheduling/pool_planned_work.cc
@@ -160,6 +160,19 @@
   return found == m_targets.end() ? 0 : found->second.GetRuns().size();
 }
 
+bool PoolScheduler::CouldRun(const StepSpec& step) const {
+  return m_fleet_fit.CouldRun(step) ||
+         (m_pool_fit.HasTargets() && m_pool_fit.CouldRun(step));
+}
+
+double PoolScheduler::PredictCoreSeconds(const JobSpec& job) const {
+  JobSpec possible = job;
+  for (StepSpec& step : possible.steps) {
+    step.best_effort = step.best_effort || !CouldRun(step);
+  }
+  return EstimateCoreSeconds(possible, m_run_times.GetCorrection(job.route));
+}
+
 hosts::PoolLoad PoolScheduler::EstimateLoad(base::TimePoint now,
                                             int64_t wall_ms) const {
   constexpr double kMilliPerCore = 1'000;
@@ -189,7 +202,7 @@
       const StepSpec& step_spec = spec.steps[static_cast<size_t>(step)];
       const int open =
           IsTerminal(job.m_state) ? 0 : job.CountUnfinished(k, step);
-      if (open == 0 || step_spec.best_effort) {
+      if (open == 0 || step_spec.best_effort || !CouldRun(step_spec)) {
         continue;
       }
       const double cores =
--- a/libraries/scheduling/pool_scheduler.cc
+++ b/libraries/scheduling/pool_scheduler.cc
@@ -74,6 +74,10 @@
                                  base::TimePoint now) {
   auto [found, is_new] = m_targets.try_emplace(entry.id, entry);
   TargetLedger& target = found->second;
+  m_has_pool_changed = m_has_pool_changed || is_new ||
+                       !target.m_is_registered ||
+                       target.m_entry.capacity != entry.capacity ||
+                       target.m_entry.labels != entry.labels;
   if (is_new) {
     target.ExtendLeaseBound(now);
     target.m_fence = m_first_fence;
@@ -104,6 +108,7 @@
     return;
   }
   target->m_is_registered = false;
+  m_has_pool_changed = true;
   // A report in flight would count for an entry that returns under this id.
   const bool is_unused =
       target->GetRuns().empty() && target->GetLeaseBound() <= now &&
--- a/libraries/scheduling/pool_scheduler.h
+++ b/libraries/scheduling/pool_scheduler.h
@@ -16,7 +16,9 @@
 #include "scheduling/ended_targets.h"
 #include "scheduling/failure_evidence.h"
 #include "scheduling/placement.h"
+#include "scheduling/placement_pass.h"
 #include "scheduling/start_window.h"
+#include "scheduling/step_fit.h"
 #include "scheduling/target_ledger.h"
 #include "scheduling/target_messages.h"
 #include "scheduling/wait_log.h"
@@ -199,11 +201,17 @@
   // Estimates the load that the jobs put on the pool. The caller adds the
   // forecast and the cores per host.
   hosts::PoolLoad EstimateLoad(base::TimePoint now, int64_t wall_ms) const;
+  // Returns whether the step fits on a target of the pool or a host of the
+  // fleet.
+  bool CouldRun(const StepSpec& step) const;
+  // Sets the shapes of all hosts of the fleet. Steps that fit on none of them
+  // and on no target of the pool do not count as load.
+  void SetFleet(const StepFit::Shapes& shapes) {
+    m_fleet_fit.SetTargets(shapes);
+  }
   // Predicts the work of a job in core-seconds from the recorded run times of
   // its route.
-  double PredictCoreSeconds(const JobSpec& job) const {
-    return EstimateCoreSeconds(job, m_run_times.GetCorrection(job.route));
-  }
+  double PredictCoreSeconds(const JobSpec& job) const;
 
  private:
   using StepPosition = std::pair<int, int>;
@@ -314,7 +322,17 @@
   // Returns the constraints for all tasks of a step.
   static PlacementRequest MakePlacementRequest(ActiveJob& job,
                                                StepPosition position);
-  bool StartStep(ActiveJob& job, StepPosition position,
+  // Starts what can be started of a job. Returns false if the pass must end: no
+  // more starts may be sent.
+  bool StartJob(ActiveJob& job, PlacementPass& pass,
+                std::vector<Candidate>& candidates, base::TimePoint now,
+                int64_t wall_ms, PoolOrders& orders);
+  // Takes note of the pool's targets, of which some may be in use or away.
+  void UpdatePoolFit();
+  // Returns whether the step fits on the pool's targets when these are empty.
+  // Logs the first one of the job that does not.
+  bool CanRunInPool(ActiveJob& job, StepPosition position);
+  bool StartStep(ActiveJob& job, StepPosition position, PlacementPass& pass,
                  std::vector<Candidate>& candidates, base::TimePoint now,
                  PoolOrders& orders);
   std::set<std::string> FindStoppingTargets(const TaskName& name) const;
@@ -335,6 +353,10 @@
   TaskWait ExplainWait(ActiveJob& job, const TaskName& name,
                        const std::vector<Candidate>& candidates,
                        base::TimePoint now) const;
+  // The reason of a wait that only other targets can end.
+  static constexpr const char* kFitsNowhere =
+      "fits on no target of the pool, also when it is empty";
+
   void LogDecision(const char* what, const TaskName& task, int64_t run,
                    const std::string& target, const char* reason) const;
 
@@ -354,6 +376,13 @@
   uint64_t m_first_fence = 0;
   StartWindow m_start_window;
   FailureEvidence m_failures;
+  // Whether the registered targets are others than m_pool_fit knows.
+  bool m_has_pool_changed = true;
+  StepFit m_pool_fit;
+  StepFit m_fleet_fit;
+  // The rank at which the next pass goes on; 0 if the last one has reached all
+  // jobs.
+  size_t m_next_rank = 0;
   RunTimeModel m_run_times;
   base::TimePoint m_last_stall_check;
   // An event has occurred that may allow a task to start.
--- a/libraries/scheduling/pool_waits.cc
+++ b/libraries/scheduling/pool_waits.cc
@@ -85,6 +85,12 @@
       if (waiting.empty() || !job.IsStepReady(0, step)) {
         continue;
       }
+      // One line says it all.
+      if (job.m_is_misfit_logged &&
+          !m_pool_fit.CouldRun(
+              job.GetSpec().steps[static_cast<size_t>(step)])) {
+        break;
+      }
       ++explained;
       const TaskWait wait =
           ExplainWait(job, {id, 0, step, waiting.front()}, candidates, now);
@@ -135,6 +141,11 @@
 TaskWait PoolScheduler::ExplainWait(ActiveJob& job, const TaskName& name,
                                     const std::vector<Candidate>& candidates,
                                     base::TimePoint now) const {
+  if (!candidates.empty() &&
+      !m_pool_fit.CouldRun(
+          job.GetSpec().steps[static_cast<size_t>(name.step)])) {
+    return {name, "", kFitsNowhere};
+  }
   const TargetLedger* unknown =
       job.m_predates_ownership ? FindTargetPendingToken(now) : nullptr;
   if (unknown != nullptr) {
--- a/services/shallotwick-scheduler/capacity_broker.cc
+++ b/services/shallotwick-scheduler/capacity_broker.cc
@@ -58,6 +58,20 @@
   }
 }
 
+// Returns nothing if the list does not say what all hosts offer.
+scheduling::StepFit::Shapes CountShapes(
+    const std::map<std::string, hosts::FleetHost>& hosts) {
+  scheduling::StepFit::Shapes shapes;
+  for (const auto& [name, host] : hosts) {
+    if (host.cpu_milli == 0 || host.memory_mb == 0) {
+      return {};
+    }
+    ++shapes[{{host.cpu_milli, host.memory_mb, host.accelerators},
+              host.labels}];
+  }
+  return shapes;
+}
+
 bool IsOn(const hosts::FleetHost& host) {
   return host.state == hosts::HostState::kUp ||
          host.state == hosts::HostState::kMoving;
@@ -82,6 +96,13 @@
   TrackDemands(pools, now);
   std::map<std::string, PoolView> views;
   const auto own_pools = m_get_pools();
+  if (std::exchange(m_fleet_list_time, m_ledger.GetListTime()) !=
+      m_ledger.GetListTime()) {
+    const auto shapes = CountShapes(m_ledger.GetHosts());
+    for (const auto& [pool, runner] : own_pools) {
+      runner->GetScheduler().SetFleet(shapes);
+    }
+  }
   for (const auto& [pool, runner] : own_pools) {
     const PoolView view = MeasurePool(pool, *runner, now);
     LogChange(pool, view);
--- a/services/shallotwick-scheduler/capacity_broker.h
+++ b/services/shallotwick-scheduler/capacity_broker.h
@@ -143,6 +143,8 @@
   AcceptedOperations m_accepted_operations;
   // The transfers of all owners, as read at the begin of the last pass.
   hosts::HostTransfers m_pending_transfers;
+  // Time of the list of hosts that the pools know the fleet from.
+  base::TimePoint m_fleet_list_time;
   base::Lifetime m_lifetime;
 };
 
