End orders for hosts with the right to give them

An order was repeated for as long as its process lived, under a lock that grew old.

Before each call the process, its session, the ownerships behind the decision, the budgets of what runs there and the age of the lock are checked; the lock is renewed under a higher token. What is given up after a lost answer is settled by the list of hosts. Stopping processes wait for calls under way, new owners 1.5 s for hosts that another holder has ordered, and waves keep the slot of a host that is down.

--- a/libraries/base/event_loop.h
+++ b/libraries/base/event_loop.h
@@ -41,6 +41,16 @@
     };
   }
 
+  // The same for a condition, which is then false.
+  template <typename Condition>
+  auto GuardCondition(Condition condition) const {
+    return [token = std::weak_ptr<int>(m_token),
+            condition = std::move(condition)](auto&&... arguments) {
+      return !token.expired() &&
+             condition(std::forward<decltype(arguments)>(arguments)...);
+    };
+  }
+
  private:
   std::shared_ptr<int> m_token = std::make_shared<int>(0);
 };
--- a/libraries/base/log_catalogue.h
+++ b/libraries/base/log_catalogue.h
@@ -184,6 +184,10 @@
     536, "progress-rejected", Severity::kError,
     "The store does not take the progress of a job; it is tried again from "
     "time to time."};
+inline constexpr LogEvent kHostOperationGivenUp{
+    537, "host-operation-given-up", Severity::kWarning,
+    "An order for a host is no longer repeated: the right to it has ended, or "
+    "what runs there forbids it."};
 inline constexpr LogEvent kWaveProgress{
     531, "wave-progress", Severity::kInfo,
     "A maintenance wave has begun, gone on or ended."};
@@ -244,6 +248,7 @@
                                     kConnectionsShort,
                                     kProgressBacklog,
                                     kProgressRejected,
+                                    kHostOperationGivenUp,
                                     kWaveProgress};
 
 }  // namespace shallotwick::base::events
--- a/libraries/scheduling/change_queue.cc
+++ b/libraries/scheduling/change_queue.cc
@@ -60,7 +60,8 @@
 
 void ChangeQueue::RecordCompletion(RunCompletion completion, std::string job) {
   ++m_last_completion;
-  m_completions[{completion.target, completion.generation}].push_back(
+  const Incarnation incarnation{completion.target, completion.generation};
+  m_completions[incarnation].push_back(
       {m_last_completion, std::move(completion), std::move(job)});
 }
 
--- a/libraries/scheduling/pool_decisions.cc
+++ b/libraries/scheduling/pool_decisions.cc
@@ -117,6 +117,9 @@
   if (!is_met) {
     return "room only on a target that another owner may have";
   }
+  if (m_may_host_be_leaving(target.m_entry.host)) {
+    return "room only on a target whose host a former owner may move";
+  }
   if (now < target.m_suspended_until) {
     return "room only on a target in back-off";
   }
--- a/libraries/scheduling/pool_scheduler.h
+++ b/libraries/scheduling/pool_scheduler.h
@@ -91,6 +91,10 @@
   // logging.
   std::function<void(const WrongTargetEnd&)> m_on_wrong_target_end;
 
+  // Whether an order of a former owner may still end all runs on the host.
+  std::function<bool(const std::string& host)> m_may_host_be_leaving =
+      [](const std::string&) { return false; };
+
   void SetRoutes(std::map<std::string, RoutePolicy> routes);
 
   // `predates_ownership`: a previous owner may have started tasks of the job.
--- a/libraries/scheduling/tests/blame_test.cc
+++ b/libraries/scheduling/tests/blame_test.cc
@@ -50,7 +50,7 @@
   std::map<std::string, Target> m_states;
   std::map<std::string, base::TimePoint> m_last_start;
   int m_added = 0;
-  int m_term = 0;
+  uint64_t m_term = 0;
 
   void setup() override { StartOwner(); }
 
@@ -58,9 +58,9 @@
   void StartOwner() {
     scheduling::PoolSchedulerOptions options;
     ++m_term;
-    options.first_fence = static_cast<uint64_t>(1'000 * m_term);
+    options.first_fence = uint64_t{1'000} * m_term;
     options.last_fence = options.first_fence + 999;
-    options.first_run = 1'000 * m_term;
+    options.first_run = static_cast<int64_t>(options.first_fence);
     m_pool = std::make_unique<scheduling::PoolScheduler>(options);
     m_pool->SetRoutes({{"quote", {0, 4, 1.6, 600}}});
     for (const auto& [id, entry] : m_entries) {
--- a/services/shallotwick-scheduler/capacity_broker.cc
+++ b/services/shallotwick-scheduler/capacity_broker.cc
@@ -302,6 +302,12 @@
   m_cordoned_for_transfer[pool] = std::move(to_cordon);
 }
 
+bool CapacityBroker::IsOrdered(const std::string& host) const {
+  return std::any_of(
+      m_transfers.begin(), m_transfers.end(),
+      [&host](const auto& entry) { return entry.second.count(host) > 0; });
+}
+
 void CapacityBroker::ReleaseHosts(const std::string& pool,
                                   const PoolRunner& runner,
                                   const HostTargets& to_cordon) {
@@ -314,9 +320,10 @@
     if (is_gone || to_cordon.count(name) > 0 || m_is_reserved(name)) {
       return true;
     }
-    // A host that the list lacks may be moving.
+    // A host that the list lacks may be moving, and its transfer is shown only
+    // once it is written.
     const auto host = m_ledger.GetHosts().find(name);
-    if (host == m_ledger.GetHosts().end() ||
+    if (host == m_ledger.GetHosts().end() || IsOrdered(name) ||
         m_pending_transfers.count(name) > 0) {
       return false;
     }
@@ -471,6 +478,11 @@
                         hosts::HostOperations::OnOutcome on_done) {
     m_operations.Move(host, transfers.at(host).to, fence, std::move(on_done));
   };
+  request.may_operate =
+      m_lifetime.GuardCondition([this, terms = GetTerms(pool, transfers),
+                                 listed](const std::string& host) {
+        return MayTransfer(terms, listed.at(host));
+      });
   request.on_done = m_lifetime.Guard(
       [this, pool, listed](const std::string& host,
                            hosts::HostOperationOutcome outcome) {
@@ -487,6 +499,35 @@
   m_ledger.Operate(std::move(request));
 }
 
+CapacityBroker::PoolTerms CapacityBroker::GetTerms(
+    const std::string& pool, const hosts::HostTransfers& transfers) const {
+  std::set<std::string> names = {pool};
+  for (const auto& [host, transfer] : transfers) {
+    names.insert(transfer.from);
+  }
+  PoolTerms terms;
+  for (const auto& [name, runner] : m_get_pools()) {
+    if (names.count(name) > 0) {
+      terms[name] = runner->GetOwnerVersion();
+    }
+  }
+  return terms;
+}
+
+bool CapacityBroker::MayTransfer(const PoolTerms& terms,
+                                 const hosts::FleetHost& host) const {
+  const auto pools = m_get_pools();
+  for (const auto& [pool, version] : terms) {
+    const auto runner = pools.find(pool);
+    if (runner == pools.end() || runner->second->GetOwnerVersion() != version) {
+      return false;
+    }
+  }
+  const auto giver = pools.find(host.pool);
+  return giver == pools.end() ||
+         giver->second->GetScheduler().CanInterrupt(host.target);
+}
+
 void CapacityBroker::RemoveVisibleTransfers(const std::string& pool,
                                             base::TimePoint now) {
   if (m_writing_transfers.count(pool) > 0) {
@@ -529,6 +570,14 @@
 void CapacityBroker::OnTransferred(const std::string& pool,
                                    const hosts::FleetHost& host,
                                    hosts::HostOperationOutcome outcome) {
+  // The list of hosts shows whether a transfer was carried out.
+  if (outcome == hosts::HostOperationOutcome::kUnknown) {
+    const auto settled_at =
+        base::RuntimeClock::now() + m_ledger.m_max_call_time;
+    m_transfer_ended_at[host.name] = settled_at;
+    m_accepted_operations.Add(host, settled_at);
+    return;
+  }
   if (outcome != hosts::HostOperationOutcome::kDone) {
     m_transfers[pool].erase(host.name);
     SetLeaving(host.pool, host.target, false);
--- a/services/shallotwick-scheduler/capacity_broker.h
+++ b/services/shallotwick-scheduler/capacity_broker.h
@@ -98,6 +98,12 @@
   // Orders transfers of hosts that run nothing. `pool` is the pool of this
   // owner that gives or receives them.
   void OrderTransfers(const std::string& pool, hosts::HostTransfers transfers);
+  // The versions of the ownerships on which a transfer is based.
+  using PoolTerms = std::map<std::string, uint64_t>;
+
+  PoolTerms GetTerms(const std::string& pool,
+                     const hosts::HostTransfers& transfers) const;
+  bool MayTransfer(const PoolTerms& terms, const hosts::FleetHost& host) const;
   // Removes from the pool's record the transfers that all owners can see in
   // their lists of hosts.
   void RemoveVisibleTransfers(const std::string& pool, base::TimePoint now);
@@ -106,6 +112,8 @@
   // Cordons a target whose transfer is ordered for long-running tasks too.
   void SetLeaving(const std::string& pool, const std::string& target,
                   bool leaving);
+  // Whether this owner has ordered a transfer of the host, or is about to.
+  bool IsOrdered(const std::string& host) const;
   // Releases the hosts that no longer are to be transferred, those that may be
   // moving once they turn out not to be.
   void ReleaseHosts(const std::string& pool, const PoolRunner& runner,
--- a/services/shallotwick-scheduler/host_ledger.cc
+++ b/services/shallotwick-scheduler/host_ledger.cc
@@ -273,58 +273,156 @@
     transaction.expected.push_back({key, m_locks[host].version});
     transaction.writes.push_back({key, lock});
   }
-  m_store.Commit(std::move(transaction),
-                 m_lifetime.Guard([this, lock, request = std::move(request)](
-                                      const storage::RowCommitResult& result) {
-                   for (const storage::VersionedRow& current : result.current) {
-                     OnRow(current);
-                   }
-                   if (result.status != storage::RowCommitStatus::kCommitted) {
-                     for (const std::string& host : request.hosts) {
-                       m_hosts_in_operation.erase(host);
-                     }
-                     request.on_refused();
-                     return;
-                   }
-                   OnRow({request.shared_row.key, request.new_value,
-                          result.version, false});
-                   for (const std::string& host : request.hosts) {
-                     OnRow({MakeHostsKey(kLockPrefix + host), lock,
-                            result.version, false});
-                     SendOperation(request, host,
-                                   hosts::HostFence{m_holder, result.version});
-                   }
-                 }));
+  const auto deadline = GetDeadline(base::RuntimeClock::now());
+  m_store.Commit(
+      std::move(transaction),
+      m_lifetime.Guard([this, lock, deadline, request = std::move(request)](
+                           const storage::RowCommitResult& result) {
+        for (const storage::VersionedRow& current : result.current) {
+          OnRow(current);
+        }
+        if (result.status != storage::RowCommitStatus::kCommitted) {
+          for (const std::string& host : request.hosts) {
+            m_hosts_in_operation.erase(host);
+          }
+          request.on_refused();
+          return;
+        }
+        OnRow(
+            {request.shared_row.key, request.new_value, result.version, false});
+        for (const std::string& host : request.hosts) {
+          OnRow(
+              {MakeHostsKey(kLockPrefix + host), lock, result.version, false});
+          SendOperation({request, host,
+                         hosts::HostFence{m_holder, result.version}, deadline,
+                         false});
+        }
+      }));
+}
+
+base::TimePoint HostLedger::GetDeadline(base::TimePoint locked_at) const {
+  return locked_at + m_min_holder_interval - m_max_call_time;
+}
+
+bool HostLedger::MayOperate(const Operation& operation) const {
+  return !m_is_stopping && m_may_order() &&
+         operation.request.may_operate(operation.host);
 }
 
 // Retries an operation without a definite result under the same fencing token,
-// so that the platform performs it at most once.
-void HostLedger::SendOperation(const HostOperationRequest& request,
-                               const std::string& host,
-                               const hosts::HostFence& fence) {
-  request.operate(
-      host, fence,
-      m_lifetime.Guard(
-          [this, request, host, fence](hosts::HostOperationOutcome outcome) {
-            base::Log(base::events::kHostOperation,
-                      {{"host", host},
-                       {"agreed_in", request.shared_row.key.key},
-                       {"token", std::to_string(fence.token)},
-                       {"outcome", NameOf(outcome)}});
-            const bool needs_retry =
-                outcome == hosts::HostOperationOutcome::kUnknown ||
-                outcome == hosts::HostOperationOutcome::kRefused;
-            if (needs_retry) {
-              m_loop.RunAfter(kRetryDelay,
-                              m_lifetime.Guard([this, request, host, fence] {
-                                SendOperation(request, host, fence);
-                              }));
-              return;
+// so that the platform performs it at most once, and only as long as this
+// process has the right to it.
+void HostLedger::SendOperation(Operation operation) {
+  if (!MayOperate(operation)) {
+    EndOperation(operation, hosts::HostOperationOutcome::kRefused);
+    return;
+  }
+  if (base::RuntimeClock::now() >= operation.deadline) {
+    RenewLock(std::move(operation));
+    return;
+  }
+  ++m_calls_under_way;
+  const auto operate = operation.request.operate;
+  const std::string host = operation.host;
+  const hosts::HostFence fence = operation.fence;
+  operate(host, fence,
+          m_lifetime.Guard([this, operation = std::move(operation)](
+                               hosts::HostOperationOutcome outcome) {
+            --m_calls_under_way;
+            OnOutcome(operation, outcome);
+            if (m_is_stopping && m_calls_under_way == 0 && m_on_stopped) {
+              std::exchange(m_on_stopped, nullptr)();
             }
-            m_hosts_in_operation.erase(host);
-            m_operation_ended_at[host] = base::RuntimeClock::now();
-            request.on_done(host, outcome);
           }));
 }
 
+void HostLedger::OnOutcome(Operation operation,
+                           hosts::HostOperationOutcome outcome) {
+  base::Log(base::events::kHostOperation,
+            {{"host", operation.host},
+             {"agreed_in", operation.request.shared_row.key.key},
+             {"token", std::to_string(operation.fence.token)},
+             {"outcome", NameOf(outcome)}});
+  operation.may_be_done |= outcome == hosts::HostOperationOutcome::kUnknown;
+  const bool needs_retry = outcome == hosts::HostOperationOutcome::kUnknown ||
+                           outcome == hosts::HostOperationOutcome::kRefused;
+  if (!needs_retry) {
+    EndOperation(operation, outcome);
+    return;
+  }
+  m_loop.RunAfter(kRetryDelay,
+                  m_lifetime.Guard([this, operation = std::move(operation)] {
+                    SendOperation(operation);
+                  }));
+}
+
+void HostLedger::RenewLock(Operation operation) {
+  const storage::RowKey key = MakeHostsKey(kLockPrefix + operation.host);
+  const std::string lock = EncodeLock(m_holder, m_get_store_ms());
+  storage::RowTransaction transaction;
+  transaction.expected = {{key, operation.fence.token}};
+  transaction.writes = {{key, lock}};
+  operation.deadline = GetDeadline(base::RuntimeClock::now());
+  m_store.Commit(
+      std::move(transaction),
+      m_lifetime.Guard([this, key, lock, operation = std::move(operation)](
+                           const storage::RowCommitResult& result) mutable {
+        for (const storage::VersionedRow& current : result.current) {
+          OnRow(current);
+        }
+        if (result.status != storage::RowCommitStatus::kCommitted) {
+          EndOperation(operation, hosts::HostOperationOutcome::kRefused);
+          return;
+        }
+        OnRow({key, lock, result.version, false});
+        operation.fence.token = result.version;
+        SendOperation(std::move(operation));
+      }));
+}
+
+// After a call without an answer, a refusal may be due to its effect.
+void HostLedger::EndOperation(const Operation& operation,
+                              hosts::HostOperationOutcome outcome) {
+  using hosts::HostOperationOutcome;
+  const bool says_nothing = outcome == HostOperationOutcome::kRefused ||
+                            outcome == HostOperationOutcome::kBusy ||
+                            outcome == HostOperationOutcome::kFenced;
+  const HostOperationOutcome result = operation.may_be_done && says_nothing
+                                          ? HostOperationOutcome::kUnknown
+                                          : outcome;
+  if (outcome == HostOperationOutcome::kRefused) {
+    base::Log(base::events::kHostOperationGivenUp,
+              {{"host", operation.host},
+               {"agreed_in", operation.request.shared_row.key.key},
+               {"token", std::to_string(operation.fence.token)},
+               {"may_be_done", operation.may_be_done ? "true" : "false"}});
+  }
+  m_hosts_in_operation.erase(operation.host);
+  m_operation_ended_at[operation.host] = base::RuntimeClock::now();
+  operation.request.on_done(operation.host, result);
+}
+
+bool HostLedger::MayBeOrderedByOther(const std::string& host) const {
+  if (!m_rows.IsLoaded()) {
+    return true;
+  }
+  const auto lock = m_locks.find(host);
+  if (lock == m_locks.end() || lock->second.holder == m_holder) {
+    return false;
+  }
+  const std::optional<int64_t> store_ms = m_get_store_ms();
+  return !store_ms || !lock->second.taken_store_ms ||
+         std::chrono::milliseconds(*store_ms - *lock->second.taken_store_ms) <
+             m_min_holder_interval + kMaxCommitDelay;
+}
+
+void HostLedger::StopOrders(std::function<void()> on_stopped) {
+  m_is_stopping = true;
+  if (m_calls_under_way == 0) {
+    on_stopped();
+    return;
+  }
+  m_on_stopped = std::move(on_stopped);
+}
+
 }  // namespace shallotwick::scheduler
--- a/services/shallotwick-scheduler/host_ledger.h
+++ b/services/shallotwick-scheduler/host_ledger.h
@@ -33,11 +33,17 @@
   std::function<void(const std::string& host, const hosts::HostFence& fence,
                      hosts::HostOperations::OnOutcome on_done)>
       operate;
+  // Returns whether the decision may still be carried out on the host: by the
+  // ownership on which it is based, and by what runs there. Asked before each
+  // call.
+  std::function<bool(const std::string& host)> may_operate =
+      [](const std::string&) { return true; };
   // The shared row as it was read; `new_value` is the value to write.
   storage::VersionedRow shared_row;
   std::string new_value;
   // Called once per host with kDone or the reason why the operation was
-  // rejected.
+  // rejected. If it was given up: kUnknown if it may have been done, otherwise
+  // kRefused.
   std::function<void(const std::string& host, hosts::HostOperationOutcome)>
       on_done;
   // Called if the shared row could not be written; no operation was sent.
@@ -55,6 +61,10 @@
 
   // Returns whether the process named by `holder` may still send operations.
   std::function<bool(const std::string& holder)> m_is_holder_live;
+  // Returns whether this process may order operations at all.
+  std::function<bool()> m_may_order = [] { return true; };
+  // A call is answered or given up within this time.
+  base::Duration m_max_call_time = std::chrono::milliseconds(1'000);
   // The store's steady clock in milliseconds, if known. Intervals between
   // operations of different holders are measured by it.
   std::function<std::optional<int64_t>()> m_get_store_ms = [] {
@@ -80,6 +90,12 @@
   bool IsFree(const std::string& host, base::TimePoint now) const;
   void Operate(HostOperationRequest request);
 
+  // Whether an operation that another holder has ordered on the host may take
+  // effect from now on, unless that holder had lost its right long ago.
+  bool MayBeOrderedByOther(const std::string& host) const;
+  // Begins no more calls. Calls back once those under way have ended.
+  void StopOrders(std::function<void()> on_stopped);
+
   // Returns the shared row; its version is kNoVersion if the row does not
   // exist.
   storage::VersionedRow GetSharedRow(const std::string& key) const;
@@ -113,8 +129,25 @@
   void RefreshList();
   void OnHostsListed(const std::vector<hosts::FleetHost>& listed,
                      base::TimePoint requested_at);
-  void SendOperation(const HostOperationRequest& request,
-                     const std::string& host, const hosts::HostFence& fence);
+  // An operation on one host under a lock.
+  struct Operation {
+    HostOperationRequest request;
+    std::string host;
+    hosts::HostFence fence;
+    // No call begins later: others may take the host soon after.
+    base::TimePoint deadline;
+    // A call got no answer.
+    bool may_be_done = false;
+  };
+
+  bool MayOperate(const Operation& operation) const;
+  void SendOperation(Operation operation);
+  void OnOutcome(Operation operation, hosts::HostOperationOutcome outcome);
+  // Writes the lock anew, for a later deadline and a higher token.
+  void RenewLock(Operation operation);
+  void EndOperation(const Operation& operation,
+                    hosts::HostOperationOutcome outcome);
+  base::TimePoint GetDeadline(base::TimePoint locked_at) const;
 
   base::EventLoop& m_loop;
   storage::RowStore& m_store;
@@ -136,6 +169,9 @@
   // both do so for the same hosts.
   bool m_names_hosts_once = false;
   bool m_is_list_settled = false;
+  bool m_is_stopping = false;
+  int m_calls_under_way = 0;
+  std::function<void()> m_on_stopped;
   bool m_is_started = false;
   bool m_is_listing = false;
   base::Lifetime m_lifetime;
--- a/services/shallotwick-scheduler/job_service.cc
+++ b/services/shallotwick-scheduler/job_service.cc
@@ -222,7 +222,7 @@
 void JobService::Cancel(const std::vector<std::string>& services,
                         const std::string& route, const std::string& id,
                         OnOutcome on_done) {
-  const std::string service = services.front();
+  const std::string& service = services.front();
   const std::optional<RouteFence> fence = m_find_fence(service, route);
   Find(services, id, 1,
        [this, service, id, fence, on_done = std::move(on_done)](
--- a/services/shallotwick-scheduler/pool_runner.cc
+++ b/services/shallotwick-scheduler/pool_runner.cc
@@ -142,6 +142,9 @@
       m_progress_parts(options.service) {
   m_scheduler.m_on_decision =
       [this](const scheduling::SchedulingDecision& note) { LogDecision(note); };
+  m_scheduler.m_may_host_be_leaving = [this](const std::string& host) {
+    return m_may_host_be_leaving(host);
+  };
   m_scheduler.m_on_wrong_target_end =
       [this](const scheduling::WrongTargetEnd& wrong) {
         LogWrongTargetEnd(wrong);
--- a/services/shallotwick-scheduler/pool_runner.h
+++ b/services/shallotwick-scheduler/pool_runner.h
@@ -65,6 +65,9 @@
   std::function<void()> m_on_lost;
   // Called when the pool cannot be loaded. No orders have been sent by then.
   std::function<void()> m_on_load_failed = [] {};
+  // Whether an order of a former owner may still end all runs on the host.
+  std::function<bool(const std::string& host)> m_may_host_be_leaving =
+      [](const std::string&) { return false; };
   // Registered targets at the time of the takeover; later changes arrive
   // through SetTargets, OnTargetChanged and OnTargetRemoved.
   std::map<std::string, scheduling::TargetEntry> m_targets_at_start;
@@ -91,6 +94,7 @@
   scheduling::PoolScheduler& GetScheduler() { return m_scheduler; }
   const scheduling::PoolScheduler& GetScheduler() const { return m_scheduler; }
   bool IsLoaded() const { return m_is_loaded; }
+  uint64_t GetOwnerVersion() const { return m_options.owner_version; }
   int GetOrdersInFlight() const { return m_orders_in_flight; }
   // Returns the state of a job, if this owner is certain of it. A job has ended
   // once that is stored.
--- a/services/shallotwick-scheduler/scheduler_process.cc
+++ b/services/shallotwick-scheduler/scheduler_process.cc
@@ -36,6 +36,11 @@
 // Added to the interval that the platform requires between operations of two
 // holders.
 constexpr auto kHolderIntervalMargin = std::chrono::milliseconds(400);
+// From the end of a call's time-out until its end is known.
+constexpr auto kCallTimeMargin = std::chrono::milliseconds(100);
+// The platform carries an order out within this time after the time-out of its
+// call, if at all.
+constexpr auto kLateOrderTime = std::chrono::milliseconds(500);
 constexpr auto kHostManagementPeriod = std::chrono::milliseconds(100);
 // Time for which host changes are batched before a management pass.
 constexpr auto kHostManagementDelay = std::chrono::milliseconds(15);
@@ -157,6 +162,12 @@
   m_host_ledger.m_get_store_ms = [this] {
     return m_clock.GetStoreMs(base::RuntimeClock::now());
   };
+  m_host_ledger.m_may_order = [this] {
+    return !m_is_stopping &&
+           m_session.IsSessionValid(base::RuntimeClock::now());
+  };
+  m_host_ledger.m_max_call_time =
+      GetMilliseconds(settings, "platform-timeout-ms") + kCallTimeMargin;
   m_jobs.m_get_store_ms = m_host_ledger.m_get_store_ms;
   m_jobs.m_find_fence = [this](const std::string& service,
                                const std::string& route) {
@@ -637,6 +648,12 @@
   };
   runner->m_get_unix_ms = m_api.m_get_unix_ms;
   runner->m_get_store_ms = m_host_ledger.m_get_store_ms;
+  runner->m_may_host_be_leaving =
+      [this, until = base::RuntimeClock::now() + m_host_ledger.m_max_call_time +
+                     kLateOrderTime](const std::string& host) {
+        return base::RuntimeClock::now() < until &&
+               m_host_ledger.MayBeOrderedByOther(host);
+      };
   runner->m_on_lost = [this, pool] { RemovePool(pool); };
   runner->m_on_load_failed = [this, pool] { GiveUpPool(pool); };
   runner->SetConfig(*m_config);
@@ -720,7 +737,8 @@
   m_stop_requested_at = base::RuntimeClock::now();
   m_job_server->CloseConnectionsAfterAnswers();
   m_ownership.StopClaiming();
-  ReleasePools();
+  // A call under way may still take effect.
+  m_host_ledger.StopOrders([this] { ReleasePools(); });
 }
 
 void SchedulerProcess::ReleasePools() {
--- a/services/shallotwick-scheduler/tests/wave_coordinator_test.cc
+++ b/services/shallotwick-scheduler/tests/wave_coordinator_test.cc
@@ -63,13 +63,19 @@
   void Maintain(const std::string& host, int64_t wave, const hosts::HostFence&,
                 OnOutcome on_done) override {
     m_loop.RunAfter(m_answer_time, [this, host, wave, on_done] {
+      if (m_rejects_hosts_down && m_down_until.count(host) > 0) {
+        on_done(HostOperationOutcome::kBusy);
+        return;
+      }
       if (m_outcome == HostOperationOutcome::kDone &&
           m_begun.insert({wave, host}).second) {
         m_hosts[host].state = hosts::HostState::kMaintenance;
         m_down_until[host] = base::RuntimeClock::now() + kMaintenanceTime;
         m_most_down = std::max(m_most_down, m_down_until.size());
       }
-      on_done(m_outcome);
+      on_done(std::exchange(m_loses_next_answer, false)
+                  ? HostOperationOutcome::kUnknown
+                  : m_outcome);
     });
   }
 
@@ -79,6 +85,8 @@
   // The maintenances that have begun, by wave and host.
   std::set<std::pair<int64_t, std::string>> m_begun;
   size_t m_most_down = 0;
+  bool m_loses_next_answer = false;
+  bool m_rejects_hosts_down = false;
   // A host that the lists lack.
   std::string m_skipped;
 
@@ -248,6 +256,35 @@
   STRCMP_EQUAL(record, m_store.Get(other).value.c_str());
 }
 
+// LIMIT: a rejection was taken for "nothing was done", and another host of the
+// wave went down beside the one that was down already.
+TEST(Waves, RejectionAfterALostAnswerFreesNoSlotOfAHostThatIsDown) {
+  m_hosts.m_rejects_hosts_down = true;
+  m_hosts.m_loses_next_answer = true;
+  m_waves->SetWave({1, {"m-1", "m-2"}, 1});
+  Advance(std::chrono::seconds(16));
+  LONGS_EQUAL(1, m_hosts.m_most_down);
+  CHECK_TRUE(IsSaidToBeCompleted(1));
+}
+
+// The same for a holder that is gone: its successor gets the rejection.
+TEST(Waves, RejectionOfASuccessorFreesNoSlotOfAHostThatIsDown) {
+  m_hosts.m_rejects_hosts_down = true;
+  m_hosts.m_loses_next_answer = true;
+  m_waves->SetWave({1, {"m-1", "m-2"}, 1});
+  Advance(std::chrono::milliseconds(200));
+  LONGS_EQUAL(1, m_hosts.m_begun.size());
+  m_waves.reset();
+  m_ledger.reset();
+  const auto ledger = MakeLedger("self/2");
+  m_waves = MakeWaves("self/2", *ledger);
+  m_waves->SetWave({1, {"m-1", "m-2"}, 1});
+  Advance(std::chrono::seconds(16));
+  LONGS_EQUAL(1, m_hosts.m_most_down);
+  CHECK_TRUE(IsSaidToBeCompleted(1));
+  m_waves.reset();
+}
+
 TEST(Waves, LateFirstStatusDoesNotReplaceThatOfACompletedWave) {
   m_store.m_faults = {{storage::RowCommitStatus::kUnknown, false, true}};
   CompleteWave({1, {"m-1"}, 1});
--- a/services/shallotwick-scheduler/wave_coordinator.cc
+++ b/services/shallotwick-scheduler/wave_coordinator.cc
@@ -163,9 +163,13 @@
                {"gone", std::to_string(record.gone.size())}});
     return true;
   }
+  if (FreeRejectedSlots(wave.number, record)) {
+    return true;
+  }
   for (const auto& [name, holder] : record.running) {
     const auto host = m_ledger.GetHosts().find(name);
     const bool is_abandoned = host != m_ledger.GetHosts().end() &&
+                              m_rejected_at.count({wave.number, name}) == 0 &&
                               record.accepted.count(name) == 0 &&
                               IsInCharge(holder);
     if (is_abandoned &&
@@ -176,6 +180,39 @@
   return false;
 }
 
+bool WaveCoordinator::FreeRejectedSlots(int64_t wave,
+                                        const hosts::WaveRecord& record) {
+  for (auto rejected = m_rejected_at.begin(); rejected != m_rejected_at.end();
+       ++rejected) {
+    const auto& [key, time] = *rejected;
+    const bool is_settled =
+        key.first == wave && m_ledger.GetListTime() > time + kHostListMargin;
+    if (!is_settled) {
+      continue;
+    }
+    const auto listed = m_ledger.GetHosts().find(key.second);
+    const bool is_down = listed != m_ledger.GetHosts().end() &&
+                         listed->second.state != hosts::HostState::kUp;
+    if (is_down && record.running.count(key.second) > 0) {
+      continue;
+    }
+    hosts::FleetHost host;
+    host.name = key.second;
+    if (listed != m_ledger.GetHosts().end()) {
+      host = listed->second;
+    }
+    m_rejected_at.erase(rejected);
+    FreeSlot(wave, host, hosts::HostOperationOutcome::kBusy);
+    return true;
+  }
+  return false;
+}
+
+uint64_t WaveCoordinator::GetOwnerVersion(const std::string& pool) const {
+  const PoolRunner* runner = m_find_pool(pool);
+  return runner == nullptr ? storage::kNoVersion : runner->GetOwnerVersion();
+}
+
 bool WaveCoordinator::IsInCharge(const std::string& holder) const {
   return holder == m_options.holder || !m_is_holder_active(holder);
 }
@@ -255,6 +292,7 @@
   };
   std::erase_if(m_accepted_at, is_of_wave);
   std::erase_if(m_absences, is_of_wave);
+  std::erase_if(m_rejected_at, is_of_wave);
 }
 
 // The previous holder may not have sent the request. Repeating it is safe: the
@@ -379,6 +417,17 @@
                         hosts::HostOperations::OnOutcome on_done) {
     m_operations.Maintain(name, number, fence, std::move(on_done));
   };
+  std::map<std::string, uint64_t> terms;
+  for (const hosts::FleetHost& host : selected) {
+    terms[host.pool] = GetOwnerVersion(host.pool);
+  }
+  request.may_operate = m_lifetime.GuardCondition([this, terms, by_name](
+                                                      const std::string& name) {
+    const hosts::FleetHost& host = by_name.at(name);
+    const PoolRunner* pool = m_find_pool(host.pool);
+    return pool != nullptr && pool->GetOwnerVersion() == terms.at(host.pool) &&
+           pool->GetScheduler().CanInterrupt(host.target);
+  });
   request.on_done = m_lifetime.Guard(
       [this, number = wave.number, by_name](
           const std::string& name, hosts::HostOperationOutcome outcome) {
@@ -424,9 +473,24 @@
     m_accepted_operations.Add(host, now);
     return;
   }
+  // The slot stays taken until the maintenance is repeated.
+  if (outcome == hosts::HostOperationOutcome::kUnknown) {
+    return;
+  }
+  // The host may be down for a call of an earlier holder.
+  if (outcome == hosts::HostOperationOutcome::kBusy ||
+      outcome == hosts::HostOperationOutcome::kFenced) {
+    m_rejected_at[{wave, host.name}] = base::RuntimeClock::now();
+    return;
+  }
+  FreeSlot(wave, host, outcome);
+}
+
+// The host's maintenance is retried later.
+void WaveCoordinator::FreeSlot(int64_t wave, const hosts::FleetHost& host,
+                               hosts::HostOperationOutcome outcome) {
   SetLeaving(host, false);
   Release(host.name);
-  // The host's slot in the wave is freed; its maintenance is retried later.
   const storage::VersionedRow row = m_ledger.GetSharedRow(MakeWaveKey(wave));
   hosts::WaveRecord record = ReadRecord(row);
   const auto running = record.running.find(host.name);
--- a/services/shallotwick-scheduler/wave_coordinator.h
+++ b/services/shallotwick-scheduler/wave_coordinator.h
@@ -97,6 +97,13 @@
                         hosts::WaveRecord record);
   void OnMaintenanceResult(int64_t wave, const hosts::FleetHost& host,
                            hosts::HostOperationOutcome outcome);
+  void FreeSlot(int64_t wave, const hosts::FleetHost& host,
+                hosts::HostOperationOutcome outcome);
+  // Frees the slot of a host whose maintenance the platform has rejected, once
+  // the list shows that it is not down. Returns whether it has freed one.
+  bool FreeRejectedSlots(int64_t wave, const hosts::WaveRecord& record);
+  // Returns the version of this host's ownership of the pool.
+  uint64_t GetOwnerVersion(const std::string& pool) const;
   void ReportStatus(const hosts::MaintenanceWave& wave, bool is_completed);
   void Evacuate(const hosts::FleetHost& host, base::TimePoint now);
   void SetLeaving(const hosts::FleetHost& host, bool leaving);
@@ -121,6 +128,8 @@
   // When this process first knew that the platform had accepted a maintenance,
   // which the wave's record may lack.
   std::map<WaveHost, base::TimePoint> m_accepted_at;
+  // When the platform has rejected a maintenance.
+  std::map<WaveHost, base::TimePoint> m_rejected_at;
   AcceptedOperations m_accepted_operations;
   // The request times of the first and the last of consecutive host lists that
   // lack a host.
