--- a/libraries/scheduling/progress_rows.cc
+++ b/libraries/scheduling/progress_rows.cc
@@ -11,9 +11,9 @@
 
 using nlohmann::json;
 
-// Jobs with fewer tasks fit into the form of EncodeProgress unless they have
-// long checkpoints, and are not encoded twice.
-constexpr size_t kMinCompactTasks = 200;
+// The form of EncodeProgress with more tasks would be too large, so it is not
+// tried.
+constexpr size_t kMaxPlainTasks = 600;
 constexpr size_t kMaxPlainBytes = size_t{16} * 1024;
 // The record holds details of tasks itself up to this size.
 constexpr size_t kMaxInlineBytes = size_t{16} * 1024;
@@ -186,11 +186,13 @@
   return std::to_string(size) + "-" + std::to_string(index);
 }
 
-size_t CountTasks(const JobProgress& progress) {
+size_t CountChangedTasks(const JobProgress& progress) {
   size_t count = 0;
   for (const auto& steps : progress.tasks) {
     for (const auto& step : steps) {
-      count += step.size();
+      count += static_cast<size_t>(std::count_if(
+          step.begin(), step.end(),
+          [](const TaskProgress& task) { return task != TaskProgress{}; }));
     }
   }
   return count;
@@ -200,7 +202,8 @@
 
 ProgressRows EncodeProgressRows(const JobProgress& progress) {
   ProgressRows rows;
-  if (IsTerminal(progress.state) || CountTasks(progress) < kMinCompactTasks) {
+  if (IsTerminal(progress.state) ||
+      CountChangedTasks(progress) <= kMaxPlainTasks) {
     rows.record = EncodeProgress(progress);
     if (rows.record.size() <= kMaxPlainBytes) {
       return rows;
--- a/services/shallotwick-scheduler/capacity_broker.cc
+++ b/services/shallotwick-scheduler/capacity_broker.cc
@@ -525,7 +525,7 @@
   }
   const auto giver = pools.find(host.pool);
   return giver == pools.end() ||
-         giver->second->GetScheduler().CanInterrupt(host.target);
+         giver->second->GetScheduler().CountRuns(host.target) == 0;
 }
 
 void CapacityBroker::RemoveVisibleTransfers(const std::string& pool,
--- a/services/shallotwick-scheduler/host_ledger.cc
+++ b/services/shallotwick-scheduler/host_ledger.cc
@@ -301,7 +301,8 @@
 }
 
 base::TimePoint HostLedger::GetDeadline(base::TimePoint locked_at) const {
-  return locked_at + m_min_holder_interval - m_max_call_time;
+  const auto margin = std::min(m_max_call_time, m_min_holder_interval / 2);
+  return locked_at + m_min_holder_interval - margin;
 }
 
 bool HostLedger::MayOperate(const Operation& operation) const {
@@ -330,8 +331,10 @@
                                hosts::HostOperationOutcome outcome) {
             --m_calls_under_way;
             OnOutcome(operation, outcome);
-            if (m_is_stopping && m_calls_under_way == 0 && m_on_stopped) {
-              std::exchange(m_on_stopped, nullptr)();
+            if (m_calls_under_way == 0) {
+              for (const auto& on_stopped : std::exchange(m_on_stopped, {})) {
+                on_stopped();
+              }
             }
           }));
 }
@@ -416,13 +419,12 @@
              m_min_holder_interval + kMaxCommitDelay;
 }
 
-void HostLedger::StopOrders(std::function<void()> on_stopped) {
-  m_is_stopping = true;
+void HostLedger::RunWhenStopped(std::function<void()> on_stopped) {
   if (m_calls_under_way == 0) {
     on_stopped();
-    return;
+  } else {
+    m_on_stopped.push_back(std::move(on_stopped));
   }
-  m_on_stopped = std::move(on_stopped);
 }
 
 }  // namespace shallotwick::scheduler
--- a/services/shallotwick-scheduler/host_ledger.h
+++ b/services/shallotwick-scheduler/host_ledger.h
@@ -93,8 +93,10 @@
   // Whether an operation that another holder has ordered on the host may take
   // effect from now on, unless that holder had lost its right long ago.
   bool MayBeOrderedByOther(const std::string& host) const;
-  // Begins no more calls. Calls back once those under way have ended.
-  void StopOrders(std::function<void()> on_stopped);
+  // Begins no more calls.
+  void StopOrders() { m_is_stopping = true; }
+  // After StopOrders: calls back once the calls under way have ended.
+  void RunWhenStopped(std::function<void()> on_stopped);
 
   // Returns the shared row; its version is kNoVersion if the row does not
   // exist.
@@ -171,7 +173,7 @@
   bool m_is_list_settled = false;
   bool m_is_stopping = false;
   int m_calls_under_way = 0;
-  std::function<void()> m_on_stopped;
+  std::vector<std::function<void()>> m_on_stopped;
   bool m_is_started = false;
   bool m_is_listing = false;
   base::Lifetime m_lifetime;
--- a/services/shallotwick-scheduler/job_service.cc
+++ b/services/shallotwick-scheduler/job_service.cc
@@ -186,7 +186,8 @@
               }));
           return;
         }
-        if (result.rows.empty()) {
+        // A part without its record belongs to a job whose rows are removed.
+        if (result.rows.empty() || result.rows.front().key.key != id) {
           services.erase(services.begin());
           Find(std::move(services), id, attempt, std::move(on_done));
           return;
--- a/services/shallotwick-scheduler/pool_records.cc
+++ b/services/shallotwick-scheduler/pool_records.cc
@@ -146,6 +146,7 @@
 // not received the response yet, which then corrects the state.
 void PoolRunner::RemoveCancelledJob(const std::string& job) {
   m_scheduler.CancelJob(job);
+  m_rejected_jobs.erase(job);
   m_progress_versions.erase(job);
   RecordEndedJob(job, scheduling::JobState::kCancelled);
 }
@@ -463,6 +464,7 @@
     return;
   }
   const std::string job = batch.front().change.job;
+  m_rejected_jobs.insert(job);
   base::Log(base::events::kProgressRejected,
             {{"pool", m_options.service}, {"job", job}, {"fault", error}});
   m_metrics.GetCounter("shallotwick_progress_rejections_total", {}).Increment();
--- a/services/shallotwick-scheduler/scheduler_process.cc
+++ b/services/shallotwick-scheduler/scheduler_process.cc
@@ -695,7 +695,7 @@
       }
       m_pool_being_handed_over.reset();
       if (m_is_stopping) {
-        m_ownership.Release(pool, [this] { OnPoolReleased(); });
+        ReleaseAfterOrders(pool);
       } else {
         GiveUpPool(pool);
       }
@@ -737,8 +737,8 @@
   m_stop_requested_at = base::RuntimeClock::now();
   m_job_server->CloseConnectionsAfterAnswers();
   m_ownership.StopClaiming();
-  // A call under way may still take effect.
-  m_host_ledger.StopOrders([this] { ReleasePools(); });
+  m_host_ledger.StopOrders();
+  ReleasePools();
 }
 
 void SchedulerProcess::ReleasePools() {
@@ -749,14 +749,19 @@
     return;
   }
   for (const auto& [pool, runner] : m_pools) {
-    runner->Quiesce([this, pool = pool] {
-      base::Log(base::events::kPoolReleased, {{"pool", pool}});
-      m_ownership.Release(pool, [this] { OnPoolReleased(); });
-    });
+    runner->Quiesce([this, pool = pool] { ReleaseAfterOrders(pool); });
   }
   StopLoopWhenDone();
 }
 
+// A call under way for a host of the pool may still take effect.
+void SchedulerProcess::ReleaseAfterOrders(const std::string& pool) {
+  m_host_ledger.RunWhenStopped([this, pool] {
+    base::Log(base::events::kPoolReleased, {{"pool", pool}});
+    m_ownership.Release(pool, [this] { OnPoolReleased(); });
+  });
+}
+
 void SchedulerProcess::OnPoolReleased() {
   if (--m_pools_to_release == 0) {
     m_session.Release();
--- a/services/shallotwick-scheduler/scheduler_process.h
+++ b/services/shallotwick-scheduler/scheduler_process.h
@@ -92,6 +92,7 @@
   void ProbeStorePeriodically();
   void Stop();
   void ReleasePools();
+  void ReleaseAfterOrders(const std::string& pool);
   void OnPoolReleased();
   void StopLoopWhenDone();
 
--- a/services/shallotwick-scheduler/tests/order_authority_test.cc
+++ b/services/shallotwick-scheduler/tests/order_authority_test.cc
@@ -137,7 +137,8 @@
   Advance(milliseconds(600));
   CHECK_TRUE(m_hosts.m_calls.size() > 1);
   bool has_stopped = false;
-  m_ledger->StopOrders([&has_stopped] { has_stopped = true; });
+  m_ledger->StopOrders();
+  m_ledger->RunWhenStopped([&has_stopped] { has_stopped = true; });
   CHECK_TRUE(has_stopped);
   LONGS_EQUAL(0, CountCallsAfter(seconds(5)));
   CHECK_TRUE(m_result == HostOperationOutcome::kRefused);
@@ -148,7 +149,8 @@
   m_hosts.m_outcome.reset();
   Order(*m_ledger);
   bool has_stopped = false;
-  m_ledger->StopOrders([&has_stopped] { has_stopped = true; });
+  m_ledger->StopOrders();
+  m_ledger->RunWhenStopped([&has_stopped] { has_stopped = true; });
   Advance(milliseconds(300));
   CHECK_FALSE(has_stopped);
   m_hosts.m_held(HostOperationOutcome::kUnknown);
--- a/tests/standin-cluster/row_table.cc
+++ b/tests/standin-cluster/row_table.cc
@@ -13,6 +13,25 @@
           entry.at("key").get<std::string>()};
 }
 
+bool ExceedsLimits(const json& transaction) {
+  constexpr size_t kMaxEntries = 100;
+  constexpr size_t kMaxValueBytes = 65'536;
+  constexpr size_t kMaxCallBytes = 1'000'000;
+  size_t entries = 0;
+  size_t bytes = 0;
+  for (const char* kind : {"expectedRev", "writes", "remove"}) {
+    for (const json& entry : transaction.value(kind, json::array())) {
+      ++entries;
+      const size_t value = entry.value("value", "").size();
+      if (value > (kMaxValueBytes + 2) / 3 * 4) {
+        return true;
+      }
+      bytes += value;
+    }
+  }
+  return entries > kMaxEntries || bytes > kMaxCallBytes;
+}
+
 }  // namespace
 
 json RowTable::Format(const Key& key, const Row& row) {
@@ -39,6 +58,9 @@
 }
 
 std::pair<int, json> RowTable::Commit(const json& transaction) {
+  if (ExceedsLimits(transaction)) {
+    return {400, {{"title", "The transaction is too large."}}};
+  }
   json current = json::array();
   bool holds = true;
   for (const json& entry : transaction.value("expectedRev", json::array())) {
