Hold back only hosts that a former owner's order takes away

After a takeover no task was started for 1.5 s on any host with a young lock, also on those that had just been moved to the pool.

--- a/services/shallotwick-scheduler/capacity_broker.cc
+++ b/services/shallotwick-scheduler/capacity_broker.cc
@@ -302,6 +302,20 @@
   m_cordoned_for_transfer[pool] = std::move(to_cordon);
 }
 
+std::set<std::string> CapacityBroker::ListRecordedTransfers(
+    const std::string& pool) const {
+  std::set<std::string> hosts;
+  for (const storage::VersionedRow& row :
+       m_ledger.ListSharedRows(kTransfersPrefix)) {
+    for (const auto& [host, transfer] : ReadTransfers(row)) {
+      if (transfer.from == pool) {
+        hosts.insert(host);
+      }
+    }
+  }
+  return hosts;
+}
+
 bool CapacityBroker::IsOrdered(const std::string& host) const {
   return std::any_of(
       m_transfers.begin(), m_transfers.end(),
--- a/services/shallotwick-scheduler/capacity_broker.h
+++ b/services/shallotwick-scheduler/capacity_broker.h
@@ -37,6 +37,8 @@
   void SetStandbyPools(std::set<std::string> pools) {
     m_standby_pools = std::move(pools);
   }
+  // Returns the hosts that any owner's record takes from the pool.
+  std::set<std::string> ListRecordedTransfers(const std::string& pool) const;
   void RebalanceHosts(base::TimePoint now);
   // Returns whether a pool has a shortage of hosts, or its demand has just
   // grown.
--- a/services/shallotwick-scheduler/host_ledger.cc
+++ b/services/shallotwick-scheduler/host_ledger.cc
@@ -406,9 +406,6 @@
 }
 
 bool HostLedger::MayBeOrderedByOther(const std::string& host) const {
-  if (!m_rows.IsLoaded()) {
-    return true;
-  }
   const auto lock = m_locks.find(host);
   if (lock == m_locks.end() || lock->second.holder == m_holder) {
     return false;
--- a/services/shallotwick-scheduler/host_ledger.h
+++ b/services/shallotwick-scheduler/host_ledger.h
@@ -85,13 +85,14 @@
   // Returns what the list shows about targets.
   HostListing GetListing() const;
   bool IsLoaded() const { return m_rows.IsLoaded() && !m_hosts.empty(); }
+  bool AreRowsLoaded() const { return m_rows.IsLoaded(); }
 
   // Returns whether this holder may begin an operation on the host.
   bool IsFree(const std::string& host, base::TimePoint now) const;
   void Operate(HostOperationRequest request);
 
-  // Whether an operation that another holder has ordered on the host may take
-  // effect from now on, unless that holder had lost its right long ago.
+  // Whether another holder has locked the host so lately that an operation of
+  // it may still take effect.
   bool MayBeOrderedByOther(const std::string& host) const;
   // Begins no more calls.
   void StopOrders() { m_is_stopping = true; }
--- a/services/shallotwick-scheduler/scheduler_process.cc
+++ b/services/shallotwick-scheduler/scheduler_process.cc
@@ -41,6 +41,8 @@
 // The platform carries an order out within this time after the time-out of its
 // call, if at all.
 constexpr auto kLateOrderTime = std::chrono::milliseconds(500);
+// Records of orders for hosts are read again after this time.
+constexpr auto kRecordedOrdersPeriod = std::chrono::milliseconds(100);
 constexpr auto kHostManagementPeriod = std::chrono::milliseconds(100);
 // Time for which host changes are batched before a management pass.
 constexpr auto kHostManagementDelay = std::chrono::milliseconds(15);
@@ -649,10 +651,10 @@
   runner->m_get_unix_ms = m_api.m_get_unix_ms;
   runner->m_get_store_ms = m_host_ledger.m_get_store_ms;
   runner->m_may_host_be_leaving =
-      [this, until = base::RuntimeClock::now() + m_host_ledger.m_max_call_time +
-                     kLateOrderTime](const std::string& host) {
-        return base::RuntimeClock::now() < until &&
-               m_host_ledger.MayBeOrderedByOther(host);
+      [this, pool,
+       until = base::RuntimeClock::now() + m_host_ledger.m_max_call_time +
+               kLateOrderTime](const std::string& host) {
+        return base::RuntimeClock::now() < until && MayLeave(pool, host);
       };
   runner->m_on_lost = [this, pool] { RemovePool(pool); };
   runner->m_on_load_failed = [this, pool] { GiveUpPool(pool); };
@@ -666,6 +668,24 @@
   m_pools[pool] = std::move(runner);
 }
 
+bool SchedulerProcess::MayLeave(const std::string& pool,
+                                const std::string& host) {
+  if (!m_host_ledger.AreRowsLoaded()) {
+    return true;
+  }
+  if (!m_host_ledger.MayBeOrderedByOther(host)) {
+    return false;
+  }
+  const auto now = base::RuntimeClock::now();
+  RecordedOrders& orders = m_recorded_orders[pool];
+  if (now >= orders.listed_at + kRecordedOrdersPeriod) {
+    orders.listed_at = now;
+    orders.hosts = m_capacity.ListRecordedTransfers(pool);
+    orders.hosts.merge(m_waves.ListUnacceptedMaintenance());
+  }
+  return orders.hosts.count(host) > 0;
+}
+
 void SchedulerProcess::GiveUpPool(const std::string& pool) {
   RemovePool(pool);
   m_ownership.GiveUp(pool);
--- a/services/shallotwick-scheduler/scheduler_process.h
+++ b/services/shallotwick-scheduler/scheduler_process.h
@@ -3,6 +3,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -92,6 +93,8 @@
   void ProbeStorePeriodically();
   void Stop();
   void ReleasePools();
+  // Whether an order of another holder may still take the host from the pool.
+  bool MayLeave(const std::string& pool, const std::string& host);
   void ReleaseAfterOrders(const std::string& pool);
   void OnPoolReleased();
   void StopLoopWhenDone();
@@ -132,6 +135,12 @@
   base::Duration m_retention;
   base::Duration m_stop_grace;
   std::optional<scheduling::ServingConfig> m_config;
+  // Hosts of a pool that are named in records of orders.
+  struct RecordedOrders {
+    base::TimePoint listed_at;
+    std::set<std::string> hosts;
+  };
+  std::map<std::string, RecordedOrders> m_recorded_orders;
   std::map<std::string, std::unique_ptr<PoolRunner>> m_pools;
   size_t m_pools_to_release = 0;
   std::optional<std::string> m_pool_being_handed_over;
--- a/services/shallotwick-scheduler/wave_coordinator.cc
+++ b/services/shallotwick-scheduler/wave_coordinator.cc
@@ -180,6 +180,25 @@
   return false;
 }
 
+std::set<std::string> WaveCoordinator::ListUnacceptedMaintenance() const {
+  std::set<std::string> hosts;
+  for (const storage::VersionedRow& row :
+       m_ledger.ListSharedRows(kWavePrefix)) {
+    try {
+      const hosts::WaveRecord record = ReadRecord(row);
+      for (const auto& [host, holder] : record.running) {
+        if (record.accepted.count(host) == 0) {
+          hosts.insert(host);
+        }
+      }
+    } catch (const std::runtime_error& error) {
+      base::Log(base::events::kStoreContentInvalid,
+                {{"row", row.key.key}, {"fault", error.what()}});
+    }
+  }
+  return hosts;
+}
+
 bool WaveCoordinator::FreeRejectedSlots(int64_t wave,
                                         const hosts::WaveRecord& record) {
   for (auto rejected = m_rejected_at.begin(); rejected != m_rejected_at.end();
--- a/services/shallotwick-scheduler/wave_coordinator.h
+++ b/services/shallotwick-scheduler/wave_coordinator.h
@@ -42,6 +42,9 @@
   std::function<bool()> m_are_hosts_short = [] { return false; };
 
   void SetWave(const hosts::MaintenanceWave& wave);
+  // Returns the hosts whose maintenance a record names as running and which the
+  // platform is not known to have accepted.
+  std::set<std::string> ListUnacceptedMaintenance() const;
   void ProcessWaves(base::TimePoint now);
   // Forgets the hosts that are cordoned in a pool that is lost: if it is gained
   // again, its targets are not cordoned.
