--- a/tests/soak/caller.cc
+++ b/tests/soak/caller.cc
@@ -172,11 +172,11 @@
                 static_cast<unsigned>(m_number),
                 static_cast<unsigned>(m_oversized_jobs));
   ++m_oversized_jobs;
-  const json step = {
-      {"count", 1},
-      {"cpu", kOversizedCpuMilli - m_oversized_jobs - 1'000 * m_number},
-      {"memMb", 100},
-      {"estMs", 400}};
+  const json step = {{"count", 1},
+                     {"cpu", kOversizedCpuMilli - m_oversized_jobs -
+                                 int64_t{1'000} * m_number},
+                     {"memMb", 100},
+                     {"estMs", 400}};
   const std::string body = json{{"spec", "text"}, {"steps", {step}}}.dump();
   Call(m_odd_random() % m_addresses.GetCount(), "POST",
        std::string("/quote/") + id.data(), body);
