Customers' keys: admit calls by the configuration in force

Cause: configurations that name customers were read without them; each call ran, with any key or none. Change: the registry of customers and the admission of calls are code of their own (libraries/customers); a host confirms its configuration by reads, since a silent feed proves nothing, and refuses once a revoked key could be too old; 401 with the reason. A job's record names its customer.

--- a/libraries/base/log_catalogue.h
+++ b/libraries/base/log_catalogue.h
@@ -188,6 +188,13 @@
     537, "host-operation-given-up", Severity::kWarning,
     "An order for a host is no longer repeated: the right to it has ended, or "
     "what runs there forbids it."};
+inline constexpr LogEvent kConfigPartInvalid{
+    540, "config-part-invalid", Severity::kError,
+    "A part of a configuration cannot be used; the rest is in force."};
+inline constexpr LogEvent kCallUnauthorized{
+    541, "call-unauthorized", Severity::kInfo,
+    "A call was refused for its key; the reason and the configuration's "
+    "version and age are named."};
 inline constexpr LogEvent kWaveProgress{
     531, "wave-progress", Severity::kInfo,
     "A maintenance wave has begun, gone on or ended."};
@@ -249,6 +256,8 @@
                                     kProgressBacklog,
                                     kProgressRejected,
                                     kHostOperationGivenUp,
+                                    kConfigPartInvalid,
+                                    kCallUnauthorized,
                                     kWaveProgress};
 
 }  // namespace shallotwick::base::events
--- a/libraries/base/settings.cc
+++ b/libraries/base/settings.cc
@@ -160,6 +160,13 @@
       };
 }
 
+std::function<std::string(const std::string&)> CheckOptional(
+    std::function<std::string(const std::string&)> check) {
+  return [check = std::move(check)](const std::string& value) -> std::string {
+    return value.empty() ? "" : check(value);
+  };
+}
+
 Settings Settings::Parse(const std::vector<SettingDeclaration>& declarations,
                          const std::vector<std::string>& arguments,
                          const ReadEnvironment& read_environment) {
--- a/libraries/base/settings.h
+++ b/libraries/base/settings.h
@@ -35,6 +35,9 @@
                                                            double max_value);
 std::function<std::string(const std::string&)> CheckOneOf(
     std::vector<std::string> choices);
+// Accepts what the check accepts, or an empty value.
+std::function<std::string(const std::string&)> CheckOptional(
+    std::function<std::string(const std::string&)> check);
 
 // The validated settings of a process.
 class Settings {
--- a/libraries/scheduling/job.h
+++ b/libraries/scheduling/job.h
@@ -65,6 +65,8 @@
   // The route's limit on failed runs of one task when the job was accepted; 0
   // if not recorded. A later configuration may lack the route.
   int max_attempts = 0;
+  // Whose job it is; empty if no customer's key was needed.
+  std::string customer;
 
   int GetOccurrenceCount() const { return occurrences > 0 ? occurrences : 1; }
 
--- a/libraries/scheduling/job_record.cc
+++ b/libraries/scheduling/job_record.cc
@@ -78,6 +78,7 @@
     object["steps"].push_back(EncodeStep(step));
   }
   SetIfNotDefault(object, "max_attempts", job.max_attempts, 0);
+  SetIfNotDefault(object, "customer", job.customer, std::string());
   if (job.occurrences > 0) {
     object["occurrences"] = job.occurrences;
     object["first_due_ms"] = job.first_due_ms;
@@ -100,6 +101,7 @@
       job.steps.push_back(DecodeStep(step));
     }
     job.max_attempts = object.value("max_attempts", 0);
+    job.customer = object.value("customer", "");
     job.occurrences = object.value("occurrences", 0);
     job.first_due_ms = object.value("first_due_ms", int64_t{0});
     job.interval_ms = object.value("interval_ms", int64_t{0});
--- a/libraries/scheduling/serving_config.h
+++ b/libraries/scheduling/serving_config.h
@@ -7,6 +7,8 @@
 #include <string>
 #include <vector>
 
+#include "base/finding.h"
+#include "customers/customer_registry.h"
 #include "scheduling/queue_order.h"
 
 namespace shallotwick::scheduling {
@@ -19,6 +21,8 @@
   // The service whose targets run the jobs of this route.
   std::string service;
   RoutePolicy policy;
+  // Calls need no key.
+  bool is_public = false;
 
   auto operator<=>(const Route&) const = default;
 };
@@ -31,6 +35,9 @@
   // Services whose hosts are on standby (switched off).
   std::set<std::string> standby_services;
   int64_t max_body_bytes = 262'144;
+  customers::CustomerRegistry customers;
+  // What was left out because it could not be read.
+  base::Findings findings;
 
   // Returns the route of the host with the longest prefix that matches the
   // path, or nullptr.
--- a/services/shallotwick-scheduler/job_api.cc
+++ b/services/shallotwick-scheduler/job_api.cc
@@ -14,6 +14,7 @@
 namespace {
 
 constexpr size_t kIdentifierDigits = 16;
+constexpr auto kUnauthorizedLogPeriod = std::chrono::milliseconds(100);
 
 bool IsJobIdentifier(const std::string& text) {
   return text.size() == kIdentifierDigits &&
@@ -73,11 +74,21 @@
       http::FindHeader(request.headers, "Host").value_or("");
   const scheduling::Route* route = config->FindRoute(host, path);
   if (route == nullptr) {
+    const bool may_be_newer = config->customers.RequiresKeys() &&
+                              !customers::CanRejectUnknown(m_get_config_age());
+    if (may_be_newer) {
+      respond(Refuse("config-uncertain"));
+      return;
+    }
     respond(http::MakeProblem(404, "no-such-queue", "No queue has this path."));
     return;
   }
   const std::string id = path.substr(route->prefix.size());
   const bool is_read = request.method == "GET" || request.method == "HEAD";
+  const std::optional<std::string> customer = Admit(request, *route, respond);
+  if (!customer) {
+    return;
+  }
   // Another host may be able to reach the store.
   if (!CanServe(request, *route, id)) {
     base::Log(base::events::kJobRefused, {{"route", route->name},
@@ -90,7 +101,7 @@
   if (id.empty() && is_read) {
     Count(*route, respond);
   } else if (request.method == "POST") {
-    Submit(*route, id, request, respond);
+    Submit(*route, id, *customer, request, respond);
   } else if (!IsJobIdentifier(id) && (is_read || request.method == "DELETE")) {
     respond(http::MakeProblem(410, "no-such-job", "No job has this name."));
   } else if (is_read) {
@@ -115,8 +126,61 @@
   return is_state_request || m_is_store_reachable();
 }
 
+bool JobApi::CanAdmitCalls() const {
+  const scheduling::ServingConfig* config = m_get_config();
+  return config != nullptr &&
+         (!config->customers.RequiresKeys() ||
+          customers::CanAdmit(m_admission_policy, m_get_config_age()));
+}
+
+std::optional<std::string> JobApi::Admit(const http::Request& request,
+                                         const scheduling::Route& route,
+                                         const http::Respond& respond) {
+  const customers::Admission admission = customers::AdmitCall(
+      m_get_config()->customers, m_admission_policy,
+      {route.is_public, http::FindHeader(request.headers, "Authorization")},
+      m_get_config_age());
+  switch (admission.outcome) {
+    case customers::AdmissionOutcome::kAdmitted:
+      return admission.customer;
+    case customers::AdmissionOutcome::kUncertain:
+      respond(Refuse(admission.reason));
+      return std::nullopt;
+    case customers::AdmissionOutcome::kUnauthorized:
+      break;
+  }
+  m_metrics
+      .GetCounter("shallotwick_unauthorized_calls_total",
+                  {{"reason", admission.reason}})
+      .Increment();
+  LogUnauthorized(route, admission.reason);
+  http::Response response = http::MakeProblem(
+      401, admission.reason, "This call needs a key of the job's customer.");
+  response.headers.emplace_back("WWW-Authenticate", "Bearer");
+  respond(std::move(response));
+  return std::nullopt;
+}
+
+void JobApi::LogUnauthorized(const scheduling::Route& route,
+                             const char* reason) {
+  const auto now = base::RuntimeClock::now();
+  if (now < m_unauthorized_logged_at + kUnauthorizedLogPeriod) {
+    return;
+  }
+  m_unauthorized_logged_at = now;
+  base::Log(
+      base::events::kCallUnauthorized,
+      {{"route", route.name},
+       {"reason", reason},
+       {"version", std::to_string(m_get_config()->version)},
+       {"age_ms",
+        std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(
+                           m_get_config_age())
+                           .count())}});
+}
+
 void JobApi::Submit(const scheduling::Route& route, const std::string& id,
-                    const http::Request& request,
+                    const std::string& customer, const http::Request& request,
                     const http::Respond& respond) {
   if (!IsJobIdentifier(id)) {
     respond(http::MakeProblem(400, "bad-identifier",
@@ -139,6 +203,7 @@
   }
   job.id = id;
   job.route = route.name;
+  job.customer = customer;
   job.accepted_ms = m_get_unix_ms();
   job.max_attempts = route.policy.max_attempts;
   if (scheduling::EncodeJobRecord(job).size() > storage::kMaxRowBytes) {
--- a/services/shallotwick-scheduler/job_api.h
+++ b/services/shallotwick-scheduler/job_api.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "base/metrics.h"
+#include "customers/call_admission.h"
 #include "http/server.h"
 #include "job_service.h"
 #include "job_state_lookup.h"
@@ -24,6 +25,11 @@
   // Returns the current configuration, or null before the first one is
   // received.
   std::function<const scheduling::ServingConfig*()> m_get_config;
+  // How long ago the current configuration was certainly the newest one.
+  std::function<base::Duration()> m_get_config_age = [] {
+    return base::Duration(0);
+  };
+  customers::AdmissionPolicy m_admission_policy;
   // Whether the store is reachable. If not, states of jobs are shown and jobs
   // accepted with the help of other hosts; other requests are refused
   // immediately.
@@ -46,14 +52,25 @@
       m_submit;
 
   void Handle(const http::Request& request, const http::Respond& respond);
+  // Returns whether there is a configuration, and it is recent enough for calls
+  // that need a key.
+  bool CanAdmitCalls() const;
 
  private:
+  // Returns the customer whose call this is, empty if its route needs no key;
+  // std::nullopt after a response that refuses the call.
+  std::optional<std::string> Admit(const http::Request& request,
+                                   const scheduling::Route& route,
+                                   const http::Respond& respond);
+  // Limits the lines about refused keys.
+  void LogUnauthorized(const scheduling::Route& route, const char* reason);
   // Returns whether the request can be served without waiting for the store to
   // come back.
   bool CanServe(const http::Request& request, const scheduling::Route& route,
                 const std::string& id) const;
   void Submit(const scheduling::Route& route, const std::string& id,
-              const http::Request& request, const http::Respond& respond);
+              const std::string& customer, const http::Request& request,
+              const http::Respond& respond);
   void Show(const scheduling::Route& route, const std::string& id,
             const http::Respond& respond);
   void Cancel(const scheduling::Route& route, const std::string& id,
@@ -68,6 +85,7 @@
   JobService& m_jobs;
   JobStateLookup& m_states;
   base::MetricRegistry& m_metrics;
+  base::TimePoint m_unauthorized_logged_at;
 };
 
 }  // namespace shallotwick::scheduler
--- a/services/shallotwick-scheduler/scheduler_process.cc
+++ b/services/shallotwick-scheduler/scheduler_process.cc
@@ -81,6 +81,16 @@
   return options;
 }
 
+customers::AdmissionPolicy MakeAdmissionPolicy(const base::Settings& settings) {
+  customers::AdmissionPolicy policy;
+  const bool is_bounded = settings.GetString("strict-revocation") == "true" &&
+                          !settings.GetString("revocation-ms").empty();
+  if (is_bounded) {
+    policy.max_revocation_time = GetMilliseconds(settings, "revocation-ms");
+  }
+  return policy;
+}
+
 }  // namespace
 
 SchedulerProcess::SchedulerProcess(const base::Settings& settings)
@@ -114,6 +124,7 @@
                         base::Duration(0),
                         base::Duration(0),
                         kShortFeedWait}),
+      m_config(m_loop, m_store),
       m_registry(m_loop, m_store,
                  {platform::kRegistryTable,
                   {platform::kSharedPartition},
@@ -240,7 +251,12 @@
       m_connection_budget.GetTargetConnections());
   RegisterGauges();
   FollowRegistry();
-  m_api.m_get_config = [this] { return m_config ? &*m_config : nullptr; };
+  m_config.m_on_config = [this](const scheduling::ServingConfig& config) {
+    ApplyConfig(config);
+  };
+  m_api.m_get_config = [this] { return m_config.GetConfig(); };
+  m_api.m_get_config_age = [this] { return m_config.GetAge(); };
+  m_api.m_admission_policy = MakeAdmissionPolicy(settings);
   m_store.m_on_return = [this] { m_session.RenewNow(); };
   m_api.m_is_store_reachable = [this] { return IsStoreReachable(); };
   m_api.m_get_outage_age = [this] {
@@ -509,8 +525,8 @@
 }
 
 bool SchedulerProcess::IsReady() const {
-  return !m_is_stopping && m_config && m_routes.IsLoaded() &&
-         IsStoreReachable();
+  return !m_is_stopping && m_routes.IsLoaded() && IsStoreReachable() &&
+         m_api.CanAdmitCalls();
 }
 
 bool SchedulerProcess::IsStoreReachable() const {
@@ -540,7 +556,7 @@
     return;
   }
   if (row.key.key == platform::kConfigKey) {
-    SetConfig(row.value);
+    m_config.OnRow(row);
     return;
   }
   const std::string prefix = platform::kWaveKeyPrefix;
@@ -606,26 +622,12 @@
   return is_found ? found->second.get() : nullptr;
 }
 
-void SchedulerProcess::SetConfig(const std::string& text) {
-  try {
-    scheduling::ServingConfig config = platform::DecodeConfig(text);
-    if (m_config && config.version <= m_config->version) {
-      return;
-    }
-    m_config = std::move(config);
-  } catch (const std::runtime_error& error) {
-    base::Log(base::events::kStoreContentInvalid,
-              {{"row", "config"}, {"fault", error.what()}});
-    return;
-  }
-  base::Log(base::events::kConfigInForce,
-            {{"version", std::to_string(m_config->version)},
-             {"routes", std::to_string(m_config->routes.size())}});
-  m_routes.SetConfig(*m_config);
-  m_ownership.SetPools(m_config->services);
-  m_capacity.SetStandbyPools(m_config->standby_services);
+void SchedulerProcess::ApplyConfig(const scheduling::ServingConfig& config) {
+  m_routes.SetConfig(config);
+  m_ownership.SetPools(config.services);
+  m_capacity.SetStandbyPools(config.standby_services);
   for (const auto& [pool, runner] : m_pools) {
-    runner->SetConfig(*m_config);
+    runner->SetConfig(config);
   }
 }
 
@@ -658,7 +660,7 @@
       };
   runner->m_on_lost = [this, pool] { RemovePool(pool); };
   runner->m_on_load_failed = [this, pool] { GiveUpPool(pool); };
-  runner->SetConfig(*m_config);
+  runner->SetConfig(*m_config.GetConfig());
   runner->m_targets_at_start = m_targets.ListTargets(pool);
   runner->Start();
   if (m_pools.empty()) {
--- a/services/shallotwick-scheduler/scheduler_process.h
+++ b/services/shallotwick-scheduler/scheduler_process.h
@@ -11,6 +11,7 @@
 #include "base/metrics.h"
 #include "base/settings.h"
 #include "capacity_broker.h"
+#include "config_follower.h"
 #include "connection_budget.h"
 #include "host_ledger.h"
 #include "http/connection_pool.h"
@@ -67,7 +68,7 @@
   void RelayToStore(const http::Request& request, const http::Respond& respond);
   void WaitForSignal();
   void OnOperatorRow(const storage::VersionedRow& row);
-  void SetConfig(const std::string& text);
+  void ApplyConfig(const scheduling::ServingConfig& config);
   // Passes the entries of the registry to the pools that this host owns.
   void FollowRegistry();
   void StartPool(const std::string& pool, uint64_t version, int64_t term);
@@ -116,6 +117,7 @@
   CapacityBroker m_capacity;
   TargetRegistry m_targets;
   TableFollower m_operator_table;
+  ConfigFollower m_config;
   TableFollower m_registry;
   RouteRegistry m_routes;
   JobService m_jobs;
@@ -134,7 +136,6 @@
   base::Duration m_max_stop_time;
   base::Duration m_retention;
   base::Duration m_stop_grace;
-  std::optional<scheduling::ServingConfig> m_config;
   // Hosts of a pool that are named in records of orders.
   struct RecordedOrders {
     base::TimePoint listed_at;
