--- a/libraries/base/log_catalogue.h
+++ b/libraries/base/log_catalogue.h
@@ -195,6 +195,9 @@
     541, "call-unauthorized", Severity::kInfo,
     "A call was refused for its key; the reason and the configuration's "
     "version and age are named."};
+inline constexpr LogEvent kCustomerLimited{
+    542, "customer-limited", Severity::kInfo,
+    "Tasks of a customer began or ceased to wait for its limit in a pool."};
 inline constexpr LogEvent kWaveProgress{
     531, "wave-progress", Severity::kInfo,
     "A maintenance wave has begun, gone on or ended."};
@@ -258,6 +261,7 @@
                                     kHostOperationGivenUp,
                                     kConfigPartInvalid,
                                     kCallUnauthorized,
+                                    kCustomerLimited,
                                     kWaveProgress};
 
 }  // namespace shallotwick::base::events
--- /dev/null
+++ b/libraries/scheduling/customer_budget.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "customers/share_planner.h"
+#include "scheduling/resources.h"
+
+namespace shallotwick::scheduling {
+
+// What the customers of a pool's jobs use, and what they may start in addition.
+// Counted anew in each scheduling pass.
+class CustomerBudget {
+ public:
+  // Jobs without a customer.
+  static constexpr int kNobody = 0;
+
+  // Returns the number that stands for a customer in runs and jobs.
+  int GetNumber(const std::string& customer);
+  // Sets what each customer with a limit may use. The others have none.
+  void SetAllowances(
+      const std::map<std::string, customers::Allowance>& allowances);
+  bool HasLimits() const { return m_has_limits; }
+
+  void BeginPass();
+  void AddUse(int customer, const Resources& amount);
+  // Runs of a former owner that may be present beside the known ones.
+  void AddPossibleUse(int customer, const Resources& amount);
+  // Bounds the possible use by what the targets offer that have not answered.
+  void LimitPossibleUse(const Resources& capacity);
+  // Returns whether `count` tasks may start together.
+  bool Allows(int customer, const Resources& demand, int count) const;
+  // Takes note of tasks that could start but for the customer's limit.
+  void AddBlocked(int customer, const Resources& demand, int count);
+  // Ends the pass. `room`: what the targets have left; tasks for which there is
+  // no room are not kept from starting by a limit.
+  void EndPass(const Resources& room);
+
+  // Returns the needs of the customers with a limit, as of the last pass.
+  const std::map<std::string, customers::CustomerNeed>& GetNeeds() const {
+    return m_needs;
+  }
+
+ private:
+  struct Account {
+    std::string customer;
+    bool is_limited = false;
+    customers::Allowance allowance;
+    Resources used;
+    Resources possibly_used;
+    Resources blocked;
+    Resources first_blocked;
+  };
+
+  Account& GetAccount(int customer) {
+    return m_accounts[static_cast<size_t>(customer)];
+  }
+
+  // By number.
+  std::vector<Account> m_accounts{1};
+  std::map<std::string, int> m_numbers;
+  std::map<std::string, customers::Allowance> m_allowances;
+  std::map<std::string, customers::CustomerNeed> m_needs;
+  bool m_has_limits = false;
+};
+
+}  // namespace shallotwick::scheduling
--- /dev/null
+++ b/libraries/scheduling/pool_customers.cc
@@ -0,0 +1,68 @@
+// What the customers of the pool's jobs use of their limits.
+
+#include "scheduling/pool_scheduler.h"
+
+namespace shallotwick::scheduling {
+namespace {
+
+// The capacity of a target that the registry does not list.
+constexpr Resources kUnknownCapacity{int64_t{1} << 50, int64_t{1} << 50,
+                                     int64_t{1} << 50};
+
+}  // namespace
+
+void PoolScheduler::SetCustomerAllowances(
+    const std::map<std::string, customers::Allowance>& allowances) {
+  m_customer_budget.SetAllowances(allowances);
+  m_may_start_more = true;
+}
+
+void PoolScheduler::CountCustomerUse(base::TimePoint now) {
+  m_customer_budget.BeginPass();
+  if (!m_customer_budget.HasLimits()) {
+    return;
+  }
+  for (const auto& [id, target] : m_targets) {
+    for (const auto& [name, run] : target.GetRuns()) {
+      m_customer_budget.AddUse(run.customer, run.demand);
+    }
+  }
+  CountPossibleCustomerUse(now);
+}
+
+// Until a target of the roster has answered or its lease has ended, it may run
+// any task that a former owner may have started.
+void PoolScheduler::CountPossibleCustomerUse(base::TimePoint now) {
+  Resources unknown;
+  for (const auto& [id, target] : m_targets) {
+    if (!target.m_has_answered_owner && target.GetLeaseBound() > now) {
+      const bool is_listed = target.m_entry.capacity != Resources{};
+      unknown =
+          unknown + (is_listed ? target.m_entry.capacity : kUnknownCapacity);
+    }
+  }
+  if (unknown == Resources{}) {
+    return;
+  }
+  for (auto& [id, job] : m_jobs) {
+    const JobSpec& spec = job.GetSpec();
+    if (!job.m_predates_ownership || job.CountUnassigned() == 0) {
+      continue;
+    }
+    for (int k = 0; k < spec.GetOccurrenceCount(); ++k) {
+      for (int i = 0; i < static_cast<int>(spec.steps.size()); ++i) {
+        if (!job.IsStepReady(k, i)) {
+          continue;
+        }
+        const auto waiting = ListWaitingTasks(job, {k, i}).size();
+        for (size_t task = 0; task < waiting; ++task) {
+          m_customer_budget.AddPossibleUse(
+              job.m_customer, spec.steps[static_cast<size_t>(i)].demand);
+        }
+      }
+    }
+  }
+  m_customer_budget.LimitPossibleUse(unknown);
+}
+
+}  // namespace shallotwick::scheduling
--- a/libraries/scheduling/pool_decisions.cc
+++ b/libraries/scheduling/pool_decisions.cc
@@ -242,6 +242,7 @@
 
 void PoolScheduler::StartWaitingTasks(base::TimePoint now, int64_t wall_ms,
                                       PoolOrders& orders) {
+  CountCustomerUse(now);
   m_start_window.OnPass(now);
   if (m_start_window.GetRoom() == 0) {
     m_start_window.OnLimited();
@@ -250,9 +251,19 @@
   UpdatePoolFit();
   std::vector<Candidate> candidates = MakeCandidates(now);
   LiftCordonsOfWholePool(candidates, now);
-  if (candidates.empty() || m_jobs.empty()) {
-    return;
+  if (!candidates.empty() && !m_jobs.empty()) {
+    StartOnCandidates(candidates, now, wall_ms, orders);
+  }
+  Resources room;
+  for (const Candidate& candidate : candidates) {
+    room = room + candidate.room;
   }
+  m_customer_budget.EndPass(room);
+}
+
+void PoolScheduler::StartOnCandidates(std::vector<Candidate>& candidates,
+                                      base::TimePoint now, int64_t wall_ms,
+                                      PoolOrders& orders) {
   PlacementPass pass(candidates);
   const std::vector<ActiveJob*> jobs = RankWaitingJobs(now, wall_ms);
   size_t next = 0;
@@ -393,14 +404,30 @@
     m_start_window.OnLimited();
     return false;
   }
+  if (step.gang &&
+      !m_customer_budget.Allows(job.m_customer, step.demand,
+                                static_cast<int>(waiting.size()))) {
+    m_customer_budget.AddBlocked(job.m_customer, step.demand,
+                                 static_cast<int>(waiting.size()));
+    return true;
+  }
   PlacementRequest request = MakePlacementRequest(job, position);
   const Resources demand = GetReservedResources(step.demand, step.best_effort);
   std::vector<std::pair<int, size_t>> placements;
+  bool is_limited = false;
   for (int i : waiting) {
     if (!step.gang && placements.size() == start_room) {
       m_start_window.OnLimited();
       break;
     }
+    is_limited =
+        !step.gang && !m_customer_budget.Allows(job.m_customer, step.demand, 1);
+    if (is_limited) {
+      m_customer_budget.AddBlocked(
+          job.m_customer, step.demand,
+          static_cast<int>(waiting.size() - placements.size()));
+      break;
+    }
     const ActiveTask& task = tasks[static_cast<size_t>(i)];
     const TaskName name{job.GetSpec().id, occurrence, step_index, i};
     request.avoided = {task.avoided_target};
@@ -424,6 +451,9 @@
       request.preferred_rack = chosen.rack;
     }
     placements.emplace_back(i, *candidate_index);
+    if (!step.gang) {
+      m_customer_budget.AddUse(job.m_customer, step.demand);
+    }
   }
   const bool is_complete = placements.size() == waiting.size();
   if (step.gang && !is_complete) {
@@ -444,8 +474,12 @@
         StartTask(job, TaskName{job.GetSpec().id, occurrence, step_index, i},
                   m_targets.at(candidates[candidate_index].id),
                   std::max(previous_run + 1, m_options.first_run), now));
+    if (step.gang) {
+      m_customer_budget.AddUse(job.m_customer, step.demand);
+    }
   }
-  return is_complete;
+  // A task behind its customer's limit says nothing of the room on targets.
+  return is_complete || is_limited;
 }
 
 // Returns the targets on which an earlier run of the task is still being
@@ -468,6 +502,7 @@
   ActiveTask& task = *job.FindTask(name);
   job.AssignRun(task, target.m_entry.id, run);
   Run entry = MakeRun(run, &step, now);
+  entry.customer = job.m_customer;
   entry.fence = target.m_fence;
   entry.checkpoint = task.progress.checkpoint;
   entry.is_resumed = !task.progress.checkpoint.empty();
--- a/libraries/scheduling/pool_reports.cc
+++ b/libraries/scheduling/pool_reports.cc
@@ -440,6 +440,7 @@
           : &job->GetSpec().steps[static_cast<size_t>(reported.task.step)];
   target.ExtendLeaseBound(GetLeaseBound(m_options.max_lease, now));
   Run run = MakeRun(reported.run, step, now);
+  run.customer = job == nullptr ? CustomerBudget::kNobody : job->m_customer;
   run.state = RunState::kPresent;
   run.checkpoint = reported.checkpoint;
   run.is_resumed = true;
--- a/libraries/scheduling/pool_scheduler.cc
+++ b/libraries/scheduling/pool_scheduler.cc
@@ -18,7 +18,10 @@
   if (IsTerminal(progress.state) || HasJob(id)) {
     return;
   }
-  m_jobs.emplace(id, ActiveJob(std::move(spec), progress, predates_ownership));
+  const int customer = m_customer_budget.GetNumber(spec.customer);
+  ActiveJob job(std::move(spec), progress, predates_ownership);
+  job.m_customer = customer;
+  m_jobs.emplace(id, std::move(job));
 }
 
 void PoolScheduler::CancelJob(const std::string& id) {
--- a/libraries/scheduling/pool_scheduler.h
+++ b/libraries/scheduling/pool_scheduler.h
@@ -13,10 +13,12 @@
 #include "hosts/capacity_demand.h"
 #include "scheduling/active_job.h"
 #include "scheduling/change_queue.h"
+#include "scheduling/customer_budget.h"
 #include "scheduling/ended_targets.h"
 #include "scheduling/failure_evidence.h"
 #include "scheduling/placement.h"
 #include "scheduling/placement_pass.h"
+#include "scheduling/pool_scheduler_types.h"
 #include "scheduling/start_window.h"
 #include "scheduling/step_fit.h"
 #include "scheduling/target_ledger.h"
@@ -25,55 +27,6 @@
 
 namespace shallotwick::scheduling {
 
-struct PoolSchedulerOptions {
-  // The fencing tokens of this ownership, which are higher than those of all
-  // previous ones. Targets refuse orders with a lower token than the highest
-  // that they have seen. The token of a target is raised to shut out earlier
-  // orders that may still be executed.
-  uint64_t first_fence = 0;
-  uint64_t last_fence = 0;
-  // The first run number of this ownership, which is higher than those of all
-  // previous ones.
-  int64_t first_run = 1;
-  // The duration of the lease that each start or report order grants to a
-  // target.
-  base::Duration lease = std::chrono::seconds(5);
-  // The maximum duration of a lease, which a target also applies to a lease
-  // that was granted for another incarnation's clock.
-  base::Duration max_lease = std::chrono::seconds(10);
-  // The maximum time that a target takes to end a run after a stop or after its
-  // lease has expired.
-  base::Duration max_stop_time = std::chrono::milliseconds(1'000);
-};
-
-struct PoolOrders {
-  std::vector<StartOrder> starts;
-  std::vector<StopOrder> stops;
-  std::vector<PaceOrder> paces;
-};
-
-// The progress of a job that is to be stored.
-struct ProgressChange {
-  std::string job;
-  JobProgress progress;
-
-  auto operator<=>(const ProgressChange&) const = default;
-};
-
-// A scheduling decision for the log: what was decided, for which task, and why.
-struct SchedulingDecision {
-  std::string what;
-  TaskName task;
-  int64_t run = 0;
-  std::string target;
-  // When the incarnation of the target started that the owner believes to be
-  // up, in milliseconds since the Unix epoch; 0 if not known.
-  int64_t incarnation_started_ms = 0;
-  // The owner's view of the run before the decision; empty if it had none.
-  std::string state;
-  std::string reason;
-};
-
 // Schedules the jobs of one pool on its targets. It has no clock, sockets or
 // threads of its own: callers pass in events and the current time, and receive
 // the orders to send and the records to store.
@@ -152,6 +105,15 @@
     m_is_ownership_confirmed = confirmed;
   }
   PoolOrders Decide(base::TimePoint now, int64_t wall_ms);
+
+  // Sets what each customer with a limit may use in this pool.
+  void SetCustomerAllowances(
+      const std::map<std::string, customers::Allowance>& allowances);
+  const CustomerBudget& GetCustomerBudget() const { return m_customer_budget; }
+  // Returns whether all runs are known that a previous owner may have left.
+  bool AreFormerRunsKnown(base::TimePoint now) const {
+    return FindTargetPendingToken(now) == nullptr;
+  }
   void OnStartResult(const StartOrder& order, const OrderResult& result,
                      base::TimePoint now);
   void OnStopResult(const StopOrder& order, const OrderResult& result,
@@ -320,6 +282,13 @@
   std::vector<ActiveJob*> RankWaitingJobs(base::TimePoint now, int64_t wall_ms);
   void StartWaitingTasks(base::TimePoint now, int64_t wall_ms,
                          PoolOrders& orders);
+  // Starts the waiting tasks that the candidates have room for.
+  void StartOnCandidates(std::vector<Candidate>& candidates,
+                         base::TimePoint now, int64_t wall_ms,
+                         PoolOrders& orders);
+  // Counts what the runs of each customer with a limit use.
+  void CountCustomerUse(base::TimePoint now);
+  void CountPossibleCustomerUse(base::TimePoint now);
   // Returns the indexes of the tasks that are neither done nor assigned.
   static std::vector<int> ListWaitingTasks(ActiveJob& job,
                                            StepPosition position);
@@ -388,6 +357,7 @@
   // jobs.
   size_t m_next_rank = 0;
   RunTimeModel m_run_times;
+  CustomerBudget m_customer_budget;
   base::TimePoint m_last_stall_check;
   // An event has occurred that may allow a task to start.
   bool m_may_start_more = true;
--- a/libraries/scheduling/pool_waits.cc
+++ b/libraries/scheduling/pool_waits.cc
@@ -160,6 +160,9 @@
   }
   const StepPosition position{name.occurrence, name.step};
   PlacementRequest request = MakePlacementRequest(job, position);
+  if (!m_customer_budget.Allows(job.m_customer, request.step->demand, 1)) {
+    return {name, "", "its customer's limit is in use"};
+  }
   if (!PlaceTask(request, candidates)) {
     return ExplainNoRoom(name, request, candidates, now);
   }
--- a/libraries/scheduling/target_ledger.h
+++ b/libraries/scheduling/target_ledger.h
@@ -39,6 +39,8 @@
   // at all.
   bool is_listed = false;
   Resources demand;
+  // The number of the customer in the CustomerBudget.
+  int customer = 0;
   // False for an adopted run whose job is unknown.
   bool is_demand_known = true;
   bool best_effort = false;
--- a/services/shallotwick-scheduler/job_tables.cc
+++ b/services/shallotwick-scheduler/job_tables.cc
@@ -11,6 +11,9 @@
 
 // Two tables per bucket stay well below the store's limit of 100 tables.
 constexpr uint64_t kBucketCount = 32;
+// Owners of many pools change divisions at the same time, and a partition takes
+// some hundred transactions a second.
+constexpr uint64_t kLimitPartitions = 8;
 // Sorts before all digits.
 constexpr char kPartSeparator = '/';
 
@@ -64,6 +67,12 @@
   return {kQueueTable, service, kPoolKey};
 }
 
+storage::RowKey MakeLimitKey(const std::string& customer) {
+  return {kLimitTable,
+          std::to_string(base::StableHash(customer) % kLimitPartitions),
+          customer};
+}
+
 storage::RowKey MakeSessionKey(const std::string& host) {
   return {kSessionTable, kSinglePartition, host};
 }
--- a/services/shallotwick-scheduler/job_tables.h
+++ b/services/shallotwick-scheduler/job_tables.h
@@ -21,6 +21,8 @@
 inline constexpr char kRouteTable[] = "routes";
 // Host locks, progress of maintenance waves, and capacity demands.
 inline constexpr char kHostsTable[] = "hosts";
+// The division of customers' limits among pools.
+inline constexpr char kLimitTable[] = "limits";
 inline constexpr char kSinglePartition[] = "";
 // The only key in a pool's partition of the owner, roster and queue tables.
 inline constexpr char kPoolKey[] = "pool";
@@ -44,6 +46,7 @@
 // A roster takes several rows if it does not fit into one.
 storage::RowKey MakeRosterKey(const std::string& service, size_t row = 0);
 storage::RowKey MakeQueueKey(const std::string& service);
+storage::RowKey MakeLimitKey(const std::string& customer);
 storage::RowKey MakeSessionKey(const std::string& host);
 
 // Decodes the summary of a progress row. Returns std::nullopt and logs the
--- a/services/shallotwick-scheduler/pool_records.cc
+++ b/services/shallotwick-scheduler/pool_records.cc
@@ -11,6 +11,7 @@
 #include "job_tables.h"
 #include "pool_runner.h"
 #include "queue_report.h"
+#include "roster_rows.h"
 
 namespace shallotwick::scheduler {
 namespace {
@@ -40,26 +41,6 @@
 // A job whose progress the store has rejected is tried again after this time.
 constexpr auto kRejectedRetryDelay = std::chrono::seconds(5);
 
-// Returns the values of the roster's rows, at least one.
-std::vector<std::string> EncodeRoster(
-    const std::map<std::string, std::string>& roster) {
-  std::vector<std::string> rows;
-  nlohmann::json row = nlohmann::json::object();
-  size_t bytes = 0;
-  for (const auto& [id, address] : roster) {
-    const size_t added = nlohmann::json{id, address}.dump().size();
-    if (bytes + added > storage::kMaxRowBytes - 2) {
-      rows.push_back(row.dump());
-      row = nlohmann::json::object();
-      bytes = 0;
-    }
-    row[id] = address;
-    bytes += added;
-  }
-  rows.push_back(row.dump());
-  return rows;
-}
-
 scheduling::JobProgress WithoutCheckpoints(scheduling::JobProgress progress) {
   for (auto& steps : progress.tasks) {
     for (auto& step : steps) {
--- a/services/shallotwick-scheduler/pool_runner.cc
+++ b/services/shallotwick-scheduler/pool_runner.cc
@@ -1,14 +1,13 @@
 #include "pool_runner.h"
 
 #include <algorithm>
-#include <nlohmann/json.hpp>
 #include <stdexcept>
 #include <utility>
 
 #include "base/log.h"
 #include "base/log_catalogue.h"
 #include "job_tables.h"
-#include "platform/wire_reader.h"
+#include "roster_rows.h"
 #include "scheduling/job_record.h"
 
 namespace shallotwick::scheduler {
@@ -30,7 +29,6 @@
 constexpr auto kOverloadTime = std::chrono::milliseconds(3'000);
 // An owner that could not hand its pool over tries again after this time.
 constexpr auto kHandoverRetryTime = std::chrono::seconds(15);
-constexpr size_t kMaxAddressBytes = 200;
 // Run numbers reserved per term; the next term starts above them.
 constexpr int64_t kRunsPerTerm = 1'000;
 // Fencing tokens per ownership. With versions of up to 2^39, tokens can be
@@ -78,36 +76,6 @@
   return "unknown";
 }
 
-// Returns the addresses of the targets by id; empty for an address that no
-// order can be sent to. Such a target may still have runs.
-std::map<std::string, std::string> DecodeRoster(
-    const storage::VersionedRow& row) {
-  std::map<std::string, std::string> roster;
-  try {
-    const auto object = platform::ParseWire(row.value);
-    if (!object.is_object()) {
-      throw std::runtime_error("roster is not a JSON object");
-    }
-    for (const auto& [id, address] : object.items()) {
-      std::string& decoded = roster[id];
-      try {
-        platform::CheckName(id, "id");
-        decoded = platform::ReadText(address, "address", kMaxAddressBytes);
-        if (!decoded.empty()) {
-          platform::CheckTargetAddress(decoded, "address");
-        }
-      } catch (const std::runtime_error&) {
-        decoded.clear();
-      }
-    }
-  } catch (const std::runtime_error& error) {
-    base::Log(base::events::kStoreContentInvalid, {{"pool", row.key.part},
-                                                   {"row", row.key.table},
-                                                   {"fault", error.what()}});
-  }
-  return roster;
-}
-
 // Throws std::runtime_error unless the row is that of a job that could have
 // been submitted.
 scheduling::JobSpec DecodeJob(const storage::VersionedRow& row) {
@@ -139,6 +107,7 @@
       m_progress_reader(loop, store),
       m_took_over_at(base::RuntimeClock::now()),
       m_load(metrics, options.service, m_took_over_at),
+      m_limits(store, metrics, options.service, options.owner_version),
       m_progress_parts(options.service) {
   m_scheduler.m_on_decision =
       [this](const scheduling::SchedulingDecision& note) { LogDecision(note); };
@@ -149,6 +118,10 @@
       [this](const scheduling::WrongTargetEnd& wrong) {
         LogWrongTargetEnd(wrong);
       };
+  m_limits.m_on_change = [this] {
+    m_scheduler.SetCustomerAllowances(m_limits.GetAllowances());
+    Wake();
+  };
   m_jobs.m_on_reset = [this](const std::vector<storage::VersionedRow>& rows) {
     OnJobsReset(rows);
   };
@@ -193,6 +166,7 @@
 
 void PoolRunner::SetConfig(const scheduling::ServingConfig& config) {
   m_scheduler.SetRoutes(config.GetPolicies());
+  m_limits.SetCustomers(config.customers);
   Wake();
 }
 
@@ -510,6 +484,8 @@
     m_scheduler.SetLeaseLimit(UpdateLeaseLimit());
     m_scheduler.SetOwnershipConfirmed(IsOwnershipConfirmed());
     SendOrders(m_scheduler.Decide(now, m_get_unix_ms()));
+    m_limits.Update(m_scheduler.GetCustomerBudget().GetNeeds(),
+                    m_scheduler.AreFormerRunsKnown(now), now);
     if (CanGrantLeases()) {
       SendReports(now);
     }
--- a/services/shallotwick-scheduler/pool_runner.h
+++ b/services/shallotwick-scheduler/pool_runner.h
@@ -13,6 +13,7 @@
 #include "base/metrics.h"
 #include "host_listing.h"
 #include "hosts/arrival_forecast.h"
+#include "limit_keeper.h"
 #include "load_monitor.h"
 #include "progress_parts.h"
 #include "scheduling/pool_scheduler.h"
@@ -186,6 +187,7 @@
   storage::PartitionReader m_progress_reader;
   base::TimePoint m_took_over_at;
   LoadMonitor m_load;
+  LimitKeeper m_limits;
   // Versions of the progress rows of active jobs.
   std::map<std::string, uint64_t> m_progress_versions;
   ProgressParts m_progress_parts;
