--- a/libraries/customers/share_planner.cc
+++ b/libraries/customers/share_planner.cc
@@ -13,8 +13,10 @@
 // The part of what is needed that a pool keeps in addition, so that it need not
 // ask for each task.
 constexpr int64_t kHeadroomParts = 4;
-// Shares are returned in parts of the limit that are worth a transaction.
-constexpr int64_t kLeastReturnParts = 64;
+// A surplus is worth a transaction if it exceeds this part of what is needed
+// and this part of the limit.
+constexpr int64_t kSurplusParts = 2;
+constexpr int64_t kLeastReturnParts = 32;
 // Runs often end shortly before others start.
 constexpr auto kMaxSurplusTime = std::chrono::milliseconds(200);
 // Less than a transaction is worth is returned too, but later.
@@ -25,6 +27,9 @@
 constexpr auto kMaxReadDelay = std::chrono::milliseconds(400);
 // Two entries a change, and one for the owner's row.
 constexpr size_t kMaxChanges = 45;
+// One changed division fails the whole transaction. While other owners change
+// the same ones, smaller transactions get through.
+constexpr size_t kMinChanges = 4;
 
 constexpr int64_t Resources::*kComponents[] = {
     &Resources::cpu_milli, &Resources::memory_mb, &Resources::accelerators};
@@ -189,8 +194,9 @@
   entry.surplus_since = since;
   bool is_large = false;
   for (const auto component : kComponents) {
-    is_large = is_large || (own - kept).*component >
-                               entry.limit.*component / kLeastReturnParts;
+    is_large = is_large || (own - needed).*component >
+                               needed.*component / kSurplusParts +
+                                   entry.limit.*component / kLeastReturnParts;
   }
   const auto time = is_large ? kMaxSurplusTime : kMaxSmallSurplusTime;
   return now >= since + time ? kept : own;
@@ -212,7 +218,7 @@
     const bool is_short =
         !KeepLimited(need.used + need.blocked, entry.limit).Fits(share);
     entry.is_short = is_short;
-    if (!is_changed || m_in_flight.size() == kMaxChanges) {
+    if (!is_changed || m_in_flight.size() == m_max_changes) {
       continue;
     }
     entry.reduced_share = TakeLeast(share, GetOwnShare(entry));
@@ -238,6 +244,7 @@
 }
 
 void SharePlanner::OnCommitted(uint64_t version) {
+  m_max_changes = std::min(2 * m_max_changes, kMaxChanges);
   for (const ShareChange& change : std::exchange(m_in_flight, {})) {
     const auto entry = m_limited.find(change.customer);
     if (entry != m_limited.end()) {
@@ -248,6 +255,7 @@
 
 void SharePlanner::OnConflict(const std::vector<StoredShares>& current) {
   const std::vector<ShareChange> changes = std::exchange(m_in_flight, {});
+  m_max_changes = std::max(m_max_changes / 2, kMinChanges);
   for (const ShareChange& change : changes) {
     const auto entry = m_limited.find(change.customer);
     if (entry == m_limited.end()) {
--- a/libraries/customers/share_planner.h
+++ b/libraries/customers/share_planner.h
@@ -123,6 +123,8 @@
   std::string m_pool;
   std::map<std::string, Entry> m_limited;
   std::vector<ShareChange> m_in_flight;
+  // How many changes the next transaction may have.
+  size_t m_max_changes = 4;
   base::TimePoint m_not_before;
 };
 
--- a/libraries/scheduling/active_job.h
+++ b/libraries/scheduling/active_job.h
@@ -75,6 +75,8 @@
   bool m_predates_ownership = false;
   // The number of the customer in the CustomerBudget.
   int m_customer = 0;
+  // Beyond what the customer is owed.
+  bool m_is_excess = false;
   // Whether the log says that a step fits on no target of the pool.
   bool m_is_misfit_logged = false;
   // No task of this job starts before this time. Set as a backoff after a
--- a/libraries/scheduling/pool_customers.cc
+++ b/libraries/scheduling/pool_customers.cc
@@ -1,5 +1,8 @@
 // What the customers of the pool's jobs use of their limits.
 
+#include <algorithm>
+#include <utility>
+
 #include "scheduling/pool_scheduler.h"
 
 namespace shallotwick::scheduling {
@@ -17,6 +20,25 @@
   m_may_start_more = true;
 }
 
+// A load of the pool adds jobs by their names.
+void PoolScheduler::CountArrivals() {
+  std::vector<ActiveJob*> jobs;
+  for (const std::string& id : std::exchange(m_uncounted_jobs, {})) {
+    ActiveJob* job = FindJob(id);
+    if (job != nullptr) {
+      jobs.push_back(job);
+    }
+  }
+  std::sort(jobs.begin(), jobs.end(),
+            [](const ActiveJob* left, const ActiveJob* right) {
+              return left->GetSpec().accepted_ms < right->GetSpec().accepted_ms;
+            });
+  for (ActiveJob* job : jobs) {
+    job->m_is_excess = m_arrival_rates.IsExcess(job->GetSpec().customer,
+                                                job->GetSpec().accepted_ms);
+  }
+}
+
 void PoolScheduler::CountCustomerUse(base::TimePoint now) {
   m_customer_budget.BeginPass();
   if (!m_customer_budget.HasLimits()) {
--- a/libraries/scheduling/pool_decisions.cc
+++ b/libraries/scheduling/pool_decisions.cc
@@ -183,6 +183,7 @@
   }
   input.long_running = job.HasLongRunningStep();
   input.is_failing = m_failures.IsFailing(job.GetSpec().id);
+  input.is_excess = job.m_is_excess;
   input.due_since_ms = job.GetDueMs(job.GetFirstUnfinishedOccurrence());
   input.full_chain_ms = PredictChainMs(correction, job.GetFullChain());
   input.remaining_chain_ms =
@@ -242,6 +243,7 @@
 
 void PoolScheduler::StartWaitingTasks(base::TimePoint now, int64_t wall_ms,
                                       PoolOrders& orders) {
+  CountArrivals();
   CountCustomerUse(now);
   m_start_window.OnPass(now);
   if (m_start_window.GetRoom() == 0) {
--- a/libraries/scheduling/pool_scheduler.cc
+++ b/libraries/scheduling/pool_scheduler.cc
@@ -21,6 +21,9 @@
   const int customer = m_customer_budget.GetNumber(spec.customer);
   ActiveJob job(std::move(spec), progress, predates_ownership);
   job.m_customer = customer;
+  if (customer != CustomerBudget::kNobody) {
+    m_uncounted_jobs.push_back(id);
+  }
   m_jobs.emplace(id, std::move(job));
 }
 
--- a/libraries/scheduling/pool_scheduler.h
+++ b/libraries/scheduling/pool_scheduler.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "base/runtime_clock.h"
+#include "customers/arrival_rates.h"
 #include "hosts/capacity_demand.h"
 #include "scheduling/active_job.h"
 #include "scheduling/change_queue.h"
@@ -106,6 +107,11 @@
   }
   PoolOrders Decide(base::TimePoint now, int64_t wall_ms);
 
+  // Sets the rates of the customers. Jobs that were added before keep what they
+  // were counted as.
+  void SetCustomers(const customers::CustomerRegistry& customers) {
+    m_arrival_rates.SetCustomers(customers);
+  }
   // Sets what each customer with a limit may use in this pool.
   void SetCustomerAllowances(
       const std::map<std::string, customers::Allowance>& allowances);
@@ -289,6 +295,8 @@
   // Counts what the runs of each customer with a limit use.
   void CountCustomerUse(base::TimePoint now);
   void CountPossibleCustomerUse(base::TimePoint now);
+  // Tells which of the added jobs are beyond their customers' rates.
+  void CountArrivals();
   // Returns the indexes of the tasks that are neither done nor assigned.
   static std::vector<int> ListWaitingTasks(ActiveJob& job,
                                            StepPosition position);
@@ -358,6 +366,9 @@
   size_t m_next_rank = 0;
   RunTimeModel m_run_times;
   CustomerBudget m_customer_budget;
+  customers::ArrivalRates m_arrival_rates;
+  // Jobs that CountArrivals has not seen.
+  std::vector<std::string> m_uncounted_jobs;
   base::TimePoint m_last_stall_check;
   // An event has occurred that may allow a task to start.
   bool m_may_start_more = true;
--- a/libraries/scheduling/queue_order.cc
+++ b/libraries/scheduling/queue_order.cc
@@ -11,7 +11,8 @@
 constexpr int kTierOnSchedule = 1;
 constexpr int kTierAtRisk = 2;
 constexpr int kTierOverdue = 3;
-constexpr int kTierPastRecovery = 4;
+constexpr int kTierExcess = 4;
+constexpr int kTierPastRecovery = 5;
 
 // The time that a job takes in addition to its run times: orders, reports and
 // writes to the store.
@@ -27,6 +28,7 @@
   QueueRank rank;
   rank.priority = input.policy.priority;
   rank.is_failing = input.is_failing;
+  rank.is_excess = input.is_excess;
   const int64_t objective_ms =
       static_cast<int64_t>(input.policy.stretch *
                            static_cast<double>(input.full_chain_ms)) +
@@ -49,6 +51,13 @@
   } else {
     rank.tier = kTierPastRecovery;
   }
+  // Where there is room for all, the order does not matter.
+  const bool waits_for_others = input.is_excess &&
+                                rank.tier != kTierLongRunning &&
+                                rank.tier != kTierPastRecovery;
+  if (waits_for_others) {
+    rank.tier = kTierExcess;
+  }
   return rank;
 }
 
--- a/libraries/scheduling/queue_order.h
+++ b/libraries/scheduling/queue_order.h
@@ -26,6 +26,8 @@
   bool long_running = false;
   // The job's runs fail by its own fault.
   bool is_failing = false;
+  // Beyond what the job's customer is owed.
+  bool is_excess = false;
   int64_t due_since_ms = 0;
   int64_t full_chain_ms = 0;
   int64_t remaining_chain_ms = 0;
@@ -35,15 +37,17 @@
 struct QueueRank {
   // In ascending order: long-running jobs; jobs that can meet their objective
   // with a margin; jobs that can meet it without the margin; overdue jobs that
-  // can still end within the maximum time that counts; jobs that cannot.
+  // can still end within the maximum time that counts; jobs beyond their
+  // customers' rates that can; jobs that cannot.
   int tier = 0;
   int priority = 0;
   // Behind sound work of the same tier and priority.
   bool is_failing = false;
   int64_t slack_ms = 0;
+  bool is_excess = false;
 
-  // Returns whether the job can still end within its objective.
-  bool IsOnSchedule() const { return slack_ms >= 0; }
+  // Returns whether the job is owed and can still end within its objective.
+  bool IsOnSchedule() const { return slack_ms >= 0 && !is_excess; }
 
   auto operator<=>(const QueueRank&) const = default;
 };
--- a/services/shallotwick-scheduler/limit_keeper.cc
+++ b/services/shallotwick-scheduler/limit_keeper.cc
@@ -103,6 +103,8 @@
         }
       }
       m_planner.OnConflict(current);
+      // The divisions that are known now may change again soon.
+      m_updated_at = {};
       break;
     }
     case storage::RowCommitStatus::kRefused:
--- a/services/shallotwick-scheduler/pool_runner.cc
+++ b/services/shallotwick-scheduler/pool_runner.cc
@@ -166,6 +166,7 @@
 
 void PoolRunner::SetConfig(const scheduling::ServingConfig& config) {
   m_scheduler.SetRoutes(config.GetPolicies());
+  m_scheduler.SetCustomers(config.customers);
   m_limits.SetCustomers(config.customers);
   Wake();
 }
