--- a/tests/soak/caller.h
+++ b/tests/soak/caller.h
@@ -35,6 +35,8 @@
 struct CalledJob {
   using Time = std::chrono::steady_clock::time_point;
   std::string id;
+  // The number of its caller.
+  int caller = 0;
   // The tasks of each step, in order.
   std::vector<int> counts;
   bool is_accepted = false;
@@ -60,6 +62,11 @@
   Caller(const AddressBook& addresses, uint32_t seed, int number,
          size_t spec_bytes);
 
+  // Returns the caller's key; without this, calls carry none.
+  std::function<std::string()> m_get_key;
+  // Returns a key that must admit no call; without this, none is tried.
+  std::function<std::string()> m_draw_forbidden_key;
+
   // One round: a new job at times, a question or a cancellation, and a question
   // about one of the newest jobs.
   void Act();
@@ -67,6 +74,10 @@
   // were accepted are.
   bool AskForOpenJobs();
   std::vector<CalledJob>& GetJobs() { return m_jobs; }
+  // Returns which calls with forbidden keys were answered.
+  const std::vector<std::string>& GetAdmittedCalls() const {
+    return m_admitted_calls;
+  }
   int CountSilentCalls() const { return m_silent_calls; }
 
   KeepAliveConnection::Result Call(
@@ -78,6 +89,15 @@
   // Longer than a process is stopped for.
   static constexpr std::chrono::milliseconds kAnswerLimit{25'000};
 
+  KeepAliveConnection::Result CallWithHeaders(size_t host,
+                                              const std::string& method,
+                                              const std::string& path,
+                                              const std::string& body,
+                                              std::chrono::milliseconds limit,
+                                              const http::Headers& headers);
+
+  // Asks for the number of waiting jobs with a forbidden key.
+  void TryForbiddenKey();
   void HandIn();
   // Hands the job in and leaves soon; without an answer, cancels it at another
   // process. Returns whether that was tried.
@@ -97,6 +117,7 @@
   int m_number;
   size_t m_spec_bytes;
   int m_silent_calls = 0;
+  std::vector<std::string> m_admitted_calls;
   std::vector<CalledJob> m_jobs;
   std::map<size_t, std::unique_ptr<KeepAliveConnection>> m_connections;
 };
--- a/tests/soak/fault_play.h
+++ b/tests/soak/fault_play.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "caller.h"
+#include "customer_keys.h"
 #include "harness/process.h"
 #include "harness/relay.h"
 #include "pause_log.h"
@@ -30,6 +31,8 @@
   // One to three hosts on narrow links to the store, and large jobs; some with
   // many that wait.
   bool is_small = false;
+  // The configuration names customers; keys and limits change.
+  bool has_customers = false;
   // See ClusterStandin::OrderFaults.
   bool late_orders_precede_reports = false;
 };
@@ -81,6 +84,8 @@
   void WatchHosts();
   void NoteOwnerships(size_t host);
   void PlanFaults();
+  // Replaces a customer's key or changes a limit. `is_over`: lifts the limit.
+  void ChangeCustomers(bool is_over);
   void PlanSeries(Milliseconds from, Milliseconds until);
   void PlanFault(Milliseconds at);
   void PlanSignal(Milliseconds at, size_t host, int signal);
@@ -105,6 +110,7 @@
   Milliseconds EstimateRemainingWork() const;
   void Summarize(const std::vector<CalledJob>& jobs);
   void CheckAnswers();
+  void CheckCustomers(const std::vector<CalledJob>& jobs);
   // Nothing of an accepted job runs although there is room.
   void CheckStalls(const std::vector<CalledJob>& jobs);
   // The time after a fault in which nothing may run.
@@ -137,6 +143,8 @@
   PauseLog m_pauses;
   std::unique_ptr<AddressBook> m_addresses;
   std::vector<std::unique_ptr<Caller>> m_callers;
+  // Without customers, null.
+  std::unique_ptr<CustomerKeys> m_customers;
   std::multimap<Milliseconds, std::function<void()>> m_plan;
   // Overlapping faults of one kind end with the last of them.
   int m_store_outages = 0;
--- a/tests/standin-cluster/cluster_standin.h
+++ b/tests/standin-cluster/cluster_standin.h
@@ -18,6 +18,9 @@
 
 namespace shallotwick::standin {
 
+// The configuration at the start: one queue, no customers.
+extern const char kConfig[];
+
 // The users' platform in one process of a test: its store, its list of machines
 // and executors in several zones, spoken to by its published calls.
 class ClusterStandin {
