--- a/libraries/base/log_catalogue.h
+++ b/libraries/base/log_catalogue.h
@@ -198,6 +198,10 @@
 inline constexpr LogEvent kCustomerLimited{
     542, "customer-limited", Severity::kInfo,
     "Tasks of a customer began or ceased to wait for its limit in a pool."};
+inline constexpr LogEvent kCustomerUse{
+    543, "customer-use", Severity::kInfo,
+    "What one of the customers that use the most of a pool uses, beside its "
+    "share by weight."};
 inline constexpr LogEvent kWaveProgress{
     531, "wave-progress", Severity::kInfo,
     "A maintenance wave has begun, gone on or ended."};
@@ -262,6 +266,7 @@
                                     kConfigPartInvalid,
                                     kCallUnauthorized,
                                     kCustomerLimited,
+                                    kCustomerUse,
                                     kWaveProgress};
 
 }  // namespace shallotwick::base::events
--- a/libraries/scheduling/customer_budget.cc
+++ b/libraries/scheduling/customer_budget.cc
@@ -87,7 +87,7 @@
     account.possibly_used = {};
     account.blocked = {};
     account.first_blocked = {};
-    account.is_active = false;
+    account.jobs = 0;
     account.share = 0;
   }
 }
@@ -113,11 +113,11 @@
   m_capacity = capacity;
   double weights = 0;
   for (const Account& account : m_accounts) {
-    weights += account.is_active ? account.weight : 0;
+    weights += account.jobs > 0 ? account.weight : 0;
   }
   for (Account& account : m_accounts) {
     account.share =
-        account.is_active && weights > 0 ? account.weight / weights : 0;
+        account.jobs > 0 && weights > 0 ? account.weight / weights : 0;
   }
 }
 
@@ -156,4 +156,21 @@
   }
 }
 
+std::vector<CustomerUse> CustomerBudget::ListLargest(size_t count) const {
+  std::vector<CustomerUse> uses;
+  for (const Account& account : m_accounts) {
+    if (!account.customer.empty() && account.jobs > 0) {
+      uses.push_back({account.customer, account.jobs, account.used,
+                      GetDominantShare(account.used, m_capacity),
+                      account.share});
+    }
+  }
+  std::sort(uses.begin(), uses.end(),
+            [](const CustomerUse& left, const CustomerUse& right) {
+              return left.used_share > right.used_share;
+            });
+  uses.resize(std::min(uses.size(), count));
+  return uses;
+}
+
 }  // namespace shallotwick::scheduling
--- a/libraries/scheduling/customer_budget.h
+++ b/libraries/scheduling/customer_budget.h
@@ -10,6 +10,19 @@
 
 namespace shallotwick::scheduling {
 
+// What a customer uses of a pool, for operators.
+struct CustomerUse {
+  std::string customer;
+  int jobs = 0;
+  Resources used;
+  // Of the pool: what is used of the resource that is used most, and the share
+  // by weight.
+  double used_share = 0;
+  double fair_share = 0;
+
+  auto operator<=>(const CustomerUse&) const = default;
+};
+
 // What the customers of a pool's jobs use, and what they may start in addition.
 // Counted anew in each scheduling pass.
 class CustomerBudget {
@@ -35,7 +48,7 @@
   void LimitPossibleUse(const Resources& capacity);
   // Returns whether `count` tasks may start together.
   // Takes note that the customer has a job in the pool.
-  void AddJob(int customer) { GetAccount(customer).is_active = true; }
+  void AddJob(int customer) { ++GetAccount(customer).jobs; }
   // Divides the pool by the weights of the customers that have jobs.
   void DividePool(const Resources& capacity);
   // Returns whether the customer uses so much more than its share that others
@@ -48,6 +61,8 @@
   // no room are not kept from starting by a limit.
   void EndPass(const Resources& room);
 
+  // Returns the customers that use the most, as of the last pass.
+  std::vector<CustomerUse> ListLargest(size_t count) const;
   // Returns the needs of the customers with a limit, as of the last pass.
   const std::map<std::string, customers::CustomerNeed>& GetNeeds() const {
     return m_needs;
@@ -58,7 +73,7 @@
     std::string customer;
     bool is_limited = false;
     double weight = 0;
-    bool is_active = false;
+    int jobs = 0;
     // Of the pool; 0 without a weight.
     double share = 0;
     customers::Allowance allowance;
--- a/libraries/scheduling/tests/customer_limit_test.cc
+++ b/libraries/scheduling/tests/customer_limit_test.cc
@@ -179,6 +179,24 @@
   CHECK_FALSE(pool.AreFormerRunsKnown(m_now));
 }
 
+TEST(CustomerLimit, TheLargestCustomersAreListedBesideTheirShares) {
+  base::Findings findings;
+  m_pool.SetCustomers(
+      {{{"a", {}, 30, {}}, {"b", {}, 10, {}}, {"idle", {}, 60, {}}}, findings});
+  AddJob(MakeJob("j1", "a", 2));
+  AddJob(MakeJob("j2", "b", 4));
+  Pass();
+  Pass();
+  Pass();
+  const auto largest = m_pool.GetCustomerBudget().ListLargest(1);
+  LONGS_EQUAL(1, largest.size());
+  STRCMP_EQUAL("b", largest[0].customer.c_str());
+  LONGS_EQUAL(4'000, largest[0].used.cpu_milli);
+  DOUBLES_EQUAL(0.25, largest[0].used_share, 0.001);
+  DOUBLES_EQUAL(0.25, largest[0].fair_share, 0.001);
+  LONGS_EQUAL(2, m_pool.GetCustomerBudget().ListLargest(5).size());
+}
+
 TEST(CustomerLimit, TheCustomerIsKeptInTheJobsRecord) {
   const scheduling::JobSpec job = MakeJob("j1", "a", 1);
   CHECK_TRUE(scheduling::DecodeJobRecord(scheduling::EncodeJobRecord(job)) ==
--- a/services/shallotwick-scheduler/pool_runner.cc
+++ b/services/shallotwick-scheduler/pool_runner.cc
@@ -108,6 +108,7 @@
       m_took_over_at(base::RuntimeClock::now()),
       m_load(metrics, options.service, m_took_over_at),
       m_limits(store, metrics, options.service, options.owner_version),
+      m_customer_report(options.service),
       m_progress_parts(options.service) {
   m_scheduler.m_on_decision =
       [this](const scheduling::SchedulingDecision& note) { LogDecision(note); };
@@ -487,6 +488,7 @@
     SendOrders(m_scheduler.Decide(now, m_get_unix_ms()));
     m_limits.Update(m_scheduler.GetCustomerBudget().GetNeeds(),
                     m_scheduler.AreFormerRunsKnown(now), now);
+    m_customer_report.Update(m_scheduler.GetCustomerBudget(), now);
     if (CanGrantLeases()) {
       SendReports(now);
     }
--- a/services/shallotwick-scheduler/pool_runner.h
+++ b/services/shallotwick-scheduler/pool_runner.h
@@ -11,6 +11,7 @@
 
 #include "base/event_loop.h"
 #include "base/metrics.h"
+#include "customer_report.h"
 #include "host_listing.h"
 #include "hosts/arrival_forecast.h"
 #include "limit_keeper.h"
@@ -188,6 +189,7 @@
   base::TimePoint m_took_over_at;
   LoadMonitor m_load;
   LimitKeeper m_limits;
+  CustomerReport m_customer_report;
   // Versions of the progress rows of active jobs.
   std::map<std::string, uint64_t> m_progress_versions;
   ProgressParts m_progress_parts;
