--- a/services/shallotwick-scheduler/scheduler_process.cc
+++ b/services/shallotwick-scheduler/scheduler_process.cc
@@ -11,6 +11,7 @@
 #include "job_tables.h"
 #include "platform/names.h"
 #include "platform/operator_codec.h"
+#include "scheduler_settings.h"
 
 namespace shallotwick::scheduler {
 namespace {
@@ -81,16 +82,6 @@
   return options;
 }
 
-customers::AdmissionPolicy MakeAdmissionPolicy(const base::Settings& settings) {
-  customers::AdmissionPolicy policy;
-  const bool is_bounded = settings.GetString("strict-revocation") == "true" &&
-                          !settings.GetString("revocation-ms").empty();
-  if (is_bounded) {
-    policy.max_revocation_time = GetMilliseconds(settings, "revocation-ms");
-  }
-  return policy;
-}
-
 }  // namespace
 
 SchedulerProcess::SchedulerProcess(const base::Settings& settings)
--- a/services/shallotwick-scheduler/scheduler_settings.cc
+++ b/services/shallotwick-scheduler/scheduler_settings.cc
@@ -62,4 +62,16 @@
   return settings;
 }
 
+customers::AdmissionPolicy MakeAdmissionPolicy(const base::Settings& settings) {
+  customers::AdmissionPolicy policy;
+  const bool is_bounded = settings.GetString("strict-revocation") == "true" &&
+                          !settings.GetString("revocation-ms").empty();
+  if (is_bounded) {
+    policy.max_revocation_time = std::chrono::duration_cast<base::Duration>(
+        std::chrono::duration<double, std::milli>(
+            settings.GetNumber("revocation-ms")));
+  }
+  return policy;
+}
+
 }  // namespace shallotwick::scheduler
