--- a/libraries/customers/limit_shares.cc
+++ b/libraries/customers/limit_shares.cc
@@ -29,9 +29,11 @@
       throw std::runtime_error("shares: is not an object");
     }
     for (const auto& [pool, share] : object.items()) {
-      shares.m_by_pool[pool] = {ReadAmount(share.at(0)),
-                                ReadAmount(share.at(1)),
-                                ReadAmount(share.at(2))};
+      const base::Resources amount{ReadAmount(share.at(0)),
+                                   ReadAmount(share.at(1)),
+                                   ReadAmount(share.at(2))};
+      shares.m_by_pool[pool] = amount;
+      shares.m_total = shares.m_total + amount;
     }
   } catch (const json::exception& error) {
     throw std::runtime_error(error.what());
@@ -52,17 +54,10 @@
   return found == m_by_pool.end() ? base::Resources{} : found->second;
 }
 
-base::Resources LimitShares::GetTotal() const {
-  base::Resources total;
-  for (const auto& [pool, share] : m_by_pool) {
-    total = total + share;
-  }
-  return total;
-}
-
 LimitShares LimitShares::WithShare(const std::string& pool,
                                    const base::Resources& share) const {
   LimitShares changed = *this;
+  changed.m_total = m_total - GetShare(pool) + share;
   if (share == base::Resources{}) {
     changed.m_by_pool.erase(pool);
   } else {
--- a/libraries/customers/limit_shares.h
+++ b/libraries/customers/limit_shares.h
@@ -18,7 +18,8 @@
   std::string Format() const;
 
   base::Resources GetShare(const std::string& pool) const;
-  base::Resources GetTotal() const;
+  // Returns the sum over all pools.
+  const base::Resources& GetTotal() const { return m_total; }
   // A pool without a share is left out.
   LimitShares WithShare(const std::string& pool,
                         const base::Resources& share) const;
@@ -27,6 +28,7 @@
 
  private:
   std::map<std::string, base::Resources> m_by_pool;
+  base::Resources m_total;
 };
 
 }  // namespace shallotwick::customers
--- a/tests/bench/main.cc
+++ b/tests/bench/main.cc
@@ -1,10 +1,11 @@
 // Measures what docs/CAPACITY.md is worked out from.
-// Usage: bench JSON-FILE, or bench jobs for the schedulers alone.
+// Usage: bench JSON-FILE, or bench jobs or customers for these alone.
 #include <exception>
 #include <iostream>
 #include <string>
 
 #include "bench_report.h"
+#include "customer_benches.h"
 #include "decision_benches.h"
 #include "job_benches.h"
 #include "process_benches.h"
@@ -13,7 +14,7 @@
 int main(int argc, char** argv) {
   namespace bench = shallotwick::bench;
   if (argc != 2) {
-    std::cerr << "usage: bench JSON-FILE|jobs\n";
+    std::cerr << "usage: bench JSON-FILE|jobs|customers\n";
     return 2;
   }
   try {
@@ -22,6 +23,10 @@
       bench::RunJobBench(&report);
       return 0;
     }
+    if (std::string(argv[1]) == "customers") {
+      bench::RunCustomerBench(&report);
+      return 0;
+    }
     bench::RunPathBench(&report);
     bench::RunJobBench(&report);
     bench::RunControlBench(&report);
@@ -32,6 +37,7 @@
     bench::RunDigestBench(&report);
     bench::RunMeasuresBench(&report);
     bench::RunSharingBench(&report);
+    bench::RunCustomerBench(&report);
     report.WriteJson(argv[1]);
   } catch (const std::exception& error) {
     std::cerr << "bench failed: " << error.what() << "\n";
