--- a/services/shallotwick-scheduler/limit_keeper.cc
+++ b/services/shallotwick-scheduler/limit_keeper.cc
@@ -16,6 +16,8 @@
 constexpr auto kWaitLogPeriod = std::chrono::milliseconds(500);
 // A customer's limit is rarely all that keeps its work waiting for long.
 constexpr size_t kMaxWaitLines = 10;
+// Up to this number of divisions, single rows are read.
+constexpr size_t kMaxSingleReads = 3;
 
 std::optional<customers::StoredShares> ReadShares(
     const storage::VersionedRow& row) {
@@ -121,6 +123,12 @@
 
 // Divisions are kept in few partitions, so that one read shows many.
 void LimitKeeper::ReadDivisions(const std::vector<std::string>& customers) {
+  if (customers.size() <= kMaxSingleReads) {
+    for (const std::string& customer : customers) {
+      ReadDivision(customer);
+    }
+    return;
+  }
   std::map<std::string, std::set<std::string>> by_partition;
   for (const std::string& customer : customers) {
     by_partition[MakeLimitKey(customer).part].insert(customer);
@@ -136,6 +144,16 @@
   }
 }
 
+void LimitKeeper::ReadDivision(const std::string& customer) {
+  const storage::RowKey key = MakeLimitKey(customer);
+  m_store.Read(
+      {key.table, key.part, customer, storage::GetSuccessor(customer), 1},
+      m_lifetime.Guard([this, customer](const storage::RowReadResult& result) {
+        OnRead({customer}, result);
+        m_on_change();
+      }));
+}
+
 void LimitKeeper::OnRead(const std::set<std::string>& customers,
                          const storage::RowReadResult& result) {
   if (!result.is_read) {
--- a/services/shallotwick-scheduler/limit_keeper.h
+++ b/services/shallotwick-scheduler/limit_keeper.h
@@ -37,6 +37,7 @@
   void Commit(const std::vector<customers::ShareChange>& changes);
   void OnCommitted(const storage::RowCommitResult& result);
   void ReadDivisions(const std::vector<std::string>& customers);
+  void ReadDivision(const std::string& customer);
   void OnRead(const std::set<std::string>& customers,
               const storage::RowReadResult& result);
   // Logs customers that begin or cease to wait for their limit.
