--- a/libraries/customers/tests/share_planner_test.cc
+++ b/libraries/customers/tests/share_planner_test.cc
@@ -147,6 +147,21 @@
   LONGS_EQUAL(0, m_store.shares.GetTotal().cpu_milli);
 }
 
+TEST(SharePlanner, AFirstRaiseWithoutAnAnswerIsReturned) {
+  const auto planner = MakePlanner("p", 100);
+  // The customer has no share anywhere, and this is known.
+  Run(*planner, MakeNeed(0, 0));
+  const auto changes =
+      planner->Plan({{kCustomer, MakeNeed(0, 30)}}, true, m_now);
+  m_store.Apply(changes.at(0));
+  planner->OnFailed(m_now);
+  for (int i = 0; i < 40; ++i) {
+    Wait(50);
+    Run(*planner, MakeNeed(0, 0));
+  }
+  LONGS_EQUAL(0, m_store.shares.GetTotal().cpu_milli);
+}
+
 TEST(SharePlanner, ASuccessorReturnsNothingWhileFormerRunsAreUnknown) {
   const auto former = MakePlanner("p", 100);
   Run(*former, MakeNeed(0, 80));
