Each customer's share gets its turn; needs are told in each pass

Cause, found in reading: with many changes, customers early in the alphabet took all places of a transaction; a pass that ended early left older needs, on which a share could be reduced. Result: SharePlanner.EachCustomerGetsItsTurn.

--- a/libraries/customers/share_planner.cc
+++ b/libraries/customers/share_planner.cc
@@ -178,6 +178,8 @@
   }
   if (!needed.Fits(own)) {
     entry.surplus_since.reset();
+    // Nothing else of the customer may run beside a task that exceeds the
+    // limit.
     return is_oversized && IsNothing(used)
                ? KeepLimited(need.first_blocked, entry.limit)
                : TakeMost(own, TakeLeast(wanted, entry.limit - others));
@@ -208,26 +210,41 @@
   if (!m_in_flight.empty() || now < m_not_before) {
     return {};
   }
-  for (auto& [name, entry] : m_limited) {
-    const auto found = needs.find(name);
-    const CustomerNeed need =
-        found == needs.end() ? CustomerNeed{} : found->second;
-    const Resources share = ChooseShare(entry, need, may_reduce, now);
-    const bool is_changed =
-        share != entry.shares.GetShare(m_pool) || entry.is_uncertain;
-    const bool is_short =
-        !KeepLimited(need.used + need.blocked, entry.limit).Fits(share);
-    entry.is_short = is_short;
-    if (!is_changed || m_in_flight.size() == m_max_changes) {
-      continue;
-    }
-    entry.reduced_share = TakeLeast(share, GetOwnShare(entry));
-    m_in_flight.push_back(
-        {name, entry.version, entry.shares.WithShare(m_pool, share)});
+  // Each customer gets its turn, also while those before it change all the
+  // time.
+  const auto first = m_limited.upper_bound(m_last_planned);
+  for (auto entry = first; entry != m_limited.end(); ++entry) {
+    PlanCustomer(entry->first, entry->second, needs, may_reduce, now);
+  }
+  for (auto entry = m_limited.begin(); entry != first; ++entry) {
+    PlanCustomer(entry->first, entry->second, needs, may_reduce, now);
+  }
+  if (!m_in_flight.empty()) {
+    m_last_planned = m_in_flight.back().customer;
   }
   return m_in_flight;
 }
 
+void SharePlanner::PlanCustomer(
+    const std::string& name, Entry& entry,
+    const std::map<std::string, CustomerNeed>& needs, bool may_reduce,
+    base::TimePoint now) {
+  const auto found = needs.find(name);
+  const CustomerNeed need =
+      found == needs.end() ? CustomerNeed{} : found->second;
+  const Resources share = ChooseShare(entry, need, may_reduce, now);
+  entry.is_short =
+      !KeepLimited(need.used + need.blocked, entry.limit).Fits(share);
+  const bool is_changed =
+      share != entry.shares.GetShare(m_pool) || entry.is_uncertain;
+  if (!is_changed || m_in_flight.size() == m_max_changes) {
+    return;
+  }
+  entry.reduced_share = TakeLeast(share, GetOwnShare(entry));
+  m_in_flight.push_back(
+      {name, entry.version, entry.shares.WithShare(m_pool, share)});
+}
+
 void SharePlanner::Learn(Entry& entry, uint64_t version,
                          const LimitShares& shares) {
   if (version < entry.version) {
--- a/libraries/customers/share_planner.h
+++ b/libraries/customers/share_planner.h
@@ -115,6 +115,11 @@
   };
 
   base::Resources GetOwnShare(const Entry& entry) const;
+  // Adds a change of the customer's share to the next transaction, if there is
+  // one to make and room for it.
+  void PlanCustomer(const std::string& name, Entry& entry,
+                    const std::map<std::string, CustomerNeed>& needs,
+                    bool may_reduce, base::TimePoint now);
   // Returns the share to have, which may be the present one.
   base::Resources ChooseShare(Entry& entry, const CustomerNeed& need,
                               bool may_reduce, base::TimePoint now) const;
@@ -125,6 +130,8 @@
   std::vector<ShareChange> m_in_flight;
   // How many changes the next transaction may have.
   size_t m_max_changes = 4;
+  // The last customer of the last transaction.
+  std::string m_last_planned;
   base::TimePoint m_not_before;
 };
 
--- a/libraries/customers/tests/share_planner_test.cc
+++ b/libraries/customers/tests/share_planner_test.cc
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <memory>
 #include <random>
+#include <set>
 
 namespace base = shallotwick::base;
 namespace customers = shallotwick::customers;
@@ -224,6 +225,28 @@
   LONGS_EQUAL(0, m_store.shares.GetTotal().memory_mb);
 }
 
+TEST(SharePlanner, EachCustomerGetsItsTurn) {
+  customers::SharePlanner planner("p");
+  base::Findings findings;
+  std::vector<customers::Customer> listed;
+  std::map<std::string, customers::CustomerNeed> needs;
+  for (int i = 0; i < 20; ++i) {
+    const std::string name = "c" + std::to_string(10 + i);
+    listed.push_back({name, {}, 1, {1'000, 0, 0}});
+    needs[name] = MakeNeed(0, 10);
+  }
+  planner.SetCustomers({listed, findings});
+  std::set<std::string> planned;
+  for (int i = 0; i < 20; ++i) {
+    for (const auto& change : planner.Plan(needs, true, m_now)) {
+      planned.insert(change.customer);
+    }
+    // Others change the same divisions all the time.
+    planner.OnConflict({});
+  }
+  LONGS_EQUAL(20, planned.size());
+}
+
 TEST(SharePlanner, CustomersWithoutALimitAreLeftAlone) {
   customers::SharePlanner planner("p");
   planner.SetCustomers(MakeRegistry({}));
--- a/libraries/scheduling/customer_budget.h
+++ b/libraries/scheduling/customer_budget.h
@@ -46,7 +46,6 @@
   void AddPossibleUse(int customer, const Resources& amount);
   // Bounds the possible use by what the targets offer that have not answered.
   void LimitPossibleUse(const Resources& capacity);
-  // Returns whether `count` tasks may start together.
   // Takes note that the customer has a job in the pool.
   void AddJob(int customer) { ++GetAccount(customer).jobs; }
   // Divides the pool by the weights of the customers that have jobs.
@@ -54,6 +53,8 @@
   // Returns whether the customer uses so much more than its share that others
   // come first.
   bool IsOverShare(int customer) const;
+  // Returns whether the customer's limit allows `count` tasks to start
+  // together.
   bool Allows(int customer, const Resources& demand, int count) const;
   // Takes note of tasks that could start but for the customer's limit.
   void AddBlocked(int customer, const Resources& demand, int count);
--- a/libraries/scheduling/pool_decisions.cc
+++ b/libraries/scheduling/pool_decisions.cc
@@ -249,6 +249,7 @@
   m_start_window.OnPass(now);
   if (m_start_window.GetRoom() == 0) {
     m_start_window.OnLimited();
+    m_customer_budget.EndPass({});
     return;
   }
   UpdatePoolFit();
