--- a/review/stage/cases.cc
+++ b/review/stage/cases.cc
@@ -89,6 +89,20 @@
   return command;
 }
 
+// The time in user and system mode: fields 14 and 15 of proc(5).
+double ReadCpuSeconds(pid_t pid) {
+  std::ifstream file("/proc/" + std::to_string(pid) + "/stat");
+  std::string text;
+  std::getline(file, text);
+  std::istringstream fields(text.substr(text.rfind(')') + 2));
+  std::string field;
+  double ticks = 0;
+  for (int number = 3; number <= 15 && fields >> field; ++number) {
+    ticks += number >= 14 ? std::stod(field) : 0;
+  }
+  return ticks / static_cast<double>(sysconf(_SC_CLK_TCK));
+}
+
 // Some schedulers of one system.
 class Schedulers {
  public:
@@ -188,6 +202,21 @@
 
   size_t GetCount() const { return m_fronts.size(); }
 
+  // Writes what the balancer sees of each process and the processor time that
+  // it has used.
+  void WriteProcesses() {
+    for (size_t i = 0; i < m_pids.size(); ++i) {
+      http::Request request;
+      request.target = "/v1/readyz";
+      const int status =
+          http::SendAndWait("http://" + m_ready[i] + "/v1/readyz", request)
+              .response.status;
+      m_log.Write("edge-" + std::to_string(i) + ": readyz " +
+                  std::to_string(status) + ", processor time " +
+                  std::to_string(ReadCpuSeconds(m_pids[i])) + " s");
+    }
+  }
+
  private:
   // A free port; another process may take it before it is used.
   static std::string FindAddress() {
@@ -350,6 +379,7 @@
   }
   std::this_thread::sleep_for(milliseconds(4'000));
   if (HasTrouble()) {
+    schedulers.WriteProcesses();
     const int status = schedulers.Call(0, "DELETE", "/cut/" + id).status;
     const auto acknowledged = Clock::now();
     if (status != 200) {
@@ -363,6 +393,7 @@
         break;
       }
     }
+    schedulers.WriteProcesses();
     WriteEvents(log, stage, id);
     const auto limit = acknowledged + kCancelTime + kStopTime;
     const auto events = stage.GetEvents();
@@ -530,14 +561,19 @@
   } else {
     is_broken = WaitsBesideRoom(stage, log, HasTrouble() ? "montagem" : "corte",
                                 MakeId(100), kCpuMilli);
-    for (int i = 0; i < kWaiting; ++i) {
-      schedulers.Call(0, "GET", "/cut/" + MakeId(100 + i));
-    }
     log.Write("begun of the submissions that waited: " + std::to_string(begun));
   }
+  // One more, after the change.
+  const std::string later = MakeId(200);
+  schedulers.Submit("/cut/" + later,
+                    MakeJob(500, {MakeStep(1, kCpuMilli, 1'000, 500)}));
+  std::this_thread::sleep_for(milliseconds(2'000));
   for (int i = 0; i < kWaiting; ++i) {
+    schedulers.Call(0, "GET", "/cut/" + MakeId(100 + i));
     WriteEvents(log, stage, MakeId(100 + i));
   }
+  schedulers.Call(0, "GET", "/cut/" + later);
+  WriteEvents(log, stage, later);
   return is_broken ? kBroken : kHeld;
 }
 
@@ -631,6 +667,7 @@
   for (size_t node = 0; node < schedulers.GetCount(); ++node) {
     schedulers.Call(node, "GET", "/cut/" + id);
   }
+  schedulers.WriteProcesses();
   WriteEvents(log, stage, id);
   return waits ? kBroken : kHeld;
 }
