--- a/review/stage/cases.cc
+++ b/review/stage/cases.cc
@@ -637,6 +637,7 @@
     }
     std::this_thread::sleep_for(milliseconds(5));
   }
+  const auto handed_over = Clock::now();
   log.Write("edge-0 hands its pool over");
   if (HasTrouble()) {
     stage.SetTurnedAway(0, true);
@@ -659,6 +660,12 @@
   }
   std::this_thread::sleep_for(kFinishTime);
   const std::vector<Event> events = stage.GetEvents();
+  log.Write("starts later than 2 s after the hand-over began: " +
+            std::to_string(std::count_if(
+                events.begin(), events.end(), [&](const Event& event) {
+                  return event.what == "start" &&
+                         event.at > handed_over + milliseconds(2'000);
+                })));
   const bool has_begun = std::any_of(
       events.begin(), events.end(),
       [&](const Event& event) { return event.task.rfind(id, 0) == 0; });
