--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -6,8 +6,8 @@
 ninja -C target/build http base
 mkdir -p target/review
 g++ -std=c++20 -O2 -Wall -Wextra -DASIO_STANDALONE -DBOOST_LOG_DYN_LINK \
-  -I libraries -I tests -I review/stage -I . \
-  review/stage/stage.cc review/stage/cases.cc \
+  -I libraries -I tests -I review -I . \
+  review/stage.cc review/cases.cc \
   tests/standin-cluster/row_table.cc \
   target/build/libraries/http/libhttp.a target/build/libraries/base/libbase.a \
   -lboost_log -lboost_thread -lboost_program_options -lcurl -lfmt \
